--- /dev/null
+++ b/core/results/_interop.ts
@@ -0,0 +1,6 @@
+/**
+ * Unpacks ts-results, which is published as CommonJS, into named exports.
+ */
+import results from 'ts-results'
+
+export const { Ok, Err } = results
--- /dev/null
+++ b/core/types/place.ts
@@ -0,0 +1,11 @@
+/**
+ * Where a host stands.
+ */
+
+/** Describes the availability zone and the region of a host. */
+export interface Place {
+  /** Name of the availability zone, for example `rimouski`. */
+  availabilityZone: string
+  /** Name of the region, for example `qc-est`. */
+  region: string
+}
--- /dev/null
+++ b/cucumber.js
@@ -0,0 +1,5 @@
+export default {
+  paths: ['!(node_modules|dist)/**/*.feature'],
+  import: ['dist/**/*_test.js'],
+  publishQuiet: true
+}
