Add the entry's state machine for model requests

Cause: the entry needs one place that decides reserve, prefill, decode, resume and retry, testable without sockets. Ruled out: a promise chain per request; crossed and late messages can't be replayed against it in tests. Before: no request path. Conclusion: effects out, events in, one clock.

--- /dev/null
+++ b/core/request/_recovery.ts
@@ -0,0 +1,51 @@
+/**
+ * What a request does when a backend server is lost, stalls or refuses.
+ */
+import { RefusalCode, Role } from '../types/mod.ts'
+import { reservePolicies } from './_reserve_policies.ts'
+import { cancelLeg, dropLegs, enter, fail, prefill, reserve, wake } from './_state.ts'
+import { RequestPhase, RequestTimer } from './_types.ts'
+import type { State } from './_state.ts'
+
+/** Gives up the attempt and starts the next one elsewhere, as far as the budget allows. */
+export function abandon (state: State, code: RefusalCode, agent: string | undefined, nowMs: number): void {
+  dropLegs(state)
+  if (agent !== undefined) state.exclude.add(agent)
+  state.early.clear()
+  if (state.attempt >= state.options.maxAttempts || !state.ports.takeRetry(nowMs)) {
+    fail(state, code, 1000)
+    return
+  }
+  state.attempt += 1
+  enter(state, RequestPhase.Preparing, nowMs)
+  reservePolicies[state.options.policy].begin(state, nowMs)
+}
+
+/** Handles the loss of the connection to an agent. */
+export function lose (state: State, agent: string, nowMs: number): void {
+  if (state.phase === RequestPhase.Streaming && state.decode?.agent === agent) {
+    enter(state, RequestPhase.Recovering, nowMs)
+    wake(state, RequestTimer.Resume, state.options.resumeMs)
+    return
+  }
+  if (state.phase !== RequestPhase.Preparing) return
+  if (state.decode?.agent === agent) replace(state, Role.Decode, RefusalCode.Unreachable, 0, nowMs)
+  else if (state.prefill?.agent === agent) replace(state, Role.Prefill, RefusalCode.Unreachable, 0, nowMs)
+}
+
+/** Asks another backend server for the part of the attempt that one backend server refused or lost. */
+export function replace (state: State, role: Role, code: RefusalCode, retryAfterMs: number, nowMs: number): void {
+  const leg = role === Role.Decode ? state.decode : state.prefill
+  if (leg === undefined) return
+  state.exclude.add(leg.agent)
+  cancelLeg(state, leg)
+  if (role === Role.Decode) state.decode = undefined
+  else state.prefill = undefined
+  if (!state.ports.takeRetry(nowMs)) {
+    fail(state, code, retryAfterMs)
+    return
+  }
+  enter(state, RequestPhase.Preparing, nowMs)
+  if (role === Role.Decode) reserve(state, nowMs)
+  else prefill(state, nowMs)
+}
