--- /dev/null
+++ b/core/fence/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Fencing of orders to engines: numbers that grow without a disk, and a sequencer for engines that ignore them.
+ */
+export { createFence } from './create_fence.ts'
+export { createOrderSequencer, OrderEffectKind } from './create_order_sequencer.ts'
+export type { Fence, FenceOptions } from './create_fence.ts'
+export type { OrderEffect, OrderSequencer, OrderSequencerOptions, OrderTarget } from './create_order_sequencer.ts'
--- /dev/null
+++ b/core/ticket/mod.ts
@@ -0,0 +1,8 @@
+/**
+ * Tickets under which a call that is not idempotent runs at most once.
+ */
+export { createTicketTable } from './create_ticket_table.ts'
+export { parseTicket } from './parse_ticket.ts'
+export { TicketAction } from './_types.ts'
+export type { TicketDecision, TicketTable, TicketTableOptions } from './_types.ts'
+export type { TicketParts } from './parse_ticket.ts'
