--- /dev/null
+++ b/agent/_canceller.ts
@@ -0,0 +1,63 @@
+/**
+ * Cancels attempts at the engine and repeats each cancel until the engine confirms it.
+ */
+import { attemptKey } from '../core/types/mod.ts'
+import { MessageKind } from '../wire/mod.ts'
+import type { EngineAdapter } from '../engine/mod.ts'
+import type { ReservationTable } from '../core/reservation/mod.ts'
+import type { AttemptRef } from '../core/types/mod.ts'
+import type { TaskPorts } from './_types.ts'
+
+/** Ends attempts at the engine. */
+export interface Canceller {
+  /** Sends the cancel; `retry` repeats it until the engine confirms. */
+  start (ref: AttemptRef): void
+  /** Repeats the cancels that are not confirmed yet. */
+  retry (): void
+  /** Tells an entry once nothing is held for the attempt. */
+  tellWhenFree (ref: AttemptRef, owner: string): void
+  /** Tells the waiting entry at once when nothing is held. */
+  settle (ref: AttemptRef): void
+}
+
+/**
+ * Creates the canceller.
+ */
+export function createCanceller (
+  ports: TaskPorts, engine: EngineAdapter, table: ReservationTable, onFreed: (ref: AttemptRef) => void
+): Canceller {
+  const pending = new Set<string>()
+  const waiting = new Map<string, string>()
+
+  function settle (ref: AttemptRef): void {
+    const key = attemptKey(ref)
+    const owner = waiting.get(key)
+    if (owner === undefined) return
+    if (table.cancelling().some((other) => attemptKey(other) === key)) return
+    waiting.delete(key)
+    ports.send(owner, { kind: MessageKind.Cancelled, requestId: ref.requestId, attempt: ref.attempt })
+  }
+
+  async function start (ref: AttemptRef): Promise<void> {
+    const key = attemptKey(ref)
+    if (pending.has(key)) return
+    pending.add(key)
+    const done = await engine.cancel(ref)
+    pending.delete(key)
+    if (done.err) return
+    table.confirmed(ref)
+    onFreed(ref)
+    settle(ref)
+  }
+
+  return {
+    start,
+    retry () {
+      for (const ref of table.cancelling()) start(ref)
+    },
+    tellWhenFree (ref, owner) {
+      waiting.set(attemptKey(ref), owner)
+    },
+    settle
+  }
+}
--- /dev/null
+++ b/agent/_engine_task.ts
@@ -0,0 +1,198 @@
+/**
+ * The task that owns the engine beside an agent: admission, leases, prefill, decode, resume and cancel.
+ */
+import { createLeaseTable } from '../core/lease/mod.ts'
+import { ReleaseEffect, ReservationState, createReservationTable } from '../core/reservation/mod.ts'
+import { attemptKey, Outcome, RefusalCode, Role } from '../core/types/mod.ts'
+import { MessageKind } from '../wire/mod.ts'
+import { createCanceller } from './_canceller.ts'
+import { createLoadTask } from './_load_task.ts'
+import { createPrefillTask } from './_prefill_task.ts'
+import { createQueueTask } from './_queue_task.ts'
+import { createStreamTask } from './_stream_task.ts'
+import type { EngineAdapter } from '../engine/mod.ts'
+import type { AdmissionPolicy } from '../core/records/mod.ts'
+import type { AttemptRef } from '../core/types/mod.ts'
+import type { CancelMessage, Heartbeat, LoadReport, Message, MessageOf } from '../wire/mod.ts'
+import type { BackendTask, TaskPorts } from './_types.ts'
+
+/** Configures the task. */
+export interface EngineTaskOptions {
+  backend: string
+  engine: EngineAdapter
+  seats: number
+  pieces: number
+  leaseMs: number
+  heartbeatMs: number
+  paidHeadroom: () => number
+  admission: () => AdmissionPolicy
+  /** Sends a load report to every connected entry. */
+  publish: (report: LoadReport) => void
+}
+
+const tickMs = 50
+
+type Handlers = { [K in MessageKind]?: (owner: string, msg: MessageOf<K>) => void }
+
+/**
+ * Creates the task.
+ */
+export function createEngineTask (ports: TaskPorts, options: EngineTaskOptions): BackendTask {
+  const { timer } = ports
+  const { engine } = options
+  const leases = createLeaseTable({ leaseMs: options.leaseMs })
+  const table = createReservationTable({ seats: options.seats, pieces: options.pieces })
+  const canceller = createCanceller(ports, engine, table, (ref) => {
+    stream.forget(ref)
+    queue.pump()
+  })
+  const load = createLoadTask(ports, { ...options, table, queued: () => queue.length() + prefill.length() })
+  const queue = createQueueTask(ports, { ...options, table, load, running: () => stream.running(), onPaused: setPaused })
+  const prefill = createPrefillTask(ports, { engine, table, load, release, onFreed: () => queue.pump() })
+  const stream = createStreamTask(ports, { engine, table, leaseMs: options.leaseMs, release, onFreed: () => queue.pump() })
+
+  function setPaused (ref: AttemptRef, paused: boolean): void {
+    stream.setPaused(ref, paused)
+    table.setPaused(ref, paused)
+    engine.setPaused(ref, paused)
+  }
+
+  /** Ends an attempt wherever it stands and frees what it holds. */
+  function release (ref: AttemptRef): void {
+    queue.withdraw(ref)
+    stream.drop(ref)
+    if (table.release(ref) === ReleaseEffect.CancelAtEngine) canceller.start(ref)
+    else queue.pump()
+  }
+
+  function releaseOwner (owner: string): void {
+    queue.withdrawOwner(owner)
+    for (const entry of table.snapshot()) {
+      if (entry.owner === owner) release(entry.ref)
+    }
+  }
+
+  /** Ends what the entry does not await any more; this also repeats a cancel that was lost. */
+  function onHeartbeat (owner: string, msg: Heartbeat): void {
+    leases.open(owner, timer.now())
+    const live = new Set(msg.live.map(attemptKey))
+    queue.keepOnly(owner, live)
+    for (const entry of table.snapshot()) {
+      if (entry.owner !== owner || entry.state === ReservationState.Cancelling) continue
+      if (!live.has(attemptKey(entry.ref))) release(entry.ref)
+    }
+  }
+
+  function onCancel (owner: string, msg: CancelMessage): void {
+    const ref = { requestId: msg.requestId, attempt: msg.attempt }
+    canceller.tellWhenFree(ref, owner)
+    release(ref)
+    canceller.settle(ref)
+  }
+
+  function refuseNewWork (owner: string, msg: AttemptRef, role: Role): boolean {
+    const state = load.state()
+    if (ports.isDraining()) queue.refuse(owner, msg, RefusalCode.Draining, 0)
+    else if (!leases.isLive(owner, timer.now())) queue.refuse(owner, msg, RefusalCode.LeaseExpired, 0)
+    else if (state === undefined) queue.refuse(owner, msg, RefusalCode.Unreachable, 1000)
+    else if (state.role !== role) queue.refuse(owner, msg, RefusalCode.ModelNotServed, 1000)
+    else return false
+    return true
+  }
+
+  function servesModel (owner: string, msg: AttemptRef & { model: string, version: string }): boolean {
+    const state = load.state()
+    if (state?.model === msg.model && state.version === msg.version && !state.loading) return true
+    queue.refuse(owner, msg, RefusalCode.ModelNotServed, 1000)
+    return false
+  }
+
+  const handlers: Handlers = {
+    [MessageKind.Heartbeat]: onHeartbeat,
+    [MessageKind.Reserve]: (owner, msg) => {
+      if (!refuseNewWork(owner, msg, Role.Decode) && servesModel(owner, msg)) queue.offer(owner, msg)
+    },
+    [MessageKind.Prefill]: (owner, msg) => {
+      if (!refuseNewWork(owner, msg, Role.Prefill) && servesModel(owner, msg)) prefill.run(owner, msg)
+    },
+    [MessageKind.Decode]: (owner, msg) => {
+      if (!leases.isLive(owner, timer.now())) queue.refuse(owner, msg, RefusalCode.LeaseExpired, 0)
+      else stream.run(owner, msg)
+    },
+    [MessageKind.Resume]: (owner, msg) => {
+      if (!leases.isLive(owner, timer.now())) queue.refuse(owner, msg, RefusalCode.LeaseExpired, 0)
+      else stream.resume(owner, msg)
+    },
+    [MessageKind.Cancel]: onCancel
+  }
+
+  function expireLeases (): void {
+    for (const owner of leases.expired(timer.now())) releaseOwner(owner)
+  }
+
+  /** Lists what the engine holds from before this agent started and cancels what no entry claims within one lease. */
+  async function adoptHeld (): Promise<void> {
+    const held = await engine.held()
+    if (held.err) {
+      timer.after(options.heartbeatMs, adoptHeld)
+      return
+    }
+    table.adopt(held.val)
+    timer.after(options.leaseMs, () => {
+      for (const ref of table.unclaimed()) release(ref)
+    })
+  }
+
+  const ticks = timer.every(tickMs, () => {
+    expireLeases()
+    canceller.retry()
+    queue.pump()
+  })
+  const pauses = timer.onPause(options.leaseMs, () => {
+    // The entries gave up on this agent during the pause, so nothing that was admitted before it is still awaited.
+    for (const owner of leases.expireAll()) releaseOwner(owner)
+  })
+  adoptHeld()
+
+  return {
+    handle (owner: string, msg: Message) {
+      const handler = handlers[msg.kind] as ((owner: string, msg: Message) => void) | undefined
+      handler?.(owner, msg)
+      return handler !== undefined
+    },
+    ownerUp (owner) {
+      leases.open(owner, timer.now())
+      load.publish()
+    },
+    ownerDown (owner) {
+      queue.withdrawOwner(owner)
+      for (const entry of table.snapshot()) {
+        if (entry.owner === owner && entry.state === ReservationState.Reserved) release(entry.ref)
+      }
+    },
+    inFlight: () => table.snapshot().length + queue.length(),
+    endInFlight () {
+      for (const entry of table.snapshot()) {
+        if (entry.owner !== undefined && entry.state === ReservationState.Running) {
+          const msg = { kind: MessageKind.Failed as const, ...entry.ref, code: RefusalCode.Draining, outcome: Outcome.Unknown, message: 'the agent ended' }
+          ports.send(entry.owner, msg)
+        }
+        release(entry.ref)
+      }
+    },
+    publish: load.publish,
+    status: () => ({
+      leases: leases.list(),
+      reservations: table.snapshot(),
+      free: table.free(),
+      queued: queue.length(),
+      engine: load.state() ?? null
+    }),
+    async close () {
+      ticks.cancel()
+      pauses.cancel()
+      load.close()
+      await engine.close()
+    }
+  }
+}
--- /dev/null
+++ b/agent/_load_task.ts
@@ -0,0 +1,147 @@
+/**
+ * Follows the load and the state of the engine and publishes them to the entries.
+ */
+import { MessageKind } from '../wire/mod.ts'
+import type { EngineAdapter, EngineState } from '../engine/mod.ts'
+import type { ReservationTable } from '../core/reservation/mod.ts'
+import type { LoadReport } from '../wire/mod.ts'
+import type { TaskPorts } from './_types.ts'
+
+/** Configures the load task. */
+export interface LoadTaskOptions {
+  backend: string
+  engine: EngineAdapter
+  table: ReservationTable
+  seats: number
+  pieces: number
+  heartbeatMs: number
+  /** Units of work that wait. */
+  queued: () => number
+  publish: (report: LoadReport) => void
+}
+
+/** Knows the load of the engine. */
+export interface LoadTask {
+  /** The engine's state as last read; undefined before the first answer or while the engine does not answer. */
+  state (): EngineState | undefined
+  /** Works out the memory for a number of tokens, in pieces. */
+  pieces (tokens: number): number
+  /** Estimates the time in milliseconds that a number of prompt tokens takes. */
+  prefillMs (tokens: number): number
+  /** Learns from a prefill of `tokens` uncached tokens that took `tookMs` milliseconds. */
+  prefilled (tokens: number, tookMs: number): void
+  /** Sends a report now. */
+  publish (): void
+  close (): void
+}
+
+const pollMs = 100
+const defaultTokensPerPiece = 16
+const defaultMsPerToken = 0.05
+const speedSmoothing = 0.1
+const maxSilentPolls = 10
+
+/**
+ * Creates the load task.
+ */
+export function createLoadTask (ports: TaskPorts, options: LoadTaskOptions): LoadTask {
+  const { engine, table } = options
+  let state: EngineState | undefined
+  let queuedTokens = 0
+  let msPerToken = defaultMsPerToken
+  let seq = 0
+  let answeredMs = ports.timer.now()
+  let publishedMs = -Infinity
+  let lastShape = ''
+  let polling = false
+  let silentPolls = 0
+  let seen: { prefixes: string[], afterSeq: number } = { prefixes: [], afterSeq: 0 }
+
+  function report (): LoadReport {
+    const free = table.free()
+    return {
+      kind: MessageKind.Load,
+      backend: options.backend,
+      role: state?.role ?? 'decode' as LoadReport['role'],
+      model: state?.model ?? '',
+      version: state?.version ?? '',
+      seats: options.seats,
+      seatsUsed: options.seats - free.seats + options.queued(),
+      pieces: options.pieces,
+      piecesUsed: options.pieces - free.pieces,
+      queuedTokens,
+      waitMs: Math.round(queuedTokens * msPerToken),
+      draining: ports.isDraining(),
+      seq: seq++,
+      tokensPerPiece: state?.tokensPerPiece ?? defaultTokensPerPiece,
+      prefixes: seen.prefixes,
+      stalledMs: Math.round(ports.timer.now() - answeredMs)
+    }
+  }
+
+  function publish (): void {
+    publishedMs = ports.timer.now()
+    options.publish(report())
+  }
+
+  /** Publishes when the shape of the load changed, and otherwise once a heartbeat. */
+  function publishIfDue (): void {
+    const { seatsUsed, piecesUsed, model, role, draining } = report()
+    const shape = `${seatsUsed} ${Math.round(piecesUsed / 64)} ${model} ${role} ${draining} ${state === undefined}`
+    const isDue = ports.timer.now() - publishedMs >= options.heartbeatMs
+    if (!isDue && shape === lastShape) return
+    lastShape = shape
+    publish()
+  }
+
+  async function readCache (): Promise<void> {
+    const events = await engine.cacheEvents(seen.afterSeq)
+    if (events.err) return
+    const prefixes = new Set(seen.prefixes)
+    let afterSeq = seen.afterSeq
+    for (const event of events.val) {
+      afterSeq = Math.max(afterSeq, event.seq)
+      if (event.kind === 'stored') prefixes.add(event.prefix)
+      else prefixes.delete(event.prefix)
+    }
+    seen = { prefixes: [...prefixes].slice(-maxPrefixes), afterSeq }
+  }
+
+  async function poll (): Promise<void> {
+    if (polling) return
+    polling = true
+    const [load, now] = await Promise.all([engine.load(), engine.state()])
+    if (load.ok && now.ok) {
+      state = now.val
+      queuedTokens = load.val.queuedTokens
+      answeredMs = ports.timer.now()
+      silentPolls = 0
+      await readCache()
+    } else {
+      silentPolls += 1
+      if (silentPolls >= maxSilentPolls) state = undefined
+    }
+    polling = false
+    publishIfDue()
+  }
+
+  const polls = ports.timer.every(pollMs, poll)
+  poll()
+
+  return {
+    state: () => state,
+    pieces: (tokens) => Math.ceil(tokens / (state?.tokensPerPiece ?? defaultTokensPerPiece)),
+    prefillMs: (tokens) => tokens * msPerToken,
+    prefilled (tokens, tookMs) {
+      if (tokens <= 0) return
+      const sample = tookMs / tokens
+      // Waiting behind other prefills is part of the sample, so only samples near the known speed or below move it fast.
+      const weight = sample <= msPerToken * 2 ? speedSmoothing : speedSmoothing / 10
+      msPerToken += weight * (sample - msPerToken)
+    },
+    publish,
+    close: () => polls.cancel()
+  }
+}
+
+const maxPrefixes = 64
--- /dev/null
+++ b/agent/_queue_task.ts
@@ -0,0 +1,125 @@
+/**
+ * Admits reservations to the engine through the admission queue.
+ */
+import { createAdmission } from '../core/admission/mod.ts'
+import { attemptKey, RefusalCode } from '../core/types/mod.ts'
+import { MessageKind } from '../wire/mod.ts'
+import type { AdmissionItem, RunningItem } from '../core/admission/mod.ts'
+import type { AdmissionPolicy } from '../core/records/mod.ts'
+import type { ReservationTable } from '../core/reservation/mod.ts'
+import type { AttemptRef } from '../core/types/mod.ts'
+import type { Reserve } from '../wire/mod.ts'
+import type { LoadTask } from './_load_task.ts'
+import type { TaskPorts } from './_types.ts'
+
+/** Configures the queue task. */
+export interface QueueTaskOptions {
+  table: ReservationTable
+  load: LoadTask
+  seats: number
+  pieces: number
+  paidHeadroom: () => number
+  admission: () => AdmissionPolicy
+  running: () => RunningItem[]
+  onPaused: (ref: AttemptRef, paused: boolean) => void
+}
+
+/** Queues and admits reservations. */
+export interface QueueTask {
+  offer (owner: string, msg: Reserve): void
+  /** Admits what fits now. */
+  pump (): void
+  withdraw (ref: AttemptRef): void
+  withdrawOwner (owner: string): void
+  /** Withdraws the waiting work of an owner whose key is not in `live`. */
+  keepOnly (owner: string, live: Set<string>): void
+  refuse (owner: string, ref: AttemptRef, code: RefusalCode, retryAfterMs: number): void
+  length (): number
+}
+
+const maxQueue = 200
+const quantumTokens = 1000
+
+/**
+ * Creates the queue task.
+ */
+export function createQueueTask (ports: TaskPorts, options: QueueTaskOptions): QueueTask {
+  const { table, load } = options
+  const { seats, pieces } = options
+  const admission = createAdmission({
+    policy: options.admission(),
+    paidHeadroom: options.paidHeadroom(),
+    seats,
+    pieces,
+    maxQueue,
+    quantumTokens
+  })
+  const waiting = new Map<string, AdmissionItem>()
+
+  function refuse (owner: string, ref: AttemptRef, code: RefusalCode, retryAfterMs: number): void {
+    const { requestId, attempt } = ref
+    ports.send(owner, { kind: MessageKind.Refused, requestId, attempt, code, retryAfterMs: Math.round(retryAfterMs) })
+  }
+
+  function admit (item: AdmissionItem): void {
+    waiting.delete(attemptKey(item.ref))
+    const done = table.reserve({ ref: item.ref, owner: item.owner, pieces: item.pieces }, ports.timer.now())
+    if (done.err) refuse(item.owner, item.ref, done.val, 200)
+    else ports.send(item.owner, { kind: MessageKind.Reserved, ...item.ref, pieces: item.pieces })
+  }
+
+  function pump (): void {
+    admission.setPolicy(options.admission(), options.paidHeadroom())
+    const step = admission.next(table.free(), options.running(), ports.timer.now())
+    for (const ref of step.pause) options.onPaused(ref, true)
+    for (const ref of step.resume) options.onPaused(ref, false)
+    for (const refusal of step.refuse) {
+      waiting.delete(attemptKey(refusal.item.ref))
+      refuse(refusal.item.owner, refusal.item.ref, refusal.code, refusal.retryAfterMs)
+    }
+    for (const item of step.admit) admit(item)
+  }
+
+  function withdraw (ref: AttemptRef): void {
+    if (!waiting.delete(attemptKey(ref))) return
+    admission.withdraw(ref)
+  }
+
+  function offer (owner: string, msg: Reserve): void {
+    const ref = { requestId: msg.requestId, attempt: msg.attempt }
+    const item: AdmissionItem = {
+      ref,
+      owner,
+      pieces: msg.pieces > 0 ? msg.pieces : load.pieces(msg.tokens),
+      tokens: msg.tokens,
+      tierClass: msg.tierClass,
+      caller: msg.caller,
+      deadlineMs: ports.timer.now() + msg.waitMs
+    }
+    const offered = admission.offer(item, ports.timer.now())
+    if (offered.err) {
+      refuse(owner, ref, offered.val.code, offered.val.retryAfterMs)
+      return
+    }
+    waiting.set(attemptKey(ref), item)
+    pump()
+  }
+
+  return {
+    offer,
+    pump,
+    withdraw,
+    withdrawOwner (owner) {
+      for (const item of [...waiting.values()]) {
+        if (item.owner === owner) withdraw(item.ref)
+      }
+    },
+    keepOnly (owner, live) {
+      for (const item of [...waiting.values()]) {
+        if (item.owner === owner && !live.has(attemptKey(item.ref))) withdraw(item.ref)
+      }
+    },
+    refuse,
+    length: () => waiting.size
+  }
+}
--- /dev/null
+++ b/agent/_service_task.ts
@@ -0,0 +1,166 @@
+/**
+ * The task that owns the plain service beside an agent: tickets and calls.
+ */
+import { randomBytes } from 'node:crypto'
+import { createTicketTable, TicketAction } from '../core/ticket/mod.ts'
+import { Outcome, RefusalCode, Role } from '../core/types/mod.ts'
+import { MessageKind } from '../wire/mod.ts'
+import type { TicketDecision } from '../core/ticket/mod.ts'
+import type { ServiceAdapter, ServiceReply } from '../engine/mod.ts'
+import type { CallDone, CallMessage, LoadReport, Message, MessageOf } from '../wire/mod.ts'
+import type { BackendTask, TaskPorts } from './_types.ts'
+
+/** Configures the task. */
+export interface ServiceTaskOptions {
+  backend: string
+  service: string
+  adapter: ServiceAdapter
+  incarnation: number
+  heartbeatMs: number
+  seats: number
+  publish: (report: LoadReport) => void
+}
+
+const ticketKeepMs = 600_000
+const maxTickets = 20_000
+const nonceBytes = 12
+
+type Verdict = Pick<CallDone, 'outcome' | 'reply' | 'code' | 'replayed'>
+type Waiter = (verdict: Verdict) => void
+type Handlers = { [K in MessageKind]?: (owner: string, msg: MessageOf<K>) => void }
+
+/**
+ * Creates the task.
+ */
+export function createServiceTask (ports: TaskPorts, options: ServiceTaskOptions): BackendTask {
+  const { timer } = ports
+  const tickets = createTicketTable<ServiceReply>({
+    agent: options.backend,
+    incarnation: options.incarnation,
+    keepMs: ticketKeepMs,
+    maxTickets,
+    nonce: () => randomBytes(nonceBytes).toString('hex')
+  })
+  const waiters = new Map<string, Waiter[]>()
+  let running = 0
+  let seq = 0
+
+  /** Makes the call and tells what is known about it. */
+  async function call (msg: CallMessage): Promise<Verdict> {
+    running += 1
+    const { method, path, headers, body, timeoutMs } = msg
+    const callId = msg.ticket ?? msg.requestId
+    const done = await options.adapter.call({ callId, method, path, headers, body, timeoutMs })
+    running -= 1
+    if (done.ok) return { outcome: Outcome.Done, reply: done.val, replayed: false }
+    const code = done.val.sent ? RefusalCode.BackendError : RefusalCode.Unreachable
+    return { outcome: done.val.sent ? Outcome.Unknown : Outcome.NotRun, code, replayed: false }
+  }
+
+  async function runOnce (ticket: string, msg: CallMessage, answer: Waiter): Promise<void> {
+    const verdict = await call(msg)
+    tickets.record(ticket, verdict.outcome, verdict.reply, timer.now())
+    answer(verdict)
+    const waiting = waiters.get(ticket) ?? []
+    waiters.delete(ticket)
+    for (const waiter of waiting) waiter({ ...verdict, replayed: true })
+  }
+
+  type Act = (decision: TicketDecision<ServiceReply>, ticket: string, msg: CallMessage, answer: Waiter) => void
+
+  const actions: { [A in TicketAction]: Act } = {
+    [TicketAction.Run]: (_decision, ticket, msg, answer) => { runOnce(ticket, msg, answer) },
+    [TicketAction.Wait]: (_decision, ticket, _msg, answer) => {
+      waiters.set(ticket, [...waiters.get(ticket) ?? [], answer])
+    },
+    [TicketAction.Replay]: (decision, _ticket, _msg, answer) => {
+      if (decision.action !== TicketAction.Replay) return
+      answer({ outcome: decision.outcome, reply: decision.reply, replayed: true })
+    },
+    [TicketAction.Refuse]: (_decision, _ticket, _msg, answer) => {
+      answer({ outcome: Outcome.NotRun, code: RefusalCode.TicketUnknown, replayed: false })
+    },
+    [TicketAction.Unknown]: (_decision, _ticket, _msg, answer) => {
+      answer({ outcome: Outcome.Unknown, code: RefusalCode.TicketUnknown, replayed: false })
+    }
+  }
+
+  function onCall (owner: string, msg: CallMessage): void {
+    const { requestId, attempt } = msg
+    const answer: Waiter = (verdict) => {
+      ports.send(owner, { kind: MessageKind.CallDone, requestId, attempt, ...verdict })
+    }
+    if (ports.isDraining()) {
+      answer({ outcome: Outcome.NotRun, code: RefusalCode.Draining, replayed: false })
+    } else if (msg.ticket === undefined) {
+      call(msg).then(answer)
+    } else {
+      const decision = tickets.begin(msg.ticket, msg.service, msg.caller, timer.now())
+      actions[decision.action](decision, msg.ticket, msg, answer)
+    }
+  }
+
+  function onIssue (owner: string, msg: MessageOf<MessageKind.TicketIssue>): void {
+    const { requestId, attempt, service, caller } = msg
+    const issued = tickets.issue(service, caller, timer.now())
+    if (ports.isDraining() || issued.err) {
+      const code = issued.err ? issued.val : RefusalCode.Draining
+      ports.send(owner, { kind: MessageKind.Refused, requestId, attempt, code, retryAfterMs: 0 })
+      return
+    }
+    ports.send(owner, { kind: MessageKind.TicketIssued, requestId, attempt, ticket: issued.val, keepsMs: ticketKeepMs })
+  }
+
+  function publish (): void {
+    options.publish({
+      kind: MessageKind.Load,
+      backend: options.backend,
+      role: Role.Service,
+      model: options.service,
+      version: '',
+      seats: options.seats,
+      seatsUsed: running,
+      pieces: 0,
+      piecesUsed: 0,
+      queuedTokens: 0,
+      waitMs: 0,
+      draining: ports.isDraining(),
+      seq: seq++,
+      tokensPerPiece: 1,
+      prefixes: [],
+      stalledMs: 0
+    })
+  }
+
+  const reports = timer.every(options.heartbeatMs, publish)
+
+  const handlers: Handlers = {
+    [MessageKind.Call]: onCall,
+    [MessageKind.TicketIssue]: onIssue,
+    [MessageKind.TicketVoid]: (owner, msg) => {
+      const { requestId, attempt, ticket } = msg
+      const outcome = tickets.void(ticket, timer.now())
+      ports.send(owner, { kind: MessageKind.TicketVoided, requestId, attempt, outcome })
+    },
+    [MessageKind.Heartbeat]: () => {},
+    [MessageKind.Cancel]: () => {}
+  }
+
+  return {
+    handle (owner: string, msg: Message) {
+      const handler = handlers[msg.kind] as ((owner: string, msg: Message) => void) | undefined
+      handler?.(owner, msg)
+      return handler !== undefined
+    },
+    ownerUp: publish,
+    ownerDown: () => {},
+    inFlight: () => running,
+    endInFlight: () => {},
+    status: () => ({ tickets: tickets.size(), running }),
+    publish,
+    async close () {
+      reports.cancel()
+      await options.adapter.close()
+    }
+  }
+}
--- /dev/null
+++ b/agent/_types.ts
@@ -0,0 +1,38 @@
+/**
+ * What the tasks of an agent share.
+ */
+import type { Message } from '../wire/mod.ts'
+import type { Timer } from '../timer/mod.ts'
+import type { Log } from '../log/mod.ts'
+import type { Metrics } from '../metrics/mod.ts'
+
+/** Sends a message to an entry by its owner key `name#incarnation`; false when that run of the entry is not connected. */
+export type SendToOwner = (owner: string, msg: Message) => boolean
+
+/** What every task of an agent gets. */
+export interface TaskPorts {
+  timer: Timer
+  log: Log
+  metrics: Metrics
+  send: SendToOwner
+  /** True when the agent takes no new work. */
+  isDraining: () => boolean
+}
+
+/** A task of an agent that serves one kind of backend server. */
+export interface BackendTask {
+  /** Takes a message of an entry; false when the task does not handle its kind. */
+  handle (owner: string, msg: Message): boolean
+  /** The connection of an entry was opened. */
+  ownerUp (owner: string): void
+  /** The connection of an entry was closed. */
+  ownerDown (owner: string): void
+  /** Number of units of work in flight. */
+  inFlight (): number
+  /** Ends what is in flight with an honest outcome. */
+  endInFlight (): void
+  /** Sends a load report to every connected entry now. */
+  publish (): void
+  status (): Record<string, unknown>
+  close (): Promise<void>
+}
--- a/core/request/_recovery.ts
+++ b/core/request/_recovery.ts
@@ -11,7 +11,7 @@
 export function abandon (state: State, code: RefusalCode, agent: string | undefined, nowMs: number): void {
   dropLegs(state)
   if (agent !== undefined) state.exclude.add(agent)
-  state.early.clear()
+  state.answer.dropEarly()
   if (state.attempt >= state.options.maxAttempts || !state.ports.takeRetry(nowMs)) {
     fail(state, code, 1000)
     return
--- a/core/request/_replies.ts
+++ b/core/request/_replies.ts
@@ -11,8 +11,6 @@
 import type { State } from './_state.ts'
 import type { AgentReply, RequestEvent, RequestEventKind } from './_types.ts'
 
-const maxEarlyBatches = 256
-
 type ReplyEvent = Extract<RequestEvent, { kind: RequestEventKind.Reply }>
 type Handler<M> = (state: State, agent: string, msg: M, nowMs: number) => void
 
@@ -64,12 +62,12 @@
   },
   [MessageKind.Finished]: (state: State, agent: string, msg: Finished, nowMs: number) => {
     if (state.phase !== RequestPhase.Streaming || state.decode?.agent !== agent) return
-    if (state.written.length < msg.tokens) {
+    if (state.answer.next() < msg.tokens) {
       askAgain(state, agent, nowMs)
       return
     }
     releasePrefill(state)
-    state.effects.push({ kind: RequestEffectKind.End, tokens: state.written.length, reason: msg.reason })
+    state.effects.push({ kind: RequestEffectKind.End, tokens: state.answer.next(), reason: msg.reason })
     state.phase = RequestPhase.Ended
     state.decode = undefined
   },
@@ -84,30 +82,14 @@
 
 /** Asks for the tokens that are missing before the end. */
 function askAgain (state: State, agent: string, nowMs: number): void {
-  const offset = state.written.length
+  const offset = state.answer.next()
   state.effects.push({ kind: RequestEffectKind.Send, agent, msg: { kind: MessageKind.Resume, ...ref(state), offset } })
   enter(state, RequestPhase.Streaming, nowMs)
 }
 
-/** Writes the tokens that continue the answer, drops repeats and keeps what came too early. */
+/** Writes the tokens that continue the answer. */
 function take (state: State, offset: number, tokens: string[]): void {
-  const next = state.written.length
-  if (offset > next) {
-    if (state.early.size < maxEarlyBatches) state.early.set(offset, tokens)
-    return
-  }
-  const fresh = tokens.slice(next - offset)
-  if (fresh.length === 0) return
-  state.written.push(...fresh)
-  state.effects.push({ kind: RequestEffectKind.Emit, offset: next, tokens: fresh })
-  takeEarly(state)
-}
-
-function takeEarly (state: State): void {
-  for (const [offset, tokens] of state.early) {
-    if (offset > state.written.length) continue
-    state.early.delete(offset)
-    take(state, offset, tokens)
-    return
-  }
+  const next = state.answer.next()
+  const fresh = state.answer.take(offset, tokens)
+  if (fresh.length > 0) state.effects.push({ kind: RequestEffectKind.Emit, offset: next, tokens: fresh })
 }
--- a/core/request/_reserve_policies.ts
+++ b/core/request/_reserve_policies.ts
@@ -24,7 +24,7 @@
 
 function beginPredicted (state: State, nowMs: number): void {
   if (!prefill(state, nowMs) || state.prefill === undefined) return
-  const tokens = state.spec.promptTokens + state.written.length
+  const tokens = state.spec.promptTokens + state.answer.next()
   const endMs = state.ports.estimatePrefillMs(state.prefill.agent, tokens)
   wake(state, RequestTimer.Bind, endMs - state.options.bindLeadMs)
 }
--- a/core/request/_state.ts
+++ b/core/request/_state.ts
@@ -6,6 +6,7 @@
 import { RequestEffectKind, RequestPhase, RequestTimer } from './_types.ts'
 import type { RequestEffect, RequestOptions, RequestPorts, RequestSpec } from './_types.ts'
 import type { Prefilled } from '../../wire/mod.ts'
+import type { TokenAssembler } from '../stream/mod.ts'
 import type { AttemptRef, RefusalCode } from '../types/mod.ts'
 
 /** One backend server's part in the current attempt. */
@@ -33,9 +34,7 @@
   /** Backend servers that failed or refused in this request. */
   exclude: Set<string>
   /** Tokens written to the caller. */
-  written: string[]
-  /** Batches that arrived before the tokens in front of them. */
-  early: Map<number, string[]>
+  answer: TokenAssembler
   /** Prefills that were sent and not refused: each may have run. */
   sentPrefills: number
   /** Time in milliseconds without progress that the current step is allowed. */
@@ -88,7 +87,7 @@
 export function fail (state: State, code: RefusalCode, retryAfterMs: number): void {
   dropLegs(state)
   const outcome = state.sentPrefills > 0 ? Outcome.Unknown : Outcome.NotRun
-  if (state.written.length > 0) {
+  if (state.answer.next() > 0) {
     state.effects.push({ kind: RequestEffectKind.Break, code, outcome: Outcome.Unknown })
   } else {
     state.effects.push({ kind: RequestEffectKind.Refuse, code, outcome, retryAfterMs })
@@ -98,11 +97,11 @@
 
 /** Builds the prompt of the current attempt: the caller's prompt and what was written already. */
 function promptSoFar (state: State): string {
-  return state.spec.prompt + state.written.join('')
+  return state.spec.prompt + state.answer.from(0).join('')
 }
 
 function promptTokens (state: State): number {
-  return state.spec.promptTokens + state.written.length
+  return state.spec.promptTokens + state.answer.next()
 }
 
 /** Chooses a backend server for a role and logs why. Returns undefined after the request was ended for lack of one. */
@@ -119,7 +118,7 @@
 
 /** Returns the milliseconds left until the first token is due; after the first token, the time that stalls allow. */
 export function budgetMs (state: State, nowMs: number): number {
-  if (state.written.length > 0) return state.options.stallMs
+  if (state.answer.next() > 0) return state.options.stallMs
   return Math.max(0, state.startedMs + state.options.firstTokenMs - nowMs)
 }
 
@@ -129,7 +128,7 @@
   if (leg === undefined) return false
   state.decode = leg
   const { caller, tierClass, model, version, maxTokens } = state.spec
-  const tokens = promptTokens(state) + maxTokens - state.written.length
+  const tokens = promptTokens(state) + maxTokens - state.answer.next()
   const waitMs = budgetMs(state, nowMs)
   expect(state, waitMs)
   const msg = { kind: MessageKind.Reserve as const, ...ref(state), pieces: 0, tokens, tierClass, caller, model, version, waitMs }
@@ -165,7 +164,7 @@
   if (decode === undefined || !decode.ready || prefilled === undefined) return
   const { model, version, maxTokens, tierClass } = state.spec
   const { handle, kvAddress, promptTokens } = prefilled
-  const startOffset = state.written.length
+  const startOffset = state.answer.next()
   state.effects.push({
     kind: RequestEffectKind.Send,
     agent: decode.agent,
--- a/core/request/create_request.ts
+++ b/core/request/create_request.ts
@@ -6,6 +6,7 @@
 import { reservePolicies } from './_reserve_policies.ts'
 import { dropLegs, enter, fail, ref, reserve, wake } from './_state.ts'
 import { abandon, lose } from './_recovery.ts'
+import { createTokenAssembler } from '../stream/mod.ts'
 import { RefusalCode } from '../types/mod.ts'
 import { RequestEffectKind, RequestEventKind, RequestPhase, RequestTimer } from './_types.ts'
 import type { State } from './_state.ts'
@@ -31,7 +32,7 @@
   [RequestEventKind.AgentLost]: (state, event, nowMs) => lose(state, event.agent, nowMs),
   [RequestEventKind.AgentBack]: (state, event, nowMs) => {
     if (state.phase !== RequestPhase.Recovering || state.decode?.agent !== event.agent) return
-    const offset = state.written.length
+    const offset = state.answer.next()
     state.effects.push({ kind: RequestEffectKind.Send, agent: event.agent, msg: { kind: MessageKind.Resume, ...ref(state), offset } })
     enter(state, RequestPhase.Streaming, nowMs)
   },
@@ -115,8 +116,7 @@
     decode: undefined,
     prefilled: undefined,
     exclude: new Set(),
-    written: [],
-    early: new Map(),
+    answer: createTokenAssembler(),
     sentPrefills: 0,
     patienceMs: 0,
     startedMs: 0,
@@ -138,6 +138,6 @@
       const legs = [state.prefill, state.decode].filter((leg) => leg !== undefined)
       return legs.map((leg) => ({ agent: leg.agent, ref: ref(state) }))
     },
-    progress: () => ({ attempts: state.attempt, tokens: state.written.length })
+    progress: () => ({ attempts: state.attempt, tokens: state.answer.next() })
   }
 }
--- a/core/reservation/_types.ts
+++ b/core/reservation/_types.ts
@@ -101,6 +101,8 @@
   unclaimed (): AttemptRef[]
   /** Lists the attempts whose cancel is to be repeated until the engine confirms it. */
   cancelling (): AttemptRef[]
+  /** Marks an attempt as paused or not; a paused attempt keeps its memory and gives up its seat. */
+  setPaused (ref: AttemptRef, isPaused: boolean): void
   /** Returns the free seats and memory in pieces, neither below 0. */
   free (): { seats: number, pieces: number }
   /** Lists all reservations. */
--- a/core/reservation/create_reservation_table.ts
+++ b/core/reservation/create_reservation_table.ts
@@ -36,11 +36,12 @@
 export function createReservationTable (options: ReservationTableOptions): ReservationTable {
   const held = new Map<string, ReservationSnapshot>()
   const memory = createAttemptMemory(options.maxRemembered ?? defaultMaxRemembered)
+  const paused = new Set<string>()
   let usedPieces = 0
 
   function free (): { seats: number, pieces: number } {
     return {
-      seats: Math.max(0, options.seats - held.size),
+      seats: Math.max(0, options.seats - held.size + paused.size),
       pieces: Math.max(0, options.pieces - usedPieces)
     }
   }
@@ -52,6 +53,7 @@
 
   function remove (entry: ReservationSnapshot): void {
     held.delete(attemptKey(entry.ref))
+    paused.delete(attemptKey(entry.ref))
     usedPieces -= entry.pieces
     memory.ended(entry.ref)
   }
@@ -147,6 +149,11 @@
     },
     unclaimed: () => refsWhere((entry) => entry.owner === undefined && entry.state === ReservationState.Running),
     cancelling: () => refsWhere((entry) => entry.state === ReservationState.Cancelling),
+    setPaused (ref, isPaused) {
+      const key = attemptKey(ref)
+      if (isPaused && held.has(key)) paused.add(key)
+      else paused.delete(key)
+    },
     free,
     snapshot: () => [...held.values()].map((entry) => ({ ...entry }))
   }
--- a/wire/messages.ts
+++ b/wire/messages.ts
@@ -168,6 +168,7 @@
 export interface CallMessage extends AttemptRef {
   kind: MessageKind.Call
   service: string
+  caller: string
   /** Ticket under which the call runs at most once; absent for idempotent calls. */
   ticket?: string
   method: string
