Add a configuration store that only moves forward

Cause: pages come late, twice and out of order, from stale services and from peers. The store keeps the newest decodable change of a record, tombstones included, and claims only the revision up to which it lacks nothing: a page says the range that it covers (`after` is new and optional in the wire message ConfigRecords).

--- /dev/null
+++ b/core/configuration/configuration_test.ts
@@ -0,0 +1,181 @@
+/**
+ * Steps for the configuration store.
+ */
+import assert from 'node:assert/strict'
+import { Given, Then, When } from '@cucumber/cucumber'
+import fc from 'fast-check'
+import type { ConfigChange } from '../../platform/mod.ts'
+import { RecordKind } from '../records/mod.ts'
+import { createConfiguration } from './mod.ts'
+import type { Configuration, ConfigurationPage } from './mod.ts'
+
+interface World {
+  store: Configuration
+}
+
+function valueAt (revision: number): string {
+  return JSON.stringify({ schema: 1, calls: [], timeoutMs: revision })
+}
+
+function change (name: string, revision: number): ConfigChange {
+  return { key: `service/${name}`, revision, value: valueAt(revision) }
+}
+
+function push (store: Configuration, ...changes: ConfigChange[]): void {
+  store.apply({ revision: 0, complete: false, changes })
+}
+
+Given('a configuration store', function (this: World) {
+  this.store = createConfiguration()
+})
+
+When('the configuration gets {string} at {int}, then {string} at {int}',
+  function (this: World, a: string, first: number, b: string, second: number) {
+    push(this.store, change(a, first))
+    push(this.store, change(b, second))
+  })
+
+When('the configuration gets a complete page at {int} with {string} at {int}',
+  function (this: World, revision: number, name: string, at: number) {
+    this.store.apply({ revision, complete: true, changes: [change(name, at)] })
+  })
+
+When('the configuration gets {string} at {int}, pushed without what is below it',
+  function (this: World, name: string, at: number) {
+    this.store.apply({ revision: at, after: at - 1, complete: false, changes: [change(name, at)] })
+  })
+
+When('the configuration gets a page of the changes above {int} up to {int} with {string} at {int} and {string} at {int}',
+  function (this: World, after: number, revision: number, a: string, first: number, b: string, second: number) {
+    this.store.apply({ revision, after, complete: false, changes: [change(a, first), change(b, second)] })
+  })
+
+When('the configuration gets {string} at {int}, then the value {string} for {string} at {int}',
+  function (this: World, name: string, at: number, value: string, other: string, second: number) {
+    push(this.store, change(name, at))
+    push(this.store, { key: `service/${other}`, revision: second, value })
+  })
+
+Then('the configuration has {string} in force at revision {int}', function (this: World, name: string, at: number) {
+  assert.equal(this.store.get(RecordKind.Service, name)?.timeoutMs, at)
+})
+
+Then('the configuration has no {string}', function (this: World, name: string) {
+  assert.equal(this.store.get(RecordKind.Service, name), undefined)
+})
+
+Then('the configuration is whole up to revision {int} and has seen {int}',
+  function (this: World, whole: number, seen: number) {
+    assert.deepEqual([this.store.revision(), this.store.highestSeen()], [whole, seen])
+  })
+
+function problemsOf (store: Configuration): unknown[] {
+  return store.problems().map((problem) => [problem.error.key, problem.error.kind, problem.revision, problem.inForce])
+}
+
+Then('the configuration reports {string} for {string} at {int} while {int} is in force',
+  function (this: World, kind: string, name: string, at: number, inForce: number) {
+    assert.deepEqual(problemsOf(this.store), [[`service/${name}`, kind, at, inForce]])
+  })
+
+Then('a configuration store that asks for everything has the same in force and reports the same',
+  function (this: World) {
+    const other = createConfiguration()
+    other.apply(this.store.since(0))
+    assert.deepEqual(other.all(RecordKind.Service), this.store.all(RecordKind.Service))
+    assert.deepEqual(problemsOf(other), problemsOf(this.store))
+  })
+
+type Write = { name: string, kind: 'put' | 'bad' | 'delete' }
+type Step =
+  | { kind: 'watch', at: number, to: number }
+  | { kind: 'list', at: number, to: number }
+  | { kind: 'push', at: number, to: number }
+  | { kind: 'ask', from: number, to: number, stale: boolean }
+
+const names = ['a', 'b', 'c', 'd']
+const stores = 3
+
+function stateAt (history: Write[], at: number): Map<string, ConfigChange> {
+  const state = new Map<string, ConfigChange>()
+  const values = { put: valueAt, bad: () => '{"schema":9}', delete: () => null }
+  history.slice(0, at).forEach(({ name, kind }, index) => {
+    const key = `service/${name}`
+    state.set(key, { key, revision: index + 1, value: values[kind](index + 1) })
+  })
+  return state
+}
+
+function watchPage (history: Write[], at: number, after: number): ConfigurationPage {
+  const changes = [...stateAt(history, at).values()].filter(({ revision }) => revision > after)
+  return { revision: at, after, complete: false, changes }
+}
+
+function listPage (history: Write[], at: number): ConfigurationPage {
+  const changes = [...stateAt(history, at).values()].filter(({ value }) => value !== null)
+  return { revision: at, complete: true, changes }
+}
+
+function createCheckedStore (): Configuration {
+  const store = createConfiguration({ maxTombstones: 2 })
+  const inForce = new Map<string, number>()
+  store.onChange(({ key, revision }) => {
+    assert.ok(revision > (inForce.get(key) ?? 0), `${key} went back to ${revision}`)
+    inForce.set(key, revision)
+  })
+  return store
+}
+
+/** Checks that a store holds at least the state of the service at the revision that it claims. */
+function checkClaim (store: Configuration, history: Write[]): void {
+  for (const [key, { revision, value }] of stateAt(history, store.revision())) {
+    const held = store.get(RecordKind.Service, key.slice('service/'.length))
+    if (value === null) assert.ok(held === undefined || held.timeoutMs > revision, `${key} was deleted at ${revision}`)
+    else if (value === valueAt(revision)) assert.ok(heldRevision(store, key) >= revision, `${key} lacks ${revision}`)
+  }
+}
+
+function heldRevision (store: Configuration, key: string): number {
+  const held = store.since(0).changes.filter((change) => change.key === key).map(({ revision }) => revision)
+  return Math.max(...held, held.length === 0 ? Infinity : 0)
+}
+
+function run (history: Write[], steps: Step[]): void {
+  const all = Array.from({ length: stores }, createCheckedStore)
+  for (const step of steps) {
+    const store = all[step.to]!
+    const before = store.revision()
+    const at = 'at' in step ? step.at % (history.length + 1) : 0
+    if (step.kind === 'watch') store.apply(watchPage(history, at, store.revision()))
+    if (step.kind === 'list') store.apply(listPage(history, at))
+    if (step.kind === 'push' && at > 0) store.apply(watchPage(history, at, at - 1))
+    if (step.kind === 'ask') store.apply(all[step.from]!.since(step.stale ? 0 : store.revision()))
+    assert.ok(store.revision() >= before)
+    checkClaim(store, history)
+  }
+  for (const store of all) store.apply(watchPage(history, history.length, store.revision()))
+  for (const store of all) for (const other of all) store.apply(other.since(0))
+  const final = stateAt(history, history.length)
+  for (const store of all) {
+    assert.equal(store.revision(), history.length)
+    for (const [key, { revision, value }] of final) {
+      const held = store.get(RecordKind.Service, key.slice('service/'.length))
+      if (value === null) assert.equal(held, undefined)
+      if (value === valueAt(revision)) assert.equal(held?.timeoutMs, revision)
+    }
+  }
+}
+
+Then('configuration stores converge on the service and never revert', () => {
+  const at = fc.nat(30)
+  const to = fc.nat(stores - 1)
+  const write = fc.record({ name: fc.constantFrom(...names), kind: fc.constantFrom('put', 'put', 'bad', 'delete') })
+  const step = fc.oneof(
+    fc.record({ kind: fc.constant('watch'), at, to }),
+    fc.record({ kind: fc.constant('list'), at, to }),
+    fc.record({ kind: fc.constant('push'), at, to }),
+    fc.record({ kind: fc.constant('ask'), from: to, to, stale: fc.boolean() })
+  ) as fc.Arbitrary<Step>
+  const history = fc.array(write, { minLength: 1, maxLength: 20 }) as fc.Arbitrary<Write[]>
+  fc.assert(fc.property(history, fc.array(step, { maxLength: 30 }), run), { seed: 23, numRuns: 2000 })
+})
--- a/wire/messages.ts
+++ b/wire/messages.ts
@@ -252,7 +252,10 @@
 /** Carries configuration records between peers. */
 export interface ConfigRecords {
   kind: MessageKind.ConfigRecords
+  /** Revision up to which the message is whole. */
   revision: number
+  /** Revision above which the message holds every change up to `revision`; absent when it claims nothing. */
+  after?: number
   /** True when the changes hold every record, so that a record that is missing was deleted. */
   complete: boolean
   changes: ConfigChange[]
