Add the routing, admission, limits and retry parts

Cause: the entry and the agent need pure decisions to build on. Each part is a factory without I/O: views of backend servers and choices (router), a tiered queue with headroom, pauses and deficit round robin (admission), limits divided between entries by their demand (limits), and a budget with the rule for safe retries (retry). Ruled out for limits: a home entry for each caller, because entries disagree about who is alive.

--- /dev/null
+++ b/core/admission/_room.ts
@@ -0,0 +1,61 @@
+/**
+ * Counts seats and memory while a decision is made.
+ */
+import { TierClass } from '../types/mod.ts'
+import type { AdmissionItem, FreeRoom, RunningItem } from './_types.ts'
+
+/** Says how much free work may use. */
+export interface FreeCap {
+  seats: number
+  pieces: number
+}
+
+/** Counts what is left. */
+export interface Room {
+  fits (item: AdmissionItem): boolean
+  fitsPieces (item: AdmissionItem): boolean
+  /** Tells whether an item stays within the share of free work. */
+  withinCap (pieces: number): boolean
+  hasSeat (): boolean
+  /** Counts an admitted item. */
+  take (item: AdmissionItem): void
+  /** Counts a pause of free work. */
+  pause (): void
+  /** Counts a resumption of free work. */
+  resume (): void
+  /** Running free work that is not paused, newest first. */
+  pausable: RunningItem[]
+  /** Paused work, oldest first. */
+  paused: RunningItem[]
+}
+
+/** Creates the counts for one decision. */
+export function createRoom (free: FreeRoom, running: RunningItem[], cap: FreeCap): Room {
+  let { seats, pieces } = free
+  const ofFree = running.filter((item) => item.tierClass === TierClass.Free)
+  let freeSeats = ofFree.filter((item) => !item.paused).length
+  let freePieces = ofFree.reduce((sum, item) => sum + item.pieces, 0)
+  return {
+    fits: (item) => seats > 0 && item.pieces <= pieces,
+    fitsPieces: (item) => item.pieces <= pieces,
+    withinCap: (more) => freeSeats < cap.seats && freePieces + more <= cap.pieces,
+    hasSeat: () => seats > 0,
+    take (item) {
+      seats -= 1
+      pieces -= item.pieces
+      if (item.tierClass !== TierClass.Free) return
+      freeSeats += 1
+      freePieces += item.pieces
+    },
+    pause () {
+      seats += 1
+      freeSeats -= 1
+    },
+    resume () {
+      seats -= 1
+      freeSeats += 1
+    },
+    pausable: ofFree.filter((item) => !item.paused).reverse(),
+    paused: running.filter((item) => item.paused)
+  }
+}
--- /dev/null
+++ b/core/admission/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Admission: the queue in which work waits for seats and memory of one backend server.
+ */
+export { createAdmission } from './create_admission.ts'
+export type {
+  Admission, AdmissionDecision, AdmissionItem, AdmissionOptions, AdmissionRefusal, FreeRoom, RefusedItem, RunningItem
+} from './_types.ts'
--- /dev/null
+++ b/core/limits/create_limits.ts
@@ -0,0 +1,163 @@
+/**
+ * The limits of every caller at one entry.
+ */
+import { Err, Ok } from '../results/mod.ts'
+import { RefusalCode } from '../types/mod.ts'
+import { MessageKind } from '../../wire/mod.ts'
+import { divideRate, divideSeats } from './_divide.ts'
+import { createPeers } from './_peers.ts'
+import { createUsage, isIdle, knownDemand, publish } from './_usage.ts'
+import type { Result } from '../results/mod.ts'
+import type { UsageShare } from '../../wire/mod.ts'
+import type { CallerLimits, LimitRefusal, Limits, LimitsOptions } from './_types.ts'
+import type { Usage } from './_usage.ts'
+
+const unknownCallerRetryMs = 1000
+const msPerS = 1000
+
+interface Part extends CallerLimits {
+  version: number
+}
+
+/**
+ * Creates the limits of one entry.
+ *
+ * Each limit is divided between the live entries by the demand that they tell each other. An entry raises its part only
+ * one period after it told the others of its demand, and lowers it at once, so the parts never add up to more than
+ * the limit while messages arrive within `sharePeriodMs`. An entry that is alive but not heard keeps an equal
+ * part `limit / entries`.
+ *
+ * With `n` entries, a limit `L` per second is exceeded over `t` seconds by at most
+ * - `L * burstMs / 1000`, and `n` requests, at any time;
+ * - `L * shareStaleMs / 1000`, once, when entries lose each other: until then each side counts with the other's
+ *   last demand;
+ * - `L * k / n * d`, when `k` entries are new and the others learn the new count after `d` seconds.
+ *
+ * A concurrency limit lower than `n` is exceeded by at most `n` minus the limit while no entry hears another, because
+ * each then serves one request.
+ *
+ * @param options the name of the entry, the limits of the callers, and the times of the exchange
+ * @returns the limits
+ *
+ * @example
+ * ```ts
+ * import { createLimits } from 'briarloom/core/limits'
+ *
+ * const limits = createLimits({
+ *   entry: 'e1', incarnation: 1, limitOf: () => ({ requestsPerS: 10, tokensPerS: 1000, concurrency: 1 })
+ * })
+ * console.assert(limits.admit('notaires', 50, 0).ok)
+ * console.assert(limits.admit('notaires', 50, 0).err)
+ * limits.release('notaires')
+ * console.assert(limits.admit('notaires', 50, 0).ok)
+ * ```
+ */
+export function createLimits (options: LimitsOptions): Limits {
+  const { entry, incarnation, limitOf } = options
+  const sharePeriodMs = options.sharePeriodMs ?? 200
+  const burstS = (options.burstMs ?? 200) / msPerS
+  const peers = createPeers(options.shareStaleMs ?? 1000)
+  const usages = new Map<string, Usage>()
+  const parts = new Map<string, Part>()
+  let liveCount = 1
+  let version = 0
+  let seq = 0
+  let lastShareMs: number | undefined
+
+  function usageOf (caller: string): Usage {
+    const known = usages.get(caller)
+    if (known !== undefined) return known
+    const usage = createUsage()
+    usages.set(caller, usage)
+    return usage
+  }
+
+  // The part of the limit that the entries which hear each other divide; the rest belongs to those not heard.
+  function heardShare (): number {
+    const heard = peers.count() + 1
+    return heard / Math.max(heard, liveCount)
+  }
+
+  function partOf (caller: string, limit: CallerLimits, usage: Usage): Part {
+    const known = parts.get(caller)
+    if (known !== undefined && known.version === version) return known
+    const heard = heardShare()
+    const rate = (measure: 'requests' | 'tokens', perS: number): number =>
+      divideRate(perS * heard, knownDemand(usage, measure), peers.demands(caller, measure).map((d) => d.demand))
+    const own = { entry, demand: Math.max(usage.inFlight, knownDemand(usage, 'concurrency')) }
+    const seats = limit.concurrency === 0 ? 0 : Math.max(1, Math.floor(limit.concurrency * heard))
+    const part = {
+      requestsPerS: rate('requests', limit.requestsPerS),
+      tokensPerS: rate('tokens', limit.tokensPerS),
+      concurrency: divideSeats(seats, own, peers.demands(caller, 'concurrency')),
+      version
+    }
+    parts.set(caller, part)
+    return part
+  }
+
+  function refuse (retryAfterMs: number): Result<void, LimitRefusal> {
+    return Err({ code: RefusalCode.LimitExceeded, retryAfterMs })
+  }
+
+  function admit (caller: string, tokens: number, nowMs: number): Result<void, LimitRefusal> {
+    const limit = limitOf(caller)
+    if (limit === undefined) return refuse(unknownCallerRetryMs)
+    const usage = usageOf(caller)
+    const part = partOf(caller, limit, usage)
+    usage.offeredRequests += 1
+    usage.offeredTokens += tokens
+    usage.requests.refill(part.requestsPerS, Math.max(1, part.requestsPerS * burstS), nowMs)
+    usage.tokens.refill(part.tokensPerS, Math.max(1, part.tokensPerS * burstS), nowMs)
+    if (usage.inFlight >= part.concurrency) {
+      usage.refused += 1
+      return refuse(sharePeriodMs)
+    }
+    if (!usage.requests.has(1)) return refuse(usage.requests.waitMs(1, part.requestsPerS))
+    if (!usage.tokens.has(1)) return refuse(usage.tokens.waitMs(1, part.tokensPerS))
+    usage.requests.spend(1)
+    usage.tokens.spend(tokens)
+    usage.inFlight += 1
+    return Ok(undefined)
+  }
+
+  function share (nowMs: number): UsageShare {
+    const elapsedMs = nowMs - (lastShareMs ?? nowMs - sharePeriodMs)
+    lastShareMs = nowMs
+    peers.dropStale(nowMs)
+    version += 1
+    seq += 1
+    const usage: UsageShare['usage'] = []
+    for (const [caller, known] of usages) {
+      const demand = publish(known, elapsedMs)
+      if (demand.requests > 0 || demand.tokens > 0 || demand.concurrency > 0) usage.push({ caller, ...demand })
+      if (limitOf(caller) === undefined && isIdle(known)) forget(caller)
+    }
+    return { kind: MessageKind.UsageShare, entry, incarnation, seq, usage }
+  }
+
+  function forget (caller: string): void {
+    usages.delete(caller)
+    parts.delete(caller)
+  }
+
+  return {
+    admit,
+    settle (caller, admittedTokens, usedTokens) {
+      usages.get(caller)?.tokens.spend(usedTokens - admittedTokens)
+    },
+    release (caller) {
+      const usage = usages.get(caller)
+      if (usage !== undefined) usage.inFlight = Math.max(0, usage.inFlight - 1)
+    },
+    share,
+    onShare (msg, nowMs) {
+      if (msg.entry !== entry && peers.observe(msg, nowMs)) version += 1
+    },
+    entries (count) {
+      if (count === liveCount) return
+      liveCount = Math.max(1, count)
+      version += 1
+    }
+  }
+}
--- /dev/null
+++ b/core/routing/_choice_policies.ts
@@ -0,0 +1,58 @@
+/**
+ * The table of policies for the choice among scored candidates.
+ */
+import { ChoicePolicy } from '../records/mod.ts'
+import type { Scored } from './_score.ts'
+
+/** Holds what a choice policy needs beside the candidates. */
+export interface ChoiceContext {
+  random: () => number
+  /** Counter of choices. */
+  turn: number
+}
+
+/** Names the candidate that was chosen and the candidates that were compared. */
+export interface Pick {
+  best: Scored
+  compared: Scored[]
+}
+
+function lowest (candidates: Scored[]): Scored {
+  return candidates.reduce((best, scored) => scored.score < best.score ? scored : best)
+}
+
+function at (candidates: Scored[], index: number): Scored {
+  const scored = candidates[index]
+  if (scored === undefined) throw new Error(`candidate ${index} of ${candidates.length} does not exist`)
+  return scored
+}
+
+function sampleTwo (candidates: Scored[], random: () => number): Scored[] {
+  if (candidates.length <= 2) return candidates
+  const first = Math.floor(random() * candidates.length)
+  const second = (first + 1 + Math.floor(random() * (candidates.length - 1))) % candidates.length
+  return [at(candidates, first), at(candidates, second)]
+}
+
+function powerOfTwo (candidates: Scored[], ctx: ChoiceContext): Pick {
+  const compared = sampleTwo(candidates, ctx.random)
+  // The holder of the longest prefix always takes part; otherwise affinity would work only when it is sampled.
+  const holder = candidates.reduce((best, scored) => scored.affinity > best.affinity ? scored : best)
+  if (holder.affinity > 0 && !compared.includes(holder)) compared.push(holder)
+  return { best: lowest(compared), compared }
+}
+
+/** Maps each policy to its handler; the candidates are never empty. */
+export const choicePolicies: { [K in ChoicePolicy]: (candidates: Scored[], ctx: ChoiceContext) => Pick } = {
+  [ChoicePolicy.PowerOfTwo]: powerOfTwo,
+  [ChoicePolicy.LeastLoaded]: (candidates) => ({ best: lowest(candidates), compared: candidates }),
+  [ChoicePolicy.RoundRobin]: (candidates, ctx) => {
+    const sorted = [...candidates].sort((a, b) => a.view.info.name < b.view.info.name ? -1 : 1)
+    const best = at(sorted, ctx.turn % sorted.length)
+    return { best, compared: [best] }
+  },
+  [ChoicePolicy.Random]: (candidates, ctx) => {
+    const best = at(candidates, Math.floor(ctx.random() * candidates.length))
+    return { best, compared: [best] }
+  }
+}
--- /dev/null
+++ b/core/routing/_views.ts
@@ -0,0 +1,119 @@
+/**
+ * The table of views that a router holds, one for each backend server.
+ */
+import { freshness } from './_score.ts'
+import { BackendHealth } from './_types.ts'
+import type { LoadReport } from '../../wire/mod.ts'
+import type { BackendInfo, BackendView } from './_types.ts'
+
+const maxPrefixes = 4096
+const smoothing = 0.2
+
+interface ViewsOptions {
+  prefixStaleMs: number
+  reportStaleMs: number
+  prefillMsPerToken: number
+}
+
+/** Holds the views. */
+export interface Views {
+  all (): Iterable<BackendView>
+  upsert (info: BackendInfo): void
+  remove (backend: string): void
+  setHealth (backend: string, health: BackendHealth): void
+  onLoad (report: LoadReport, nowMs: number): void
+  count (backend: string, requests: number, tokens: number): void
+  notePrefixes (backend: string, prefixes: string[], nowMs: number): void
+  observePrefill (backend: string, tokens: number, elapsedMs: number): void
+  estimateFirstTokenMs (backend: string, promptTokens: number, nowMs: number): number
+}
+
+function dropOldPrefixes (view: BackendView, beforeMs: number): void {
+  for (const [prefix, seenMs] of view.prefixes) {
+    if (seenMs < beforeMs || view.prefixes.size > maxPrefixes) view.prefixes.delete(prefix)
+  }
+}
+
+/** Creates an empty table. */
+export function createViews (options: ViewsOptions): Views {
+  const views = new Map<string, BackendView>()
+
+  function upsert (info: BackendInfo): void {
+    const known = views.get(info.name)
+    if (known !== undefined) {
+      known.info = info
+      return
+    }
+    views.set(info.name, {
+      info,
+      health: BackendHealth.Live,
+      report: undefined,
+      reportAtMs: 0,
+      requests: 0,
+      tokens: 0,
+      requestsAtReport: 0,
+      tokensAtReport: 0,
+      prefixes: new Map(),
+      msPerToken: options.prefillMsPerToken
+    })
+  }
+
+  function notePrefixes (backend: string, prefixes: string[], nowMs: number): void {
+    const view = views.get(backend)
+    if (view === undefined) return
+    for (const prefix of prefixes) {
+      view.prefixes.delete(prefix)
+      view.prefixes.set(prefix, nowMs)
+    }
+    if (view.prefixes.size > maxPrefixes) dropOldPrefixes(view, nowMs - options.prefixStaleMs)
+  }
+
+  function onLoad (report: LoadReport, nowMs: number): void {
+    const view = views.get(report.backend)
+    if (view === undefined) return
+    // A restarted agent counts from the start again, so a lower number counts as old only while reports are fresh.
+    const fresh = freshness(view, nowMs, options.reportStaleMs) > 0
+    if (fresh && view.report !== undefined && report.seq <= view.report.seq) return
+    view.report = report
+    view.reportAtMs = nowMs
+    view.requestsAtReport = view.requests
+    view.tokensAtReport = view.tokens
+    notePrefixes(report.backend, report.prefixes, nowMs)
+  }
+
+  function count (backend: string, requests: number, tokens: number): void {
+    const view = views.get(backend)
+    if (view === undefined) return
+    view.requests = Math.max(0, view.requests + requests)
+    view.tokens = Math.max(0, view.tokens + tokens)
+  }
+
+  function observePrefill (backend: string, tokens: number, elapsedMs: number): void {
+    const view = views.get(backend)
+    if (view === undefined || tokens <= 0 || elapsedMs < 0) return
+    view.msPerToken += smoothing * (elapsedMs / tokens - view.msPerToken)
+  }
+
+  function estimateFirstTokenMs (backend: string, promptTokens: number, nowMs: number): number {
+    const view = views.get(backend)
+    if (view === undefined) return 0
+    const trust = freshness(view, nowMs, options.reportStaleMs)
+    const others = Math.max(0, (view.report?.queuedTokens ?? 0) - view.tokensAtReport) * trust
+    return (others + view.tokens + promptTokens) * view.msPerToken
+  }
+
+  return {
+    all: () => views.values(),
+    upsert,
+    remove: (backend) => { views.delete(backend) },
+    setHealth: (backend, health) => {
+      const view = views.get(backend)
+      if (view !== undefined) view.health = health
+    },
+    onLoad,
+    count,
+    notePrefixes,
+    observePrefill,
+    estimateFirstTokenMs
+  }
+}
--- /dev/null
+++ b/core/routing/mod.ts
@@ -0,0 +1,8 @@
+/**
+ * Routing: the choice of a backend server for new work from hints that may be stale.
+ */
+export { createRouter } from './create_router.ts'
+export { BackendHealth, LossReason } from './_types.ts'
+export type {
+  BackendInfo, BackendView, Choice, Choose, ChoosePair, PairChoice, Router, RouterOptions, RoutingPolicy, RunnerUp
+} from './_types.ts'
