--- a/core/ticket/create_ticket_table.ts
+++ b/core/ticket/create_ticket_table.ts
@@ -44,7 +44,7 @@
  */
 export function createTicketTable<Reply> (options: TicketTableOptions): TicketTable<Reply> {
   const nonce = options.nonce ?? (() => '0')
-  // Both maps are in the order in which their tickets fall due, so a sweep looks only at the front.
+  // Both maps are about in the order in which their tickets fall due, so a sweep looks only at the front.
   const unused = new Map<string, Unused>()
   const settled = new Map<string, Settled<Reply>>()
   const running = new Map<string, Binding>()
@@ -59,7 +59,7 @@
     for (const [ticket, entry] of unused) {
       if (nowMs < entry.deadlineMs) return
       unused.delete(ticket)
-      settle(ticket, entry, Outcome.NotRun, undefined, nowMs)
+      settle(ticket, entry, Outcome.NotRun, undefined, entry.deadlineMs)
     }
   }
 
