Add the common base of the daemons and the agent's wiring

Cause: agent and entry share clock, log, configuration and peers. Ruled out: wiring in each daemon, which would stand twice. Before: no agent. Conclusion: handlers in, daemon out.

--- a/agent/_canceller.ts
+++ b/agent/_canceller.ts
@@ -24,7 +24,7 @@
  * Creates the canceller.
  */
 export function createCanceller (
-  ports: TaskPorts, engine: EngineAdapter, table: ReservationTable, onFreed: (ref: AttemptRef) => void
+  ports: TaskPorts, engine: EngineAdapter, table: ReservationTable, onFreed: () => void
 ): Canceller {
   const pending = new Set<string>()
   const waiting = new Map<string, string>()
@@ -46,7 +46,7 @@
     pending.delete(key)
     if (done.err) return
     table.confirmed(ref)
-    onFreed(ref)
+    onFreed()
     settle(ref)
   }
 
--- a/agent/_engine_task.ts
+++ b/agent/_engine_task.ts
@@ -42,10 +42,7 @@
   const { engine } = options
   const leases = createLeaseTable({ leaseMs: options.leaseMs })
   const table = createReservationTable({ seats: options.seats, pieces: options.pieces })
-  const canceller = createCanceller(ports, engine, table, (ref) => {
-    stream.forget(ref)
-    queue.pump()
-  })
+  const canceller = createCanceller(ports, engine, table, () => queue.pump())
   const load = createLoadTask(ports, { ...options, table, queued: () => queue.length() + prefill.length() })
   const queue = createQueueTask(ports, { ...options, table, load, running: () => stream.running(), onPaused: setPaused })
   const prefill = createPrefillTask(ports, { engine, table, load, release, onFreed: () => queue.pump() })
--- a/agent/_service_task.ts
+++ b/agent/_service_task.ts
@@ -13,7 +13,7 @@
 /** Configures the task. */
 export interface ServiceTaskOptions {
   backend: string
-  service: string
+  service: () => string
   adapter: ServiceAdapter
   incarnation: number
   heartbeatMs: number
@@ -116,7 +116,7 @@
       kind: MessageKind.Load,
       backend: options.backend,
       role: Role.Service,
-      model: options.service,
+      model: options.service(),
       version: '',
       seats: options.seats,
       seatsUsed: running,
--- /dev/null
+++ b/agent/start_agent.ts
@@ -0,0 +1,166 @@
+/**
+ * Wires the tasks of an agent to its sockets.
+ */
+import { createDrain, DrainEffect, DrainState } from '../core/drain/mod.ts'
+import { AdmissionPolicy, RecordKind } from '../core/records/mod.ts'
+import { Ok } from '../core/results/mod.ts'
+import { createBase } from '../daemon/mod.ts'
+import { engineAdapters, serviceAdapters } from '../engine/mod.ts'
+import { HostState } from '../platform/mod.ts'
+import { createEngineTask } from './_engine_task.ts'
+import { createServiceTask } from './_service_task.ts'
+import type { Result } from '../core/results/mod.ts'
+import type { Base, Daemon } from '../daemon/mod.ts'
+import type { EngineAdapter, EngineLoad } from '../engine/mod.ts'
+import type { HostEntry } from '../platform/mod.ts'
+import type { AgentSettings } from '../settings/mod.ts'
+import type { LoadReport } from '../wire/mod.ts'
+import type { BackendTask, TaskPorts } from './_types.ts'
+
+const engineRetryMs = 200
+const drainPollMs = 50
+const defaultPaidHeadroom = 0.1
+const serviceSeats = 64
+
+/** Waits until the engine tells its size. */
+async function readSize (base: Base, engine: EngineAdapter): Promise<EngineLoad> {
+  for (;;) {
+    const load = await engine.load()
+    if (load.ok) return load.val
+    base.log.warn({ reason: load.val.message }, 'engine does not answer')
+    await new Promise<void>((resolve) => { base.timer.after(engineRetryMs, resolve) })
+  }
+}
+
+/** Builds the task for the kind of backend server that stands beside the agent. */
+const taskFactories = {
+  async engine (base: Base, settings: AgentSettings, ports: TaskPorts, publish: (report: LoadReport) => void): Promise<BackendTask> {
+    const { backend, timings, name } = settings
+    const engine = engineAdapters[backend.adapter as keyof typeof engineAdapters]({ address: backend.address })
+    const size = await readSize(base, engine)
+    const policy = () => base.config.get(RecordKind.Policy, 'default')
+    return createEngineTask(ports, {
+      backend: name,
+      engine,
+      seats: size.seats,
+      pieces: size.pieces,
+      leaseMs: timings.leaseMs,
+      heartbeatMs: timings.heartbeatMs,
+      paidHeadroom: () => policy()?.paidHeadroom ?? defaultPaidHeadroom,
+      admission: () => policy()?.admission ?? AdmissionPolicy.Tiered,
+      publish
+    })
+  },
+  async service (base: Base, settings: AgentSettings, ports: TaskPorts, publish: (report: LoadReport) => void): Promise<BackendTask> {
+    const { backend, timings, name } = settings
+    const adapter = serviceAdapters[backend.adapter as keyof typeof serviceAdapters]({ address: backend.address })
+    return createServiceTask(ports, {
+      backend: name,
+      service: () => base.config.get(RecordKind.Backend, name)?.serves ?? '',
+      adapter,
+      incarnation: base.incarnation,
+      heartbeatMs: timings.heartbeatMs,
+      seats: serviceSeats,
+      publish
+    })
+  }
+}
+
+/**
+ * Starts an agent.
+ *
+ * @param settings the checked settings
+ * @returns the running agent, or why it could not start
+ *
+ * @example
+ * ```ts
+ * import { startAgent } from 'briarloom/agent'
+ *
+ * console.assert(typeof startAgent === 'function')
+ * ```
+ */
+export async function startAgent (settings: AgentSettings): Promise<Result<Daemon, string>> {
+  const drain = createDrain()
+  let task: BackendTask | undefined
+  let listedAsLeaving = false
+
+  const base = createBase({
+    settings,
+    handlers: {
+      onUp: (peer) => { if (peer.process === 'entry') task?.ownerUp(peer.owner) },
+      onDown: (peer) => { if (peer.process === 'entry') task?.ownerDown(peer.owner) },
+      onMessage: (peer, msg) => {
+        const known = task?.handle(peer.owner, msg) ?? false
+        if (!known) base.log.debug({ peer: peer.name, kind: msg.kind }, 'message without a handler')
+      }
+    },
+    status: () => ({ drain: drain.state(), ...task?.status() }),
+    explain: () => [],
+    onHosts
+  })
+
+  function isDraining (): boolean {
+    const weight = base.config.get(RecordKind.Backend, settings.name)?.weight ?? 1
+    return drain.state() !== DrainState.Serving || listedAsLeaving || weight === 0
+  }
+
+  function onHosts (hosts: HostEntry[]): void {
+    const own = hosts.find((host) => host.name === settings.name)
+    const leaving = own?.state === HostState.Leaving
+    if (leaving === listedAsLeaving) return
+    listedAsLeaving = leaving
+    task?.publish()
+  }
+
+  function publish (report: LoadReport): void {
+    for (const peer of base.peers.list()) {
+      if (peer.process === 'entry') base.peers.send(peer.name, report)
+    }
+  }
+
+  function send (owner: string, msg: Parameters<TaskPorts['send']>[1]): boolean {
+    const name = owner.slice(0, owner.lastIndexOf('#'))
+    return base.peers.get(name)?.owner === owner && base.peers.send(name, msg)
+  }
+
+  const ports: TaskPorts = { timer: base.timer, log: base.log, metrics: base.metrics, send, isDraining }
+  task = await taskFactories[settings.backend.kind](base, settings, ports, publish)
+  const running = task
+  const listening = await base.peers.listen(settings.peer.host, settings.peer.port)
+  if (listening.err) {
+    await base.close()
+    return listening
+  }
+  base.config.onChange((event) => {
+    if (event.key === `${RecordKind.Backend}/${settings.name}`) running.publish()
+  })
+
+  async function close (): Promise<void> {
+    await running.close()
+    await base.close()
+  }
+
+  /** Waits until nothing is in flight. */
+  function idle (): Promise<void> {
+    return new Promise((resolve) => {
+      const poll = base.timer.every(drainPollMs, () => {
+        if (running.inFlight() > 0) return
+        poll.cancel()
+        resolve()
+      })
+    })
+  }
+
+  return Ok({
+    address: listening.val,
+    async stop () {
+      if (drain.signal().includes(DrainEffect.Announce)) running.publish()
+      await idle()
+      await close()
+    },
+    async kill () {
+      running.endInFlight()
+      await close()
+    }
+  })
+}
--- /dev/null
+++ b/daemon/mod.ts
@@ -0,0 +1,6 @@
+/**
+ * What the daemons have in common: clock, log, metrics, configuration and peers.
+ */
+export { createBase } from './create_base.ts'
+export type { Base, BaseOptions } from './create_base.ts'
+export type { Daemon } from './_daemon.ts'
