Add the engine and service adapters and the stand-ins

The agent needs adapters over docs/protocols.md, and every test of a failure needs engines, a service, a configuration service and a host list over real sockets. Timeouts of undici were ruled out for calls: a 200 ms timeout let a reply after 400 ms through (scenario "while frozen for 400 ms" ended as ok), so calls are aborted by the timer; after that it passes.

--- /dev/null
+++ b/engine/engine.feature
@@ -0,0 +1,61 @@
+Feature: The engine and service adapters over the stand-ins
+
+  Scenario: An engine answers each prompt with exactly its own answer
+    Given engine stand-ins for prefill and decode
+    When engine adapters run 12 different prompts at once
+    Then engine answers are exact and every piece is free
+
+  Scenario: An engine stream resumes without a gap after its reader broke
+    Given engine stand-ins for prefill and decode
+    When an engine stream loses its reader after 5 tokens and resumes there
+    Then the engine tokens of both readers make up the exact answer
+    And every engine piece is free within 500 ms
+
+  Scenario: An engine stream with crossed events comes out in order
+    Given engine stand-ins for prefill and decode
+    When an engine stream runs while its events are crossed
+    Then engine answers are exact and every piece is free
+
+  Scenario Outline: An engine cancel frees what the attempt held while <phase>
+    Given engine stand-ins for prefill and decode
+    When an engine attempt is cancelled while <phase>
+    Then every engine piece is free within 300 ms
+
+    Examples:
+      | phase        |
+      | prefilling   |
+      | transferring |
+      | decoding     |
+
+  Scenario: An engine keeps an abandoned stream until it is cancelled
+    Given engine stand-ins for prefill and decode
+    When an engine stream loses its reader after 5 tokens and nobody resumes it for 1500 ms
+    Then the engine still holds its pieces until a cancel answers how many
+
+  Scenario: An engine drops a prefill result that nobody fetches
+    Given engine stand-ins for prefill and decode
+    When an engine prefill is left alone for 1000 ms
+    Then engine decoding it fails with "prefill_expired"
+    And every engine piece is free within 300 ms
+
+  Scenario Outline: An engine that <manner> fencing numbers gets an old order
+    Given an engine stand-in that <manner> fencing numbers
+    When the engine gets orders with fencing numbers 7 and 6
+    Then the engine answers the old order with "<result>"
+
+    Examples:
+      | manner  | result   |
+      | honours | fenced   |
+      | ignores | accepted |
+
+  Scenario Outline: The service adapter tells truthfully whether a call <case> was sent
+    Given a service stand-in
+    When the service is called once <case>
+    Then the service call ends as "<kind>" with sent <sent> and the service ran it <runs> times
+
+    Examples:
+      | case                          | kind        | sent  | runs |
+      | in peace                      | ok          | true  | 1    |
+      | with its port closed          | unreachable | false | 0    |
+      | with the cut after the run    | broken      | true  | 1    |
+      | while frozen for 400 ms       | timed_out   | true  | 1    |
--- a/engine/mod.ts
+++ b/engine/mod.ts
@@ -2,6 +2,12 @@
  * Adapters through which an agent speaks to the backend server beside it.
  */
 export { EngineErrorKind } from './_types.ts'
+export { createEngineHttp } from './create_engine_http.ts'
+export { createServiceHttp } from './create_service_http.ts'
+export { EngineAdapterName, engineAdapters, ServiceAdapterName, serviceAdapters } from './adapters.ts'
+export type { EngineAdapterFactory, ServiceAdapterFactory } from './adapters.ts'
+export type { EngineHttpOptions } from './create_engine_http.ts'
+export type { ServiceHttpOptions } from './create_service_http.ts'
 export type {
   CacheEvent, DecodeEnd, DecodeJob, EngineAdapter, EngineError, EngineLoad, EngineOrder, EngineState, HeldStream,
   PrefillJob, PrefillResult, ServiceAdapter, ServiceCall, ServiceReply, TokenBatch
--- /dev/null
+++ b/testing/config_service/config_service_test.ts
@@ -0,0 +1,100 @@
+/**
+ * Steps for the stand-in of the configuration service.
+ */
+import assert from 'node:assert/strict'
+import { After, Given, Then, When } from '@cucumber/cucumber'
+import { request } from 'undici'
+import { createSystemTimer } from '../../timer/mod.ts'
+import type { Timer } from '../../timer/mod.ts'
+import { FaultKind } from '../faults/mod.ts'
+import { startConfigService } from './mod.ts'
+import type { ConfigServiceStandIn } from './mod.ts'
+
+interface World {
+  config: ConfigServiceStandIn
+  configTimer: Timer
+  statuses: number[]
+  revision: number
+  tookMs: number
+}
+
+interface Page {
+  revision: number
+}
+
+async function start (world: World, readsPerS?: number): Promise<void> {
+  world.configTimer = createSystemTimer()
+  world.config = await startConfigService({ readsPerS })
+  world.config.write('tier/or', '{"schema":1}')
+}
+
+async function read (world: World): Promise<{ status: number, revision: number }> {
+  const res = await request(`http://${world.config.address}/v1/records`)
+  const page = await res.body.json() as Page
+  return { status: res.statusCode, revision: page.revision }
+}
+
+After(async function (this: Partial<World>) {
+  await this.config?.close()
+  this.configTimer?.close()
+})
+
+Given('a config stand-in with a record at revision 1', async function (this: World) {
+  await start(this)
+})
+
+Given('a config stand-in that allows {int} reads a second', async function (this: World, readsPerS: number) {
+  await start(this, readsPerS)
+})
+
+When('a config stand-in watch waits {int} ms and the record changes after {int} ms',
+  async function (this: World, waitMs: number, changeMs: number) {
+    this.configTimer.after(changeMs, () => this.config.write('tier/or', '{"schema":1,"a":1}'))
+    const startMs = this.configTimer.now()
+    const res = await request(`http://${this.config.address}/v1/watch?after=1&wait_ms=${waitMs}`)
+    this.revision = (await res.body.json() as Page).revision
+    this.tookMs = this.configTimer.now() - startMs
+  })
+
+Then('the config stand-in watch brought revision {int} within {int} ms',
+  function (this: World, revision: number, limitMs: number) {
+    assert.equal(this.revision, revision)
+    assert.ok(this.tookMs < limitMs, `it took ${this.tookMs} ms`)
+  })
+
+When('{int} operators write the config stand-in record on condition of revision {int}',
+  async function (this: World, count: number, revision: number) {
+    const writes = Array.from({ length: count }, () => request(`http://${this.config.address}/v1/records/tier/or`, {
+      method: 'PUT',
+      headers: { 'if-revision': String(revision) },
+      body: '{"schema":1}'
+    }))
+    const answers = await Promise.all(writes)
+    this.statuses = answers.map((res) => res.statusCode)
+    await Promise.all(answers.map((res) => res.body.dump()))
+  })
+
+Then('the config stand-in answers 200 once and 409 once', function (this: World) {
+  assert.deepEqual(this.statuses.toSorted(), [200, 409])
+})
+
+When('the config stand-in is stale and the record changes', function (this: World) {
+  this.config.gate.set(FaultKind.Stale, 0)
+  this.config.write('tier/or', '{"schema":1,"a":1}')
+})
+
+Then('a config stand-in read shows revision {int}, and revision {int} once it is clear',
+  async function (this: World, stale: number, fresh: number) {
+    assert.equal((await read(this)).revision, stale)
+    this.config.gate.set(FaultKind.Clear, 0)
+    assert.equal((await read(this)).revision, fresh)
+  })
+
+When('{int} config stand-in reads come at once', async function (this: World, count: number) {
+  const reads = await Promise.all(Array.from({ length: count }, () => read(this)))
+  this.statuses = reads.map((answer) => answer.status)
+})
+
+Then('the config stand-in refused {int} of them', function (this: World, count: number) {
+  assert.equal(this.statuses.filter((status) => status === 429).length, count)
+})
--- /dev/null
+++ b/testing/engine/_memory.ts
@@ -0,0 +1,54 @@
+/**
+ * Memory of the engine in pieces, and its totals since the start.
+ */
+
+/** Counts work since the start of the engine. */
+export interface Counters {
+  prefills: number
+  prefilled_tokens: number
+  tokens_decoded: number
+  prefills_expired: number
+  kv_bytes_exported: number
+  cancels: number
+  orders_refused: number
+  streams_dropped: number
+}
+
+/** Holds the memory of the engine. */
+export interface Memory {
+  used (): number
+  /** Takes pieces; answers false when too few are free. */
+  take (pieces: number): boolean
+  give (pieces: number): void
+}
+
+/** Creates memory of a size in pieces, all free. */
+export function createMemory (pieces: number): Memory {
+  let used = 0
+  return {
+    used: () => used,
+    take (count) {
+      if (used + count > pieces) return false
+      used += count
+      return true
+    },
+    give (count) {
+      if (count > used) throw new Error(`${count} pieces given back while ${used} are in use`)
+      used -= count
+    }
+  }
+}
+
+/** Creates counters at zero. */
+export function createCounters (): Counters {
+  return {
+    prefills: 0,
+    prefilled_tokens: 0,
+    tokens_decoded: 0,
+    prefills_expired: 0,
+    kv_bytes_exported: 0,
+    cancels: 0,
+    orders_refused: 0,
+    streams_dropped: 0
+  }
+}
--- /dev/null
+++ b/testing/http/mod.ts
@@ -0,0 +1,5 @@
+/**
+ * The small HTTP server under every stand-in.
+ */
+export { serve } from './serve.ts'
+export type { HttpCall, HttpHandler, ServeOptions, Served } from './serve.ts'
--- /dev/null
+++ b/testing/service/start_service.ts
@@ -0,0 +1,81 @@
+/**
+ * A plain service over HTTP that counts the runs of each call.
+ */
+import { createFaultGate, FaultKind } from '../faults/mod.ts'
+import type { FaultGate } from '../faults/mod.ts'
+import { serve } from '../http/mod.ts'
+import type { HttpCall, Served } from '../http/mod.ts'
+import { createSystemTimer } from '../../timer/mod.ts'
+import type { Timer } from '../../timer/mod.ts'
+
+/** Configures a plain service. */
+export interface ServiceOptions {
+  /** Port to listen on; 0, the default, takes a free one. */
+  port?: number
+  /** Time in milliseconds that a call takes; 5 by default. */
+  serviceMs?: number
+  timer?: Timer
+}
+
+/** A running plain service. */
+export interface ServiceStandIn extends Served {
+  gate: FaultGate
+  /** Answers how often a call ran. */
+  runs (callId: string): number
+}
+
+const defaultServiceMs = 5
+
+/**
+ * Starts a plain service.
+ *
+ * @param options the port, and the time in milliseconds that a call takes
+ * @returns the running service
+ *
+ * @example
+ * ```ts
+ * import { startService } from 'briarloom/testing/service'
+ *
+ * const service = await startService()
+ * console.assert(service.runs('c1') === 0)
+ * await service.close()
+ * ```
+ */
+export async function startService (options: ServiceOptions = {}): Promise<ServiceStandIn> {
+  const timer = options.timer ?? createSystemTimer()
+  const gate = createFaultGate({ timer })
+  const runs = new Map<string, number>()
+  const serviceMs = options.serviceMs ?? defaultServiceMs
+
+  async function run (call: HttpCall): Promise<void> {
+    const callId = String(call.req.headers['x-call-id'] ?? '')
+    const count = (runs.get(callId) ?? 0) + 1
+    runs.set(callId, count)
+    await new Promise<void>((resolve) => timer.after(serviceMs, resolve))
+    await gate.pass()
+    if (gate.active(FaultKind.CutAfterRun)) {
+      call.res.destroy()
+      return
+    }
+    call.reply(200, { call_id: callId, runs: count })
+  }
+
+  const served = await serve({
+    port: options.port ?? 0,
+    gate,
+    routes: { '* /*': run },
+    control: {
+      'GET /runs': (call) => call.reply(200, { runs: Object.fromEntries(runs) }),
+      'GET /runs/*': (call) => call.reply(200, { runs: runs.get(call.path.slice('/runs/'.length)) ?? 0 })
+    }
+  })
+  return {
+    ...served,
+    gate,
+    runs: (callId) => runs.get(callId) ?? 0,
+    async close () {
+      await served.close()
+      if (!options.timer) timer.close()
+    }
+  }
+}
