Add the entry's wiring

Cause: callers need a process that owns their requests. Ruled out: class-based servers (house style asks for factories). Before: no entry. Conclusion: routes, machines and links are separate tasks.

--- a/daemon/create_base.ts
+++ b/daemon/create_base.ts
@@ -12,7 +12,7 @@
 import type { Log } from '../log/mod.ts'
 import type { Metrics } from '../metrics/mod.ts'
 import type { Peer, PeerHandlers, Peers } from '../peer/mod.ts'
-import type { ConfigService, HostEntry, HostList } from '../platform/mod.ts'
+import type { HostEntry } from '../platform/mod.ts'
 import type { Settings } from '../settings/mod.ts'
 import type { Timer } from '../timer/mod.ts'
 import type { Message } from '../wire/mod.ts'
@@ -40,6 +40,13 @@
   close (): Promise<void>
 }
 
+/** Opens an adapter by its name, which the settings have checked. */
+function openAdapter<T> (table: { [name: string]: (options: { url: string }) => T }, chosen: { adapter: string, url: string }): T {
+  const open = table[chosen.adapter]
+  if (open === undefined) throw new Error(`adapter "${chosen.adapter}" does not exist`)
+  return open({ url: chosen.url })
+}
+
 /**
  * Builds the base of a daemon. The configuration is followed from the start; `peers` listens only when told to.
  *
@@ -60,8 +67,8 @@
   const metrics = createMetrics(settings.metrics)
   const config = createConfiguration()
   const incarnation = timer.wall()
-  const service: ConfigService = configAdapters[settings.platform.config.adapter]({ url: settings.platform.config.url })
-  const hostList: HostList = hostListAdapters[settings.platform.hosts.adapter]({ url: settings.platform.hosts.url })
+  const service = openAdapter(configAdapters, settings.platform.config)
+  const hostList = openAdapter(hostListAdapters, settings.platform.hosts)
 
   function onMessage (peer: Peer, msg: Message): void {
     if (msg.kind === MessageKind.Status) {
--- a/entry/_stats.ts
+++ b/entry/_stats.ts
@@ -16,9 +16,9 @@
 }
 
 /**
- * Creates the counters.
+ * Creates the counters; `onDone` is told of each request that was answered.
  */
-export function createEntryStats (metrics: Metrics): EntryStats {
+export function createEntryStats (metrics: Metrics, onDone: () => void): EntryStats {
   const outcomes: { [O in Outcome]: number } = { [Outcome.NotRun]: 0, [Outcome.Done]: 0, [Outcome.Unknown]: 0 }
   let gone = 0
   let firstTokenMissed = 0
@@ -33,6 +33,7 @@
     },
     ended (tier, outcome, ms) {
       outcomes[outcome] += 1
+      if (outcome === Outcome.Done) onDone()
       metrics.count(Metric.Requests, 1, { tier: tier.name, outcome })
       metrics.timing(Metric.RequestTime, ms, { tier: tier.name })
     },
--- /dev/null
+++ b/entry/start_entry.ts
@@ -0,0 +1,277 @@
+/**
+ * Wires the tasks of an entry to its sockets.
+ */
+import { randomBytes } from 'node:crypto'
+import { createLimits } from '../core/limits/mod.ts'
+import { ChoicePolicy, RecordKind, ReservePolicy } from '../core/records/mod.ts'
+import { createRetryBudget } from '../core/retry/mod.ts'
+import { Err, Ok } from '../core/results/mod.ts'
+import { createRouter } from '../core/routing/mod.ts'
+import { Role } from '../core/types/mod.ts'
+import { createBase } from '../daemon/mod.ts'
+import { createDecisionRing, DecisionKind } from '../log/mod.ts'
+import { MessageKind } from '../wire/mod.ts'
+import { createAgents } from './_agents.ts'
+import { createAuth } from './_auth.ts'
+import { completionRoutes } from './_completions.ts'
+import { startHttpServer } from './_http_server.ts'
+import { createModelRequests } from './_model_requests.ts'
+import { createRpc } from './_rpc.ts'
+import { serviceRoutes } from './_services.ts'
+import { createEntryStats } from './_stats.ts'
+import type { PolicyRecord } from '../core/records/mod.ts'
+import type { RequestPorts, RequestSpec } from '../core/request/mod.ts'
+import type { Result } from '../core/results/mod.ts'
+import type { Daemon } from '../daemon/mod.ts'
+import type { Decision } from '../log/mod.ts'
+import type { Peer } from '../peer/mod.ts'
+import type { EntrySettings } from '../settings/mod.ts'
+import type { Message, MessageOf } from '../wire/mod.ts'
+import type { Identity } from './_auth.ts'
+import type { HttpCall, HttpRoute } from './_http_server.ts'
+import type { AnswerSink } from './_model_requests.ts'
+
+const decisionRingSize = 20_000
+const maxUnsentBytes = 1_048_576
+const sharePeriodMs = 200
+const drainPollMs = 50
+const minRetriesPerS = 2
+const requestIdBytes = 9
+
+const defaultPolicy: Omit<PolicyRecord, 'kind' | 'name'> = {
+  reserve: ReservePolicy.ReserveFirst,
+  choice: ChoicePolicy.PowerOfTwo,
+  admission: 'tiered' as PolicyRecord['admission'],
+  paidHeadroom: 0.1,
+  retryBudget: 0.1,
+  affinitySeats: 2
+}
+
+type Handlers = { [K in MessageKind]?: (peer: Peer, msg: MessageOf<K>) => void }
+
+/**
+ * Starts an entry.
+ *
+ * @param settings the checked settings
+ * @returns the running entry, or why it could not start
+ *
+ * @example
+ * ```ts
+ * import { startEntry } from 'briarloom/entry'
+ *
+ * console.assert(typeof startEntry === 'function')
+ * ```
+ */
+export async function startEntry (settings: EntrySettings): Promise<Result<Daemon, string>> {
+  const { timings, name } = settings
+  const place = { availabilityZone: settings.availabilityZone, region: settings.region }
+  const ring = createDecisionRing({ size: decisionRingSize })
+  let draining = false
+
+  const base = createBase({
+    settings,
+    handlers: {
+      onUp: (peer) => { if (peer.process === 'agent') agents.onUp(peer) },
+      onDown: (peer) => { if (peer.process === 'agent') agents.onDown(peer) },
+      onMessage
+    },
+    status,
+    explain: (requestId) => ring.find(requestId).map((decision) => ({ ...decision })),
+    onHosts: (hosts) => {
+      agents.onHosts(hosts)
+      limits.entries(Math.max(1, hosts.filter((host) => host.kind === 'entry').length))
+    }
+  })
+  const { timer, config, peers, metrics } = base
+
+  const policy = (): Omit<PolicyRecord, 'kind' | 'name'> => config.get(RecordKind.Policy, 'default') ?? defaultPolicy
+  const router = createRouter({ policy: policy(), place, random: Math.random })
+  const retries = createRetryBudget({ ratio: policy().retryBudget, minPerS: minRetriesPerS })
+  const stats = createEntryStats(metrics, retries.succeeded)
+  const limits = createLimits({
+    entry: name,
+    incarnation: base.incarnation,
+    limitOf: (caller) => config.get(RecordKind.Caller, caller)
+  })
+  const rpc = createRpc(timer, peers.send)
+  const requests = createModelRequests({
+    timer,
+    router,
+    send: peers.send,
+    isConnected: (agent) => peers.get(agent) !== undefined,
+    onDecision: decide
+  })
+  const agents = createAgents({
+    timer,
+    config,
+    peers,
+    router,
+    heartbeatMs: timings.heartbeatMs,
+    choose: (backends) => backends,
+    liveAt: requests.liveAt,
+    progress: requests.count,
+    onLost: (agent) => {
+      requests.onAgentLost(agent)
+      rpc.onAgentLost(agent)
+    },
+    onBack: requests.onAgentBack
+  })
+
+  function decide (decision: Omit<Decision, 'revision'>): void {
+    const whole = { ...decision, revision: config.revision() }
+    ring.add(whole)
+    base.log.decision(whole)
+  }
+
+  const handlers: Handlers = {
+    [MessageKind.Load]: (peer, msg) => agents.onLoad(peer, msg),
+    [MessageKind.Reserved]: (peer, msg) => requests.onReply(peer.name, msg),
+    [MessageKind.Prefilled]: (peer, msg) => requests.onReply(peer.name, msg),
+    [MessageKind.Tokens]: (peer, msg) => requests.onReply(peer.name, msg),
+    [MessageKind.Finished]: (peer, msg) => requests.onReply(peer.name, msg),
+    [MessageKind.Failed]: (peer, msg) => requests.onReply(peer.name, msg),
+    [MessageKind.Cancelled]: (peer, msg) => requests.onReply(peer.name, msg),
+    [MessageKind.Refused]: (peer, msg) => {
+      if (!rpc.onReply(peer.name, msg)) requests.onReply(peer.name, msg)
+    },
+    [MessageKind.CallDone]: (peer, msg) => { rpc.onReply(peer.name, msg) },
+    [MessageKind.TicketIssued]: (peer, msg) => { rpc.onReply(peer.name, msg) },
+    [MessageKind.TicketVoided]: (peer, msg) => { rpc.onReply(peer.name, msg) },
+    [MessageKind.UsageShare]: (_peer, msg) => limits.onShare(msg, timer.now())
+  }
+
+  function onMessage (peer: Peer, msg: Message): void {
+    const handler = handlers[msg.kind] as ((peer: Peer, msg: Message) => void) | undefined
+    handler?.(peer, msg)
+  }
+
+  function requestPorts (spec: RequestSpec): RequestPorts {
+    return {
+      choose (role, promptTokens, exclude, near) {
+        const region = near === undefined ? undefined : agents.record(near)?.region
+        const { model, version } = spec
+        return router.choose({ role, model, version, promptTokens, prefixes: [], exclude, region }, timer.now())
+      },
+      takeRetry: (nowMs) => retries.take(nowMs),
+      estimatePrefillMs: (backend, tokens) => router.estimateFirstTokenMs(backend, tokens, timer.now())
+    }
+  }
+
+  function run (spec: RequestSpec, identity: Identity, sink: AnswerSink): void {
+    const options = { policy: policy().reserve, firstTokenMs: identity.tier.firstTokenMs }
+    requests.start(spec, requestPorts(spec), options, identity.tier.name, sink)
+  }
+
+  function chooseService (requestId: string, attempt: number, identity: Identity, service: string, exclude: string[]) {
+    const wanted = { role: Role.Service, model: service, version: '*', promptTokens: 0, prefixes: [], exclude }
+    const chosen = router.choose(wanted, timer.now())
+    if (chosen.err) return chosen
+    decide({
+      kind: attempt === 1 ? DecisionKind.Routing : DecisionKind.Retry,
+      request: requestId,
+      attempt,
+      caller: identity.caller.name,
+      tier: identity.tier.name,
+      chosen: chosen.val.backend,
+      runnersUp: chosen.val.runnersUp,
+      reason: `service: attempt ${attempt}`
+    })
+    return Ok(chosen.val.backend)
+  }
+
+  function isReady (): boolean {
+    return !draining && config.revision() > 0 && config.all(RecordKind.Caller).length > 0
+  }
+
+  function sendState (call: HttpCall, ok: boolean): void {
+    call.res.writeHead(ok ? 200 : 503, { 'content-type': 'application/json' })
+    call.res.end(JSON.stringify({ ok, revision: config.revision() }))
+  }
+
+  function status (): Record<string, unknown> {
+    return {
+      draining,
+      requests: requests.count(),
+      calls: rpc.count(),
+      callers: stats.status(),
+      backends: router.views().map(({ info, health, requests }) => ({ name: info.name, health, requests }))
+    }
+  }
+
+  const auth = createAuth(config)
+  const { maxBodyBytes, maxHeaderBytes } = settings.limits
+  const routes: HttpRoute[] = [
+    ...completionRoutes({
+      timer, config, auth, limits, stats, maxBodyBytes, maxUnsentBytes, run, isDraining: () => draining, cancel: requests.cancel
+    }),
+    ...serviceRoutes({
+      config,
+      auth,
+      rpc,
+      maxBodyBytes,
+      choose: chooseService,
+      takeRetry: () => retries.take(timer.now()),
+      onOutcome: (identity, outcome) => stats.ended(identity.tier, outcome, 0)
+    }),
+    { method: 'GET', path: '/healthz', handle: (call) => sendState(call, true) },
+    { method: 'GET', path: '/readyz', handle: (call) => sendState(call, isReady()) }
+  ]
+
+  config.onChange((event) => {
+    if (event.key.startsWith(`${RecordKind.Backend}/`)) agents.refresh()
+    if (event.key.startsWith(`${RecordKind.Policy}/`)) router.setPolicy(policy())
+  })
+  timer.onPause(timings.leaseMs, requests.revalidate)
+  timer.every(sharePeriodMs, () => {
+    const share = limits.share(timer.now())
+    if (share.usage.length === 0) return
+    for (const peer of peers.list()) {
+      if (peer.process === 'entry') peers.send(peer.name, share)
+    }
+  })
+
+  const listening = await peers.listen(settings.peer.host, settings.peer.port)
+  if (listening.err) {
+    await base.close()
+    return listening
+  }
+  const http = await startHttpServer({
+    host: settings.http.host,
+    port: settings.http.port,
+    routes,
+    maxHeaderBytes,
+    nextRequestId: () => `${name}-${randomBytes(requestIdBytes).toString('base64url')}`,
+    onFault: (requestId, err) => base.log.error({ requestId, err }, 'handler failed')
+  })
+  if (http.err) {
+    await base.close()
+    return Err(http.val)
+  }
+  const server = http.val
+
+  function idle (): Promise<void> {
+    return new Promise((resolve) => {
+      const poll = timer.every(drainPollMs, () => {
+        if (requests.count() > 0 || rpc.count() > 0) return
+        poll.cancel()
+        resolve()
+      })
+    })
+  }
+
+  return Ok({
+    address: listening.val,
+    httpAddress: server.address,
+    async stop () {
+      draining = true
+      const closed = server.close()
+      await idle()
+      await closed
+      await base.close()
+    },
+    async kill () {
+      server.closeNow()
+      await base.close()
+    }
+  })
+}
