Choose bounded subsets of agents, readers and relay peers by rendezvous hash

Cause: connections must not grow as entries times agents, and few processes may watch the configuration service. An entry takes a bounded number of agents of each group in its region, spread over zones, and each agent has a least number of entries. Relays form two trees a zone with readers as roots and a few links between zones. Ruled out: the subset by entries alone, which leaves agents without an entry when entries are few; xxhash-wasm, whose start is asynchronous and would make the pure functions wait. FNV-1a with a final mix is used.

--- /dev/null
+++ b/core/subset/mod.ts
@@ -0,0 +1,10 @@
+/**
+ * Bounded subsets by rendezvous hashing: who talks with whom, who watches the configuration service, who relays to whom.
+ */
+export { chooseReaders, rankNames } from './choose_readers.ts'
+export { chooseRelayPeers } from './choose_relay_peers.ts'
+export { chooseSubset } from './choose_subset.ts'
+export { hashPair, hashText, rendezvousScore } from './rendezvous_score.ts'
+export type { ReadersOptions } from './choose_readers.ts'
+export type { RelayPeers, RelayPeersOptions } from './choose_relay_peers.ts'
+export type { SubsetAgent, SubsetMember, SubsetOptions } from './choose_subset.ts'
--- /dev/null
+++ b/core/subset/subset.feature
@@ -0,0 +1,26 @@
+Feature: Bounded subsets of peers
+  Scenario Outline: Subsets of <entries> entries cover every agent, are bounded and spread over availability zones
+    Given a subset deployment of <entries> entries and <agents> agents in 3 availability zones with <groups> groups
+    When every entry chooses its subset of <wanted> agents of each group with a coverage of 3
+    Then each subset has at least <wanted> agents of each group, at most <most> in all, and every zone in each group
+    And each agent is in at least 3 subsets and at most <subsets>
+
+    Examples:
+      | entries | agents | groups | wanted | most | subsets |
+      | 86      | 940    | 18     | 8      | 240  | 40      |
+      | 8       | 300    | 2      | 3      | 180  | 8       |
+
+  Scenario: The loss of one host moves only the connections of that host
+    Given a subset deployment of 86 entries and 940 agents in 3 availability zones with 18 groups
+    When every entry chooses its subset of 8 agents of each group with a coverage of 3
+    Then without agent 17 the subsets lose only that agent and gain at most as many agents as lost it
+    And without entry 17 the other subsets lose nothing
+
+  Scenario: Relay trees reach every process within a few steps although any one process is gone
+    Given a subset deployment of 30 entries and 365 agents in 3 availability zones with 18 groups
+    Then the relay trees with 3 readers in each zone and a fan-out of 4 reach everyone in at most 10 steps without any one of 20 processes
+    And each process of the relay trees has at most 2 parents, 8 children and 8 links between zones
+
+  Scenario: The loss of a reader changes one reader of its zone
+    Given a subset deployment of 30 entries and 365 agents in 3 availability zones with 18 groups
+    Then the subset readers are 3 in each zone and change by one when a reader is lost
