Check the new fields of relayed configuration pages and allow empty model names

Cause: the page gained the optional field 'after' and a service's load report has no version, which the validator of messages refused, so the connection closed. Ruled out: dropping the check. Conclusion: the table of checks stays exhaustive by type.

--- a/wire/_message_checks.ts
+++ b/wire/_message_checks.ts
@@ -89,8 +89,8 @@
   [MessageKind.Load]: {
     backend: isName,
     role: isRole,
-    model: isName,
-    version: isName,
+    model: isText,
+    version: isText,
     seats: isCount,
     seatsUsed: isCount,
     pieces: isCount,
@@ -104,7 +104,7 @@
     stalledMs: isAmount
   },
   [MessageKind.ConfigDigest]: { revision: isCount, wants: isFlag },
-  [MessageKind.ConfigRecords]: { revision: isCount, complete: isFlag, changes: listOf(isChange) },
+  [MessageKind.ConfigRecords]: { revision: isCount, after: optional(isCount), complete: isFlag, changes: listOf(isChange) },
   [MessageKind.PeerReport]: { name: isName, incarnation: isCount, state: oneOf(['suspect', 'leaving', 'gone']) },
   [MessageKind.UsageShare]: { entry: isName, incarnation: isCount, seq: isCount, usage: listOf(isUsage) },
   [MessageKind.Status]: {},
