Test the request machine by scripts of events

Cause: order, repeats, losses and refusals of agents must not change an answer. Ruled out: tests on sockets only, which can't place a message at every step. Before: untested.

--- /dev/null
+++ b/core/request/request.feature
@@ -0,0 +1,34 @@
+Feature: The request machine
+  Scenario Outline: A request with the policy <policy> does "<effects>" for <events>
+    Given a request with the policy "<policy>"
+    When the request gets "<events>"
+    Then the request did "<effects>"
+
+    Examples: the way of an answer
+      | policy        | events                                                             | effects |
+      | reserve_first | start, d1 reserved, p1 prefilled, d1 tokens 0 2, d1 finished 2     | reserve d1/1, prefill p1/1, decode d1/1, cancel p1/1, emit 0 2, end 2 |
+      | prefill_first | start, p1 prefilled, d1 reserved, d1 tokens 0 2, d1 finished 2     | prefill p1/1, reserve d1/1, decode d1/1, cancel p1/1, emit 0 2, end 2 |
+      | predicted     | start, wake bind, d1 reserved, p1 prefilled, d1 tokens 0 2, d1 finished 2 | prefill p1/1, reserve d1/1, decode d1/1, cancel p1/1, emit 0 2, end 2 |
+
+    Examples: late, repeated and crossed messages
+      | policy        | events                                                                 | effects |
+      | reserve_first | start, d1 reserved, p1 prefilled, d1 tokens 1 1, d1 tokens 0 1, d1 tokens 0 2, d1 finished 2 | reserve d1/1, prefill p1/1, decode d1/1, cancel p1/1, emit 0 2, end 2 |
+      | reserve_first | start, d1 reserved, p1 prefilled, d1 finished 2, d1 tokens 0 2, d1 finished 2, d1 tokens 0 2 | reserve d1/1, prefill p1/1, decode d1/1, resume d1/1 0, cancel p1/1, emit 0 2, end 2 |
+      | reserve_first | start, d9 reserved, d1 reserved, d1 reserved | reserve d1/1, prefill p1/1 |
+
+    Examples: refusals and their outcomes
+      | policy        | events                                   | effects |
+      | reserve_first | start, d1 refused, d2 refused, d3 refused | reserve d1/1, cancel d1/1, reserve d2/1, cancel d2/1, reserve d3/1, cancel d3/1, refuse not_run |
+      | reserve_first | start, d1 reserved, p1 refused, p2 refused, p3 refused | reserve d1/1, prefill p1/1, cancel p1/1, prefill p2/1, cancel p2/1, prefill p3/1, cancel p3/1, cancel d1/1, refuse not_run |
+      | reserve_first | start, d1 reserved, p1 lost, p2 refused, p3 refused | reserve d1/1, prefill p1/1, cancel p1/1, prefill p2/1, cancel p2/1, prefill p3/1, cancel p3/1, cancel d1/1, refuse unknown |
+
+    Examples: a lost, a returned and a stalled backend server
+      | policy        | events                                                                 | effects |
+      | reserve_first | start, d1 reserved, p1 prefilled, d1 tokens 0 2, d1 lost, d1 back, d1 tokens 2 1, d1 finished 3 | reserve d1/1, prefill p1/1, decode d1/1, cancel p1/1, emit 0 2, resume d1/1 2, emit 2 1, end 3 |
+      | reserve_first | start, d1 reserved, p1 prefilled, d1 tokens 0 2, d1 lost, wake resume, d2 reserved, p1 prefilled, d1 tokens 2 1, d2 tokens 2 1, d2 finished 3 | reserve d1/1, prefill p1/1, decode d1/1, cancel p1/1, emit 0 2, cancel d1/1, reserve d2/2, prefill p1/2, decode d2/2, cancel p1/2, emit 2 1, end 3 |
+      | reserve_first | start, d1 reserved, p1 prefilled, d1 tokens 0 2, wait 2000, wake stall, d1 tokens 2 1 | reserve d1/1, prefill p1/1, decode d1/1, cancel p1/1, emit 0 2, cancel d1/1, reserve d2/2 |
+
+    Examples: a caller that is gone
+      | policy        | events                                            | effects |
+      | reserve_first | start, d1 reserved, gone, p1 prefilled             | reserve d1/1, prefill p1/1, cancel p1/1, cancel d1/1 |
+      | reserve_first | start, d1 reserved, p1 prefilled, d1 tokens 0 2, gone, d1 tokens 2 1 | reserve d1/1, prefill p1/1, decode d1/1, cancel p1/1, emit 0 2, cancel d1/1 |
