Log decisions and send metrics from a typed table

Cause: operators want one line for each routing or placement decision and a page of all metrics that stays true. hot-shots' mock mode was ruled out for processes without a metrics server, because it keeps every packet in memory; they get functions that do nothing. Before: neither module.

--- /dev/null
+++ b/metrics/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Metrics over StatsD, from a typed table of names.
+ */
+export { createMetrics } from './create_metrics.ts'
+export { Metric, MetricKind, metricTable } from './_table.ts'
+export type { Metrics, MetricsOptions, MetricTags } from './create_metrics.ts'
+export type { MetricOf, MetricSpec } from './_table.ts'
