--- a/agent/_queue_task.ts
+++ b/agent/_queue_task.ts
@@ -2,12 +2,12 @@
  * Admits reservations to the engine through the admission queue.
  */
 import { createAdmission } from '../core/admission/mod.ts'
-import { attemptKey, RefusalCode } from '../core/types/mod.ts'
+import { attemptKey } from '../core/types/mod.ts'
 import { MessageKind } from '../wire/mod.ts'
 import type { AdmissionItem, RunningItem } from '../core/admission/mod.ts'
 import type { AdmissionPolicy } from '../core/records/mod.ts'
 import type { ReservationTable } from '../core/reservation/mod.ts'
-import type { AttemptRef } from '../core/types/mod.ts'
+import type { AttemptRef, RefusalCode } from '../core/types/mod.ts'
 import type { Reserve } from '../wire/mod.ts'
 import type { LoadTask } from './_load_task.ts'
 import type { TaskPorts } from './_types.ts'
--- a/agent/start_agent.ts
+++ b/agent/start_agent.ts
@@ -81,35 +81,34 @@
  */
 export async function startAgent (settings: AgentSettings): Promise<Result<Daemon, string>> {
   const drain = createDrain()
-  let task: BackendTask | undefined
-  let listedAsLeaving = false
+  const own: { task: BackendTask | undefined, isListedAsLeaving: boolean } = { task: undefined, isListedAsLeaving: false }
 
   const base = createBase({
     settings,
     handlers: {
-      onUp: (peer) => { if (peer.process === 'entry') task?.ownerUp(peer.owner) },
-      onDown: (peer) => { if (peer.process === 'entry') task?.ownerDown(peer.owner) },
+      onUp: (peer) => { if (peer.process === 'entry') own.task?.ownerUp(peer.owner) },
+      onDown: (peer) => { if (peer.process === 'entry') own.task?.ownerDown(peer.owner) },
       onMessage: (peer, msg) => {
-        const known = task?.handle(peer.owner, msg) ?? false
+        const known = own.task?.handle(peer.owner, msg) ?? false
         if (!known) base.log.debug({ peer: peer.name, kind: msg.kind }, 'message without a handler')
       }
     },
-    status: () => ({ drain: drain.state(), ...task?.status() }),
+    status: () => ({ drain: drain.state(), ...own.task?.status() }),
     explain: () => [],
     onHosts
   })
 
   function isDraining (): boolean {
     const weight = base.config.get(RecordKind.Backend, settings.name)?.weight ?? 1
-    return drain.state() !== DrainState.Serving || listedAsLeaving || weight === 0
+    return drain.state() !== DrainState.Serving || own.isListedAsLeaving || weight === 0
   }
 
   function onHosts (hosts: HostEntry[]): void {
-    const own = hosts.find((host) => host.name === settings.name)
-    const leaving = own?.state === HostState.Leaving
-    if (leaving === listedAsLeaving) return
-    listedAsLeaving = leaving
-    task?.publish()
+    const listed = hosts.find((host) => host.name === settings.name)
+    const leaving = listed?.state === HostState.Leaving
+    if (leaving === own.isListedAsLeaving) return
+    own.isListedAsLeaving = leaving
+    own.task?.publish()
   }
 
   function publish (report: LoadReport): void {
@@ -124,8 +123,8 @@
   }
 
   const ports: TaskPorts = { timer: base.timer, log: base.log, metrics: base.metrics, send, isDraining }
-  task = await taskFactories[settings.backend.kind](base, settings, ports, publish)
-  const running = task
+  const running = await taskFactories[settings.backend.kind](base, settings, ports, publish)
+  own.task = running
   const listening = await base.peers.listen(settings.peer.host, settings.peer.port)
   if (listening.err) {
     await base.close()
--- a/daemon/create_base.ts
+++ b/daemon/create_base.ts
@@ -8,6 +8,7 @@
 import { configAdapters, hostListAdapters } from '../platform/mod.ts'
 import { createSystemTimer } from '../timer/mod.ts'
 import { MessageKind } from '../wire/mod.ts'
+import { followPlatform } from './_follow_platform.ts'
 import type { Configuration } from '../core/configuration/mod.ts'
 import type { Log } from '../log/mod.ts'
 import type { Metrics } from '../metrics/mod.ts'
@@ -105,6 +106,8 @@
     maxFrameBytes: settings.limits.maxFrameBytes
   })
 
+  const follower = followPlatform({ timer, log, config, service, hostList, onHosts: options.onHosts })
+
   return {
     timer,
     log,
@@ -113,6 +116,7 @@
     peers,
     incarnation,
     async close () {
+      follower.close()
       await peers.close()
       await service.close()
       await hostList.close()
--- a/entry/_model_requests.ts
+++ b/entry/_model_requests.ts
@@ -193,4 +193,3 @@
     count: () => active.size
   }
 }
-
--- a/entry/_services.ts
+++ b/entry/_services.ts
@@ -3,7 +3,7 @@
  */
 import { RecordKind } from '../core/records/mod.ts'
 import { parseTicket } from '../core/ticket/mod.ts'
-import { Outcome, RefusalCode, Role } from '../core/types/mod.ts'
+import { Outcome, RefusalCode } from '../core/types/mod.ts'
 import { MessageKind } from '../wire/mod.ts'
 import { badRequest, refusal, sendRefusal } from './_refusals.ts'
 import { readBody } from './_http_server.ts'
