Add a membership view from the host list, connections and reports

Cause: the host list lags by seconds, so a process needs its own evidence: hellos, heartbeats whose progress counter moves, what a member says of its own leaving, and what peers report. States are hints; a member that says it is leaving stays so under a stale list until a higher incarnation or its own word changes it. A counter that rests while work is owed makes a member suspect. Ruled out: trust in a third process against own fresh evidence (a report of "gone" about a member that moves is ignored).

--- /dev/null
+++ b/core/membership/mod.ts
@@ -0,0 +1,9 @@
+/**
+ * Who is alive, suspect, leaving or gone, as one process sees it; each state is a hint.
+ */
+export { createMembership } from './create_membership.ts'
+export { MemberReason, MemberState } from './_types.ts'
+export type { MembershipOptions } from './create_membership.ts'
+export type {
+  Member, MemberChange, Membership, PeerHint, PeerIdentity, PeerProgress
+} from './_types.ts'
