Check the range that a page of configuration claims on the wire

Two more optional fields are added for the relay: `more` splits a large page over frames, `ageMs` in a digest tells how long ago the configuration service was last read.

--- a/wire/_message_checks.ts
+++ b/wire/_message_checks.ts
@@ -103,8 +103,14 @@
     prefixes: listOf(isName),
     stalledMs: isAmount
   },
-  [MessageKind.ConfigDigest]: { revision: isCount, wants: isFlag },
-  [MessageKind.ConfigRecords]: { revision: isCount, complete: isFlag, changes: listOf(isChange) },
+  [MessageKind.ConfigDigest]: { revision: isCount, wants: isFlag, ageMs: optional(isAmount) },
+  [MessageKind.ConfigRecords]: {
+    revision: isCount,
+    after: optional(isCount),
+    complete: isFlag,
+    more: optional(isFlag),
+    changes: listOf(isChange)
+  },
   [MessageKind.PeerReport]: { name: isName, incarnation: isCount, state: oneOf(['suspect', 'leaving', 'gone']) },
   [MessageKind.UsageShare]: { entry: isName, incarnation: isCount, seq: isCount, usage: listOf(isUsage) },
   [MessageKind.Status]: {},
--- a/wire/messages.ts
+++ b/wire/messages.ts
@@ -247,6 +247,8 @@
   revision: number
   /** True when the sender asks for records above this revision. */
   wants: boolean
+  /** Milliseconds since the sender, or whoever it heard from, last read the configuration service; absent when never. */
+  ageMs?: number
 }
 
 /** Carries configuration records between peers. */
@@ -258,6 +260,8 @@
   after?: number
   /** True when the changes hold every record, so that a record that is missing was deleted. */
   complete: boolean
+  /** True when the next message continues this one; only the last one counts as a page. */
+  more?: boolean
   changes: ConfigChange[]
 }
 
