Start whole deployments as processes and add the demo

The fault matrix and the demo need both firms' deployments on loopback: stand-ins, records of schema version 1, host list, settings files, entries and agents, each a process that can be killed, frozen and started again.

--- /dev/null
+++ b/testing/demo.ts
@@ -0,0 +1,77 @@
+/**
+ * Brings up one deployment as processes on the loopback address and answers a condition report. With `--once` it then
+ * stops everything and ends; otherwise it stays up until it is interrupted.
+ */
+import { complete } from './caller/mod.ts'
+import type { Completion } from './caller/mod.ts'
+import { conditionReport } from './condition_report.ts'
+import { Firm, startDeployment } from './deployment/mod.ts'
+import type { Deployment } from './deployment/mod.ts'
+import { expectedAnswer } from './engine/mod.ts'
+
+const maxTokens = 48
+
+function printProcesses (deployment: Deployment): void {
+  console.log('Processes:')
+  for (const item of deployment.processes()) {
+    console.log(`  ${String(item.pid()).padStart(7)}  ${item.name}`)
+  }
+}
+
+async function ask (deployment: Deployment): Promise<Completion> {
+  const { model, paidKey } = deployment.firm
+  console.log(`\nAnswer of ${model} to a condition report of ${conditionReport.split(/\s+/).length} words:`)
+  const done = await complete({
+    address: deployment.entryAddress(0),
+    key: paidKey,
+    model,
+    prompt: conditionReport,
+    maxTokens,
+    onText: (text) => process.stdout.write(text)
+  })
+  process.stdout.write('\n')
+  return done
+}
+
+function isDecision (line: string, requestId: string): boolean {
+  return line.startsWith('{') && line.includes(`"${requestId}"`)
+}
+
+function printDecisions (deployment: Deployment, requestId: string): number {
+  const entry = deployment.process(`entry/${deployment.layout.entries[0]?.name}`)
+  const lines = entry.lines().filter((line) => isDecision(line, requestId))
+  console.log('\nDecisions of the entry about this request:')
+  for (const line of lines) console.log(`  ${line}`)
+  return lines.length
+}
+
+function printCurl (deployment: Deployment): void {
+  const { model, paidKey } = deployment.firm
+  const body = JSON.stringify({ model, stream: true, max_tokens: 32, messages: [{ role: 'user', content: 'Is border 3 fragile?' }] })
+  console.log(`\nStays up until Ctrl-C. Try:\n  curl -N http://${deployment.entryAddress(0)}/v1/chat/completions \\`)
+  console.log(`    -H 'authorization: Bearer ${paidKey}' -H 'content-type: application/json' \\\n    -d '${body}'`)
+}
+
+async function check (deployment: Deployment): Promise<boolean> {
+  const done = await ask(deployment)
+  const isWhole = done.ends === 1 && done.text === expectedAnswer(conditionReport, maxTokens).tokens.join('')
+  const decisions = printDecisions(deployment, done.id ?? 'none')
+  if (!isWhole) console.error(`the answer is not whole: status ${done.status}, code ${done.code}, ${done.broken}`)
+  if (decisions === 0) console.error('the entry logged no decision about the request')
+  return isWhole && decisions > 0
+}
+
+async function main (): Promise<number> {
+  const isOnce = process.argv.includes('--once')
+  const deployment = await startDeployment({ firm: Firm.Velluto })
+  printProcesses(deployment)
+  const isGood = await check(deployment)
+  if (!isOnce) {
+    printCurl(deployment)
+    await new Promise<void>((resolve) => process.once('SIGINT', resolve))
+  }
+  await deployment.stop()
+  return isGood ? 0 : 1
+}
+
+process.exit(await main())
--- /dev/null
+++ b/testing/deployment/_layout.ts
@@ -0,0 +1,226 @@
+/**
+ * Lays out a deployment: names, zones, addresses, records and settings of its processes.
+ */
+import { createHash } from 'node:crypto'
+import type { EngineOptions } from '../engine/mod.ts'
+import { firmLayouts } from './_firms.ts'
+import type { Firm, FirmLayout, Zone } from './_firms.ts'
+import { freePort } from './_ports.ts'
+
+/** Configures a deployment; numbers left out are the firm's own. */
+export interface DeploymentOptions {
+  firm: Firm
+  /** Number of entries; 2 by default. */
+  entries?: number
+  /** Number of engines that start as prefill. */
+  prefill?: number
+  /** Number of engines that start as decode. */
+  decode?: number
+  /** Number of plain service hosts. */
+  services?: number
+  /** Names of the availability zones in use; all of the firm's by default. */
+  zones?: string[]
+  /** Options of every engine stand-in. */
+  engine?: Partial<EngineOptions>
+  /** Timings in the settings of entries and agents, in milliseconds. */
+  timings?: { leaseMs?: number, heartbeatMs?: number, graceMs?: number }
+  /** Fields of the record `policy/default` that differ from the default. */
+  policy?: Record<string, unknown>
+  /** Lag of the host list in milliseconds; 500 by default. */
+  hostLagMs?: number
+  /** Time in milliseconds that a call to a plain service may take; 2000 by default. */
+  serviceTimeoutMs?: number
+  /** Fields merged into the settings of every entry and agent. */
+  settings?: Record<string, unknown>
+}
+
+/** Describes an entry or the agent beside a backend server. */
+export interface Host extends Zone {
+  name: string
+  peerPort: number
+  /** Port for callers; 0 for agents. */
+  httpPort: number
+}
+
+/** Describes a backend server and its agent. */
+export interface Backend extends Host {
+  role: 'prefill' | 'decode' | 'service'
+  serves: string
+  backendPort: number
+}
+
+/** Describes every host of a deployment. */
+export interface Layout {
+  firm: FirmLayout
+  entries: Host[]
+  backends: Backend[]
+}
+
+const decodeShift = 1
+
+function pickZone (zones: Zone[], index: number): Zone {
+  const zone = zones[index % zones.length]
+  if (!zone) throw new Error('a deployment needs an availability zone')
+  return zone
+}
+
+/** Orders zones so that the first hosts cover every region. */
+function byRegion (zones: Zone[]): Zone[] {
+  const seen = new Set<string>()
+  const first = zones.filter((zone) => !seen.has(zone.region) && seen.add(zone.region))
+  return [...first, ...zones.filter((zone) => !first.includes(zone))]
+}
+
+async function makeBackends (options: DeploymentOptions, firm: FirmLayout, zones: Zone[]): Promise<Backend[]> {
+  const counts = [
+    { role: 'prefill' as const, count: options.prefill ?? firm.prefill, zones: byRegion(zones), shift: 0 },
+    { role: 'decode' as const, count: options.decode ?? firm.decode, zones, shift: decodeShift },
+    { role: 'service' as const, count: options.services ?? firm.services, zones, shift: 0 }
+  ]
+  const backends: Backend[] = []
+  for (const group of counts) {
+    const serves = group.role === 'service' ? firm.service : firm.model
+    for (let i = 0; i < group.count; i++) {
+      const number = backends.filter((backend) => backend.serves === serves).length + 1
+      backends.push({
+        name: `${serves}-${number}`,
+        ...pickZone(group.zones, i + group.shift),
+        role: group.role,
+        serves,
+        peerPort: await freePort(),
+        httpPort: 0,
+        backendPort: await freePort()
+      })
+    }
+  }
+  return backends
+}
+
+/** Lays out the hosts of a deployment. */
+export async function makeLayout (options: DeploymentOptions): Promise<Layout> {
+  const firm = firmLayouts[options.firm]
+  const zones = firm.zones.filter((zone) => options.zones?.includes(zone.availabilityZone) ?? true)
+  const entries: Host[] = []
+  for (let i = 0; i < (options.entries ?? 2); i++) {
+    entries.push({
+      name: `entry-${i + 1}`, ...pickZone(zones, i), peerPort: await freePort(), httpPort: await freePort()
+    })
+  }
+  return { firm, entries, backends: await makeBackends(options, firm, zones) }
+}
+
+function tier (firm: FirmLayout, tierClass: string): object {
+  return {
+    schema: 1,
+    tierClass,
+    models: [{ model: firm.model, version: '*' }],
+    firstTokenMs: 5000,
+    betweenTokensMs: 100
+  }
+}
+
+function caller (tierName: string, key: string): object {
+  const keyHash = createHash('sha256').update(key).digest('hex')
+  return { schema: 1, tier: tierName, keyHash, requestsPerS: 1000, tokensPerS: 1_000_000, concurrency: 1000 }
+}
+
+function backendRecord (backend: Backend, options: DeploymentOptions, version: string): object {
+  return {
+    schema: 1,
+    address: `127.0.0.1:${backend.backendPort}`,
+    agent: `127.0.0.1:${backend.peerPort}`,
+    adapter: backend.role === 'service' ? 'service_http' : 'engine_http',
+    role: backend.role,
+    serves: backend.serves,
+    version: backend.role === 'service' ? '' : version,
+    fencing: options.engine?.fencing ?? true,
+    weight: 1,
+    availabilityZone: backend.availabilityZone,
+    region: backend.region
+  }
+}
+
+/** Builds the records of a deployment by key. */
+export function makeRecords (layout: Layout, options: DeploymentOptions): Map<string, object> {
+  const { firm } = layout
+  const engines = layout.backends.filter((backend) => backend.role !== 'service')
+  const prefills = engines.filter((backend) => backend.role === 'prefill')
+  const records = new Map<string, object>([
+    [`tier/${firm.paidTier}`, tier(firm, 'paid')],
+    [`tier/${firm.freeTier}`, tier(firm, 'free')],
+    [`caller/${firm.paidCaller}`, caller(firm.paidTier, firm.paidKey)],
+    [`caller/${firm.freeCaller}`, caller(firm.freeTier, firm.freeKey)],
+    [`model/${firm.model}`, {
+      schema: 1,
+      versions: [{ version: firm.version, adapter: '', weight: 1, weightBytes: 1_000_000 }],
+      replicasPerZone: 1,
+      prefillShare: prefills.length / Math.max(1, engines.length)
+    }],
+    [`service/${firm.service}`, {
+      schema: 1,
+      calls: [
+        { method: 'POST', path: firm.writePath, idempotent: false },
+        { method: 'GET', path: '/', idempotent: true }
+      ],
+      timeoutMs: options.serviceTimeoutMs ?? 2000
+    }],
+    ['policy/default', {
+      schema: 1,
+      reserve: 'reserve_first',
+      choice: 'power_of_two',
+      admission: 'tiered',
+      paidHeadroom: 0.1,
+      retryBudget: 0.2,
+      affinitySeats: 2,
+      ...options.policy
+    }]
+  ])
+  for (const backend of layout.backends) {
+    records.set(`backend/${backend.name}`, backendRecord(backend, options, firm.version))
+  }
+  return records
+}
+
+/** Builds the entry of a host on the host list. */
+export function listed (host: Host, kind: 'entry' | 'agent', state: 'live' | 'leaving' = 'live'): object {
+  return {
+    name: host.name,
+    kind,
+    address: `127.0.0.1:${host.peerPort}`,
+    availability_zone: host.availabilityZone,
+    region: host.region,
+    state
+  }
+}
+
+/** Builds the settings of an entry or agent. */
+export function makeSettings (
+  host: Host | Backend, platform: { config: string, hosts: string }, options: DeploymentOptions
+): Record<string, unknown> {
+  const shared = {
+    name: host.name,
+    availabilityZone: host.availabilityZone,
+    region: host.region,
+    peer: { host: '127.0.0.1', port: host.peerPort },
+    platform: {
+      config: { adapter: 'config_http', url: `http://${platform.config}` },
+      hosts: { adapter: 'hosts_http', url: `http://${platform.hosts}` }
+    },
+    ...(options.timings ? { timings: options.timings } : {}),
+    ...options.settings
+  }
+  if (!('role' in host)) {
+    return { process: 'entry', ...shared, http: { host: '127.0.0.1', port: host.httpPort } }
+  }
+  const isService = host.role === 'service'
+  return {
+    process: 'agent',
+    ...shared,
+    backend: {
+      kind: isService ? 'service' : 'engine',
+      adapter: isService ? 'service_http' : 'engine_http',
+      address: `127.0.0.1:${host.backendPort}`
+    },
+    ...(isService ? {} : { engine: { fencing: options.engine?.fencing ?? true } })
+  }
+}
--- /dev/null
+++ b/testing/deployment/mod.ts
@@ -0,0 +1,9 @@
+/**
+ * A whole deployment on the loopback address, each part as a process of its own.
+ */
+export { Firm } from './_firms.ts'
+export { startDeployment } from './start_deployment.ts'
+export type { Deployment } from './start_deployment.ts'
+export type { DeploymentOptions } from './_layout.ts'
+export type { FirmLayout } from './_firms.ts'
+export type { ManagedProcess } from './_process.ts'
--- /dev/null
+++ b/testing/deployment/start_deployment.ts
@@ -0,0 +1,225 @@
+/**
+ * Starts a deployment: stand-ins, records, host list, entries and agents.
+ */
+import { mkdtemp, rm, writeFile } from 'node:fs/promises'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { fileURLToPath } from 'node:url'
+import { request } from 'undici'
+import { createSystemTimer } from '../../timer/mod.ts'
+import type { Timer } from '../../timer/mod.ts'
+import { complete, callService } from '../caller/mod.ts'
+import { createControlClient } from './_control_client.ts'
+import type { ControlClient } from './_control_client.ts'
+import type { FirmLayout } from './_firms.ts'
+import { makeLayout, makeRecords, makeSettings } from './_layout.ts'
+import type { Backend, DeploymentOptions, Host, Layout } from './_layout.ts'
+import { startProcess } from './_process.ts'
+import type { ManagedProcess } from './_process.ts'
+
+/** A running deployment. Its processes are named `config`, `hosts`, `entry/NAME`, `agent/NAME` and `backend/NAME`. */
+export interface Deployment extends ControlClient {
+  firm: FirmLayout
+  layout: Layout
+  timer: Timer
+  process (name: string): ManagedProcess
+  processes (): ManagedProcess[]
+  /** Returns the address `ip:port` of an entry for callers. */
+  entryAddress (index: number): string
+  /** Kills a process with SIGKILL and waits for its end. */
+  kill (name: string): Promise<void>
+  /** Stops a process with SIGSTOP. */
+  freeze (name: string): void
+  /** Lets a frozen process go on. */
+  thaw (name: string): void
+  /** Starts a process again and waits until a stand-in listens or an entry is ready. */
+  restart (name: string): Promise<void>
+  /** Waits until every entry answers a model request and a service call. */
+  waitUntilServing (timeoutMs: number): Promise<void>
+  /** Ends every process, gently first. */
+  stop (): Promise<void>
+}
+
+const mainPath = fileURLToPath(new URL('../../cli/main.js', import.meta.url))
+const standInPath = fileURLToPath(new URL('../main.js', import.meta.url))
+const startTimeoutMs = 20_000
+const pollMs = 50
+const stopTimeoutMs = 5000
+
+function standIn (name: string, kind: string, port: number, options: object, timer: Timer): ManagedProcess {
+  const args = [standInPath, kind, '--tied', '--port', String(port), '--options', JSON.stringify(options)]
+  return startProcess(name, args, timer)
+}
+
+/**
+ * Starts a deployment and waits until it serves.
+ *
+ * @param options the firm, the numbers of hosts, and what differs from the defaults
+ * @returns the running deployment
+ * @throws when a process does not start or the deployment does not serve in time
+ *
+ * @example
+ * ```ts
+ * import { Firm, startDeployment } from 'briarloom/testing/deployment'
+ *
+ * const deployment = await startDeployment({ firm: Firm.Fleuve })
+ * console.log(deployment.entryAddress(0))
+ * await deployment.stop()
+ * ```
+ */
+export async function startDeployment (options: DeploymentOptions): Promise<Deployment> {
+  const timer = createSystemTimer()
+  const layout = await makeLayout(options)
+  const { firm } = layout
+  const folder = await mkdtemp(join(tmpdir(), 'briarloom-'))
+  const processes = new Map<string, ManagedProcess>()
+  const controls = new Map<string, string>()
+  const client = createControlClient(layout, controls)
+  const platform = { config: '', hosts: '' }
+
+  function find (name: string): ManagedProcess {
+    const found = processes.get(name)
+    if (!found) throw new Error(`process "${name}" does not exist in the deployment`)
+    return found
+  }
+
+  function sleep (ms: number): Promise<void> {
+    return new Promise((resolve) => timer.after(ms, resolve))
+  }
+
+  async function waitForStandIn (name: string): Promise<string> {
+    const line = await find(name).waitForLine('ready ', startTimeoutMs)
+    const [, address = '', control = ''] = line.split(' ')
+    controls.set(name, control)
+    return address
+  }
+
+  async function startPlatform (): Promise<void> {
+    const hostLagMs = options.hostLagMs ?? 500
+    processes.set('config', standIn('config', 'config', 0, {}, timer))
+    processes.set('hosts', standIn('hosts', 'hosts', 0, { lagMs: hostLagMs }, timer))
+    platform.config = await waitForStandIn('config')
+    platform.hosts = await waitForStandIn('hosts')
+  }
+
+  async function startBackends (): Promise<void> {
+    for (const backend of layout.backends) {
+      const name = `backend/${backend.name}`
+      const isService = backend.role === 'service'
+      const engine = { ...options.engine, role: backend.role, model: firm.model, version: firm.version }
+      processes.set(name, standIn(name, isService ? 'service' : 'engine', backend.backendPort, isService ? {} : engine, timer))
+    }
+    for (const backend of layout.backends) await waitForStandIn(`backend/${backend.name}`)
+  }
+
+  async function seed (): Promise<void> {
+    for (const [key, record] of makeRecords(layout, options)) await client.writeRecord(key, record)
+    for (const host of [...layout.entries, ...layout.backends]) await client.list(host.name, 'live')
+    await sleep(options.hostLagMs ?? 500)
+  }
+
+  async function startDaemon (kind: 'entry' | 'agent', host: Host | Backend): Promise<void> {
+    const name = `${kind}/${host.name}`
+    const file = join(folder, `${kind}-${host.name}.jsonc`)
+    await writeFile(file, JSON.stringify(makeSettings(host, platform, options), undefined, 2))
+    processes.set(name, startProcess(name, [mainPath, kind, '--settings', file], timer))
+  }
+
+  async function poll (what: string, timeoutMs: number, check: () => Promise<boolean>): Promise<void> {
+    const endMs = timer.now() + timeoutMs
+    while (!await check()) {
+      const isOver = timer.now() > endMs || [...processes.values()].some((item) => !item.isRunning())
+      if (isOver) throw new Error(`${what} did not come within ${timeoutMs} ms: ${describe()}`)
+      await sleep(pollMs)
+    }
+  }
+
+  function describe (): string {
+    const daemons = [...processes.values()].filter((item) => !item.isRunning())
+    return daemons.map((item) => `${item.name} ended: ${item.lines().slice(-3).join(' | ')}`).join('; ')
+  }
+
+  function entryAddress (index: number): string {
+    return `127.0.0.1:${layout.entries[index]?.httpPort}`
+  }
+
+  async function isReady (index: number): Promise<boolean> {
+    try {
+      const res = await request(`http://${entryAddress(index)}/readyz`, { reset: true })
+      await res.body.dump()
+      return res.statusCode === 200
+    } catch {
+      return false
+    }
+  }
+
+  async function serves (index: number): Promise<boolean> {
+    const address = entryAddress(index)
+    const key = firm.paidKey
+    const answer = await complete({ address, key, model: firm.model, prompt: 'are you there', maxTokens: 1 })
+    if (answer.ends !== 1) return false
+    if (!layout.backends.some((backend) => backend.role === 'service')) return true
+    const call = { address, key, service: firm.service, method: 'GET', path: `${firm.readPath}/probe` }
+    return (await callService(call)).status === 200
+  }
+
+  async function waitUntilServing (timeoutMs: number): Promise<void> {
+    for (let i = 0; i < layout.entries.length; i++) {
+      await poll(`readiness of entry ${i + 1}`, timeoutMs, () => isReady(i))
+      await poll(`an answer through entry ${i + 1}`, timeoutMs, () => serves(i))
+    }
+  }
+
+  async function stop (): Promise<void> {
+    const all = [...processes.values()]
+    for (const item of all) {
+      item.signal('SIGCONT')
+      item.signal('SIGTERM')
+    }
+    const ended = Promise.all(all.map((item) => item.ended()))
+    await Promise.race([ended, sleep(stopTimeoutMs)])
+    for (const item of all) if (item.isRunning()) item.signal('SIGKILL')
+    await ended
+    await rm(folder, { recursive: true, force: true })
+    timer.close()
+  }
+
+  async function restart (name: string): Promise<void> {
+    find(name).restart()
+    if (controls.has(name)) await waitForStandIn(name)
+    const index = layout.entries.findIndex((entry) => `entry/${entry.name}` === name)
+    if (index >= 0) await poll(`readiness of ${name}`, startTimeoutMs, () => isReady(index))
+  }
+
+  const deployment: Deployment = {
+    ...client,
+    firm,
+    layout,
+    timer,
+    process: find,
+    processes: () => [...processes.values()],
+    entryAddress,
+    async kill (name) {
+      find(name).signal('SIGKILL')
+      await find(name).ended()
+    },
+    freeze: (name) => find(name).signal('SIGSTOP'),
+    thaw: (name) => find(name).signal('SIGCONT'),
+    restart,
+    waitUntilServing,
+    stop
+  }
+
+  try {
+    await startPlatform()
+    await startBackends()
+    await seed()
+    for (const backend of layout.backends) await startDaemon('agent', backend)
+    for (const entry of layout.entries) await startDaemon('entry', entry)
+    await waitUntilServing(startTimeoutMs)
+  } catch (err) {
+    await stop()
+    throw err
+  }
+  return deployment
+}
