Add the command line: daemons, check, status, explain and load

Cause: operators need one binary whose faults are told on standard error with exit code 1. Weighed: exit code 2 for usage errors; sade ends the process itself with 1 on those, so there is one code for faults. A second signal within the grace period is logged and not obeyed, because a graceful stop cuts off no request. Before: no command line.

--- /dev/null
+++ b/cli/cli.feature
@@ -0,0 +1,40 @@
+Feature: The command line
+  Scenario Outline: The command line ends with a conventional code and tells faults on standard error
+    When the command line "<arguments>" runs
+    Then the command line ends with <code> and prints "<out>" to <stream>
+
+    Examples:
+      | arguments               | code | out                          | stream          |
+      | --help                  | 0    | Available Commands           | standard output |
+      | load --help             | 0    | --between-tokens-ms          | standard output |
+      | check missing.jsonc     | 1    | "missing.jsonc" cannot be    | standard error  |
+      | entry                   | 1    | expected --settings FILE     | standard error  |
+      | entry --setings x.jsonc | 1    | Unknown option: --setings    | standard error  |
+      | status 127.0.0.1:1      | 1    | connection to 127.0.0.1:1    | standard error  |
+      | load --rate 5           | 1    | --url is missing             | standard error  |
+
+  Scenario Outline: The command line asks a running process
+    Given a command line peer that answers status and explain
+    When the command line asks the peer to "<question>"
+    Then the command line answer has the code <code> and names "<text>"
+
+    Examples:
+      | question   | code | text              |
+      | status     | 0    | "revision": 7     |
+      | explain r1 | 0    | not d2: no seat   |
+      | explain r9 | 1    | remembers nothing |
+
+  Scenario Outline: A command line daemon obeys signals, and ends work only after the grace period
+    Given a command line daemon with a grace period of 1000 ms and work that ends <end>
+    When the command line daemon gets SIGTERM at the times "<signals>"
+    Then the command line daemon was ended <kills> times and the exit code is <code>
+
+    Examples:
+      | end       | signals     | kills | code |
+      | at 500 ms | 0           | 0     | 0    |
+      | at 900 ms | 0 100 200   | 0     | 0    |
+      | never     | 0 500 1500  | 1     | 1    |
+
+  Scenario: The command line load plan depends on its seed only and keeps its rate
+    When the command line plans load for 100 s at 50 requests a second with the seeds 1, 1 and 2
+    Then the command line plans of seed 1 are equal, that of seed 2 differs, and each has 4700 to 5300 requests
--- /dev/null
+++ b/cli/cli_test.ts
@@ -0,0 +1,146 @@
+/**
+ * Steps for the command line.
+ */
+import assert from 'node:assert/strict'
+import { execFile } from 'node:child_process'
+import { PassThrough } from 'node:stream'
+import { After, Given, Then, When } from '@cucumber/cucumber'
+import { createLog, DecisionKind } from '../log/mod.ts'
+import { createManualTimer } from '../timer/mod.ts'
+import { listen, MessageKind } from '../wire/mod.ts'
+import type { ManualTimer } from '../timer/mod.ts'
+import type { Listener, Message } from '../wire/mod.ts'
+import { planLoad } from './_load_plan.ts'
+import { explain } from './explain.ts'
+import { status } from './status.ts'
+import { supervise } from './supervise.ts'
+
+interface World {
+  code: number | undefined
+  streams: Record<string, string>
+  peer: Listener
+  answer: string
+  timer: ManualTimer
+  signal: (signal: string) => void
+  kills: number
+  plans: string[]
+  sizes: number[]
+}
+
+const decision = {
+  kind: DecisionKind.Routing,
+  request: 'r1',
+  attempt: 1,
+  caller: 'notaires',
+  tier: 'payant',
+  chosen: 'd1',
+  runnersUp: [{ backend: 'd2', reason: 'no seat' }],
+  revision: 7,
+  reason: 'fewest in flight'
+}
+
+function reply (msg: Message): Message | undefined {
+  if (msg.kind === MessageKind.Status) return { kind: MessageKind.StatusReply, status: { revision: 7 } }
+  if (msg.kind !== MessageKind.Explain) return undefined
+  const decisions = msg.requestId === 'r1' ? [decision] : []
+  return { kind: MessageKind.ExplainReply, requestId: msg.requestId, decisions }
+}
+
+After(async function (this: World) {
+  await this.peer?.close()
+})
+
+When('the command line {string} runs', async function (this: World, line: string) {
+  await new Promise<void>((resolve) => {
+    const child = execFile('node', ['dist/cli/main.js', ...line.split(' ')], (_err, stdout, stderr) => {
+      this.streams = { 'standard output': stdout, 'standard error': stderr }
+      this.code = child.exitCode ?? undefined
+      resolve()
+    })
+  })
+})
+
+Then(/^the command line ends with (\d+) and prints "(.*)" to (standard \w+)$/, function (this: World, code: string, text: string, stream: string) {
+  assert.equal(this.code, Number(code))
+  assert.ok(this.streams[stream]?.includes(text), JSON.stringify(this.streams))
+})
+
+Given('a command line peer that answers status and explain', async function (this: World) {
+  const options = { host: '127.0.0.1', port: 0 }
+  const listening = await listen({
+    ...options,
+    onConnection (connection) {
+      connection.onMessage((msg) => {
+        const answer = reply(msg)
+        if (answer) connection.send(answer)
+      })
+    }
+  })
+  this.peer = listening.unwrap()
+})
+
+When('the command line asks the peer to {string}', async function (this: World, question: string) {
+  const lines: string[] = []
+  const output = { out: (line: string) => lines.push(line), err: (line: string) => lines.push(line) }
+  const [command, request = ''] = question.split(' ')
+  const { address } = this.peer
+  this.code = command === 'status' ? await status(address, {}, output) : await explain(address, request, {}, output)
+  this.answer = lines.join('\n')
+})
+
+Then(/^the command line answer has the code (\d+) and names "(.*)"$/, function (this: World, code: string, text: string) {
+  assert.equal(this.code, Number(code))
+  assert.ok(this.answer.includes(text), this.answer)
+})
+
+Given(
+  /^a command line daemon with a grace period of (\d+) ms and work that ends (?:at (\d+) ms|never)$/,
+  function (this: World, graceMs: string, endMs: string | undefined) {
+    this.timer = createManualTimer()
+    this.kills = 0
+    const daemon = {
+      address: '127.0.0.1:1',
+      stop: () => new Promise<void>((resolve) => { if (endMs) this.timer.after(Number(endMs), resolve) }),
+      kill: () => {
+        this.kills += 1
+        return Promise.resolve()
+      }
+    }
+    const log = createLog({ name: 'levis-1', level: 'info', stream: new PassThrough() })
+    const onSignal = (fn: (signal: string) => void): void => { this.signal = fn }
+    supervise(daemon, { timer: this.timer, log, graceMs: Number(graceMs), onSignal }).then((code) => { this.code = code })
+  }
+)
+
+When('the command line daemon gets SIGTERM at the times {string}', async function (this: World, times: string) {
+  for (const time of times.split(' ')) {
+    this.timer.advance(Number(time) - this.timer.now())
+    this.signal('SIGTERM')
+  }
+  this.timer.advance(2000)
+  await new Promise(setImmediate)
+})
+
+Then(
+  'the command line daemon was ended {int} times and the exit code is {int}',
+  function (this: World, kills: number, code: number) {
+    assert.equal(this.kills, kills)
+    assert.equal(this.code, code)
+  }
+)
+
+When('the command line plans load for 100 s at 50 requests a second with the seeds 1, 1 and 2', function (this: World) {
+  const plans = [1, 1, 2].map((seed) => [...planLoad({ seed, ratePerS: 50, durationMs: 100_000, words: { low: 3, high: 9 } })])
+  this.plans = plans.map((plan) => JSON.stringify(plan.map((item) => item.atMs)))
+  this.sizes = plans.map((plan) => plan.length)
+})
+
+Then(
+  'the command line plans of seed 1 are equal, that of seed 2 differs, and each has {int} to {int} requests',
+  function (this: World, low: number, high: number) {
+    const [first, again, other] = this.plans
+    assert.equal(first, again)
+    assert.notEqual(first, other)
+    for (const size of this.sizes) assert.ok(size >= low && size <= high, String(size))
+  }
+)
--- /dev/null
+++ b/cli/parse_command.ts
@@ -0,0 +1,86 @@
+/**
+ * The commands of `briarloom` and their options.
+ */
+import sade from 'sade'
+import type { LazyOutput, Sade } from 'sade'
+import { check } from './check.ts'
+import type { Output } from './check.ts'
+import type { ExitCode } from './_exit_code.ts'
+import { explain } from './explain.ts'
+import { load } from './load.ts'
+import { loadFlags } from './_load_options.ts'
+import { runDaemon } from './run_daemon.ts'
+import { status } from './status.ts'
+
+/** Flags as they stand on the command line. */
+interface Flags extends Record<string, unknown> {
+  _: string[]
+  settings?: string
+}
+
+/** A parsed command line: `run` performs the command. */
+export interface ParsedCommand {
+  run (): Promise<ExitCode>
+}
+
+/** Flags whose values are never read as numbers. */
+const textFlags = ['settings', 'url', 'key', 'model', 'words']
+
+/**
+ * Parses a command line. Help, the version and usage errors are printed by the parser, which then ends the process.
+ *
+ * @param argv the command line as in `process.argv`
+ * @param output where the lines of the commands go
+ * @returns the command, or undefined when help or the version was printed
+ *
+ * @example
+ * ```ts
+ * process.exitCode = await parseCommand(process.argv, { out: console.log, err: console.error })?.run()
+ * ```
+ */
+export function parseCommand (argv: string[], output: Output): ParsedCommand | undefined {
+  const program = createProgram(output)
+  // The types of sade miss that nothing is returned after help, and that options of mri reach it.
+  const options = { lazy: true as const, string: textFlags, unknown: (flag: string) => `Unknown option: ${flag}` }
+  const parsed = program.parse(argv, options) as LazyOutput | undefined
+  if (parsed === undefined) return undefined
+  return { run: async () => await parsed.handler(...parsed.args) }
+}
+
+function createProgram (output: Output): Sade {
+  const program = sade('briarloom').version('0.1.0')
+  addDaemons(program, output)
+  addTools(program, output)
+  addLoad(program, output)
+  return program
+}
+
+function addDaemons (program: Sade, output: Output): void {
+  for (const kind of ['entry', 'agent'] as const) {
+    program.command(kind, `Run an ${kind} until SIGTERM, then finish what is in flight`)
+      .option('--settings', 'Settings file, JSON with comments')
+      .example(`${kind} --settings ${kind}.jsonc`)
+      .action((flags: Flags) => runDaemon(kind, flags.settings, output))
+  }
+}
+
+function addTools (program: Sade, output: Output): void {
+  program.command('check <file>', 'Check settings files and files of configuration records')
+    .example('check entry.jsonc records.jsonc')
+    .action((file: string, flags: Flags) => check([file, ...flags._], output))
+  program.command('status <address>', 'Print the own view of the process at ADDRESS (ip:port)')
+    .option('--settings', 'Settings file that holds the key between processes')
+    .example('status 127.0.0.1:7001')
+    .action((address: string, flags: Flags) => status(address, flags, output))
+  program.command('explain <address> <request>', 'Print why an entry routed or refused a recent request so')
+    .option('--settings', 'Settings file that holds the key between processes')
+    .example('explain 127.0.0.1:7001 levis-1-4fK0')
+    .action((address: string, request: string, flags: Flags) => explain(address, request, flags, output))
+}
+
+function addLoad (program: Sade, output: Output): void {
+  program.command('load', 'Send an open loop of seeded requests and report latency and goodput')
+  for (const [flag, meaning, value] of loadFlags) program.option(flag, meaning, value)
+  program.example('load --url http://127.0.0.1:8080 --key KEY --model redaction --rate 5 --seconds 10')
+    .action((flags: Flags) => load(flags, output))
+}
