Test the policy parts and mend the division of limits

Change: a part of a limit now falls at once and rises only after two further periods; seats in use stay where they are and only free seats are handed out; UsageShare carries 'waiting' (additive) and demand is smoothed over about 2 s; unused share is saved for 500 ms.

--- a/core/limits/_divide.ts
+++ b/core/limits/_divide.ts
@@ -33,29 +33,31 @@
   return total >= limit ? own : own + (limit - total) / (others.length + 1)
 }
 
-/** Names a demand, so that all entries hand out a remainder in the same order. */
-export interface NamedDemand {
+/** Describes the seats of one entry; the name orders entries so that all hand out a remainder alike. */
+export interface SeatDemand {
   entry: string
-  demand: number
+  inUse: number
+  waiting: number
 }
 
 /**
- * Returns the part of a whole number of seats for the first of the demands, by the rule of `divideRate` in whole
- * numbers.
+ * Returns the part of a whole number of seats for the first of the demands.
+ *
+ * Seats in use stay where they are. Free seats go to the entries where requests wait, by max-min fairness, and
+ * what is left is divided evenly.
  */
-export function divideSeats (limit: number, own: NamedDemand, others: NamedDemand[]): number {
-  const all = [own, ...others].sort((a, b) => a.demand - b.demand || (a.entry < b.entry ? -1 : 1))
-  const parts = new Map<string, number>()
-  let left = limit
+export function divideSeats (limit: number, own: SeatDemand, others: SeatDemand[]): number {
+  const all = [own, ...others].sort((a, b) => a.waiting - b.waiting || (a.entry < b.entry ? -1 : 1))
+  let left = Math.max(0, limit - all.reduce((sum, demand) => sum + demand.inUse, 0))
   let sharers = all.length
-  for (const { entry, demand } of all) {
-    const part = Math.min(demand, Math.floor(left / sharers))
-    parts.set(entry, part)
-    left -= part
+  let part = 0
+  for (const demand of all) {
+    const given = Math.min(demand.waiting, Math.floor(left / sharers))
+    if (demand === own) part = given
+    left -= given
     sharers -= 1
   }
-  const spare = left
-  const rank = all.map((named) => named.entry).sort().indexOf(own.entry)
-  const extra = Math.floor(spare / all.length) + (rank < spare % all.length ? 1 : 0)
-  return (parts.get(own.entry) ?? 0) + extra
+  const rank = all.filter((demand) => demand.entry < own.entry).length
+  const extra = Math.floor(left / all.length) + (rank < left % all.length ? 1 : 0)
+  return own.inUse + part + extra
 }
--- a/core/limits/_peers.ts
+++ b/core/limits/_peers.ts
@@ -2,7 +2,7 @@
  * What the other entries said about the demand of each caller.
  */
 import type { UsageShare } from '../../wire/mod.ts'
-import type { NamedDemand } from './_divide.ts'
+import type { SeatDemand } from './_divide.ts'
 
 /** Holds the demand of one caller at one entry. */
 export interface Demand {
@@ -10,16 +10,17 @@
   requests: number
   /** Tokens offered per second. */
   tokens: number
-  /** Requests in flight or refused for concurrency since the last message. */
+  /** Requests in flight. */
   concurrency: number
+  /** Requests that were lately refused for concurrency. */
+  waiting: number
 }
 
 interface Peer {
   incarnation: number
   seq: number
   atMs: number
-  last: Map<string, Demand>
-  before: Map<string, Demand>
+  usage: Map<string, Demand>
 }
 
 /** Holds the last messages of the other entries. */
@@ -29,8 +30,10 @@
   /** Forgets entries that fell silent. */
   dropStale (nowMs: number): void
   count (): number
-  /** Returns what each known entry may be using, by one measure. */
-  demands (caller: string, measure: keyof Demand): NamedDemand[]
+  /** Returns the rate that each known entry demands. */
+  rates (caller: string, measure: 'requests' | 'tokens'): number[]
+  /** Returns the seats that each known entry uses and wants. */
+  seats (caller: string): SeatDemand[]
 }
 
 /** Creates an empty table. */
@@ -43,17 +46,11 @@
       if (msg.incarnation < known.incarnation) return false
       if (msg.incarnation === known.incarnation && msg.seq <= known.seq) return false
     }
-    const last = new Map(msg.usage.map((usage) => [usage.caller, usage]))
-    const before = known?.last ?? new Map<string, Demand>()
-    peers.set(msg.entry, { incarnation: msg.incarnation, seq: msg.seq, atMs: nowMs, last, before })
+    const usage = new Map(msg.usage.map((demand) => [demand.caller, demand]))
+    peers.set(msg.entry, { incarnation: msg.incarnation, seq: msg.seq, atMs: nowMs, usage })
     return true
   }
 
-  // The higher of two messages, because the peer lowers its share only after the later one left it.
-  function demandOf (peer: Peer, caller: string, measure: keyof Demand): number {
-    return Math.max(peer.last.get(caller)?.[measure] ?? 0, peer.before.get(caller)?.[measure] ?? 0)
-  }
-
   return {
     observe,
     dropStale (nowMs) {
@@ -62,7 +59,10 @@
       }
     },
     count: () => peers.size,
-    demands: (caller, measure) =>
-      [...peers].map(([entry, peer]) => ({ entry, demand: demandOf(peer, caller, measure) }))
+    rates: (caller, measure) => [...peers.values()].map((peer) => peer.usage.get(caller)?.[measure] ?? 0),
+    seats: (caller) => [...peers].map(([entry, peer]) => {
+      const demand = peer.usage.get(caller)
+      return { entry, inUse: demand?.concurrency ?? 0, waiting: demand?.waiting ?? 0 }
+    })
   }
 }
--- a/core/limits/_types.ts
+++ b/core/limits/_types.ts
@@ -25,7 +25,7 @@
   sharePeriodMs?: number
   /** Age in milliseconds at which the usage of another entry counts for nothing; 1000 by default. */
   shareStaleMs?: number
-  /** Time in milliseconds for which an unused share may be saved up; 200 by default. */
+  /** Time in milliseconds for which an unused share may be saved up; 500 by default. */
   burstMs?: number
 }
 
--- a/core/limits/create_limits.ts
+++ b/core/limits/create_limits.ts
@@ -6,25 +6,30 @@
 import { MessageKind } from '../../wire/mod.ts'
 import { divideRate, divideSeats } from './_divide.ts'
 import { createPeers } from './_peers.ts'
-import { createUsage, isIdle, knownDemand, publish } from './_usage.ts'
+import { createParts } from './_parts.ts'
+import { createUsage, isNothing, publish } from './_usage.ts'
 import type { Result } from '../results/mod.ts'
 import type { UsageShare } from '../../wire/mod.ts'
 import type { CallerLimits, LimitRefusal, Limits, LimitsOptions } from './_types.ts'
+import type { Parts } from './_parts.ts'
 import type { Usage } from './_usage.ts'
 
 const unknownCallerRetryMs = 1000
 const msPerS = 1000
 
-interface Part extends CallerLimits {
+interface Known {
+  usage: Usage
+  parts: Parts
+  /** Version of the view from which the parts were last worked out. */
   version: number
 }
 
 /**
  * Creates the limits of one entry.
  *
- * Each limit is divided between the live entries by the demand that they tell each other. An entry raises its part only
- * one period after it told the others of its demand, and lowers it at once, so the parts never add up to more than
- * the limit while messages arrive within `sharePeriodMs`. An entry that is alive but not heard keeps an equal
+ * Each limit is divided between the live entries by the demand that they tell each other. A part falls at once
+ * and rises only after two further periods, so the parts don't add up to more than the limit while messages arrive
+ * within half of `sharePeriodMs`. An entry that is alive but not heard keeps an equal
  * part `limit / entries`.
  *
  * With `n` entries, a limit `L` per second is exceeded over `t` seconds by at most
@@ -55,45 +60,46 @@
 export function createLimits (options: LimitsOptions): Limits {
   const { entry, incarnation, limitOf } = options
   const sharePeriodMs = options.sharePeriodMs ?? 200
-  const burstS = (options.burstMs ?? 200) / msPerS
+  const burstS = (options.burstMs ?? 500) / msPerS
   const peers = createPeers(options.shareStaleMs ?? 1000)
-  const usages = new Map<string, Usage>()
-  const parts = new Map<string, Part>()
+  const callers = new Map<string, Known>()
   let liveCount = 1
   let version = 0
   let seq = 0
   let lastShareMs: number | undefined
 
-  function usageOf (caller: string): Usage {
-    const known = usages.get(caller)
-    if (known !== undefined) return known
-    const usage = createUsage()
-    usages.set(caller, usage)
-    return usage
-  }
-
-  // The part of the limit that the entries which hear each other divide; the rest belongs to those not heard.
+  // The share of the limit that the entries which hear each other divide; the rest belongs to those not heard.
   function heardShare (): number {
     const heard = peers.count() + 1
     return heard / Math.max(heard, liveCount)
   }
 
-  function partOf (caller: string, limit: CallerLimits, usage: Usage): Part {
-    const known = parts.get(caller)
-    if (known !== undefined && known.version === version) return known
+  function workOut (caller: string, limit: CallerLimits, usage: Usage): CallerLimits {
     const heard = heardShare()
-    const rate = (measure: 'requests' | 'tokens', perS: number): number =>
-      divideRate(perS * heard, knownDemand(usage, measure), peers.demands(caller, measure).map((d) => d.demand))
-    const own = { entry, demand: Math.max(usage.inFlight, knownDemand(usage, 'concurrency')) }
+    const { published } = usage
     const seats = limit.concurrency === 0 ? 0 : Math.max(1, Math.floor(limit.concurrency * heard))
-    const part = {
-      requestsPerS: rate('requests', limit.requestsPerS),
-      tokensPerS: rate('tokens', limit.tokensPerS),
-      concurrency: divideSeats(seats, own, peers.demands(caller, 'concurrency')),
-      version
+    const own = { entry, inUse: published.concurrency, waiting: published.waiting }
+    return {
+      requestsPerS: divideRate(limit.requestsPerS * heard, published.requests, peers.rates(caller, 'requests')),
+      tokensPerS: divideRate(limit.tokensPerS * heard, published.tokens, peers.rates(caller, 'tokens')),
+      concurrency: divideSeats(seats, own, peers.seats(caller))
+    }
+  }
+
+  function knownOf (caller: string): Known {
+    const known = callers.get(caller)
+    if (known !== undefined) return known
+    const created = { usage: createUsage(), parts: createParts(), version: -1 }
+    callers.set(caller, created)
+    return created
+  }
+
+  function partOf (caller: string, limit: CallerLimits, known: Known): CallerLimits {
+    if (known.version !== version) {
+      known.parts.lower(workOut(caller, limit, known.usage))
+      known.version = version
     }
-    parts.set(caller, part)
-    return part
+    return known.parts.inForce() ?? limit
   }
 
   function refuse (retryAfterMs: number): Result<void, LimitRefusal> {
@@ -103,8 +109,9 @@
   function admit (caller: string, tokens: number, nowMs: number): Result<void, LimitRefusal> {
     const limit = limitOf(caller)
     if (limit === undefined) return refuse(unknownCallerRetryMs)
-    const usage = usageOf(caller)
-    const part = partOf(caller, limit, usage)
+    const known = knownOf(caller)
+    const { usage } = known
+    const part = partOf(caller, limit, known)
     usage.offeredRequests += 1
     usage.offeredTokens += tokens
     usage.requests.refill(part.requestsPerS, Math.max(1, part.requestsPerS * burstS), nowMs)
@@ -121,6 +128,15 @@
     return Ok(undefined)
   }
 
+  function beginPeriod (caller: string, known: Known): void {
+    const limit = limitOf(caller)
+    const gone = limit === undefined && known.usage.inFlight === 0
+    if (gone) callers.delete(caller)
+    if (limit === undefined) return
+    known.parts.begin(workOut(caller, limit, known.usage))
+    known.version = version
+  }
+
   function share (nowMs: number): UsageShare {
     const elapsedMs = nowMs - (lastShareMs ?? nowMs - sharePeriodMs)
     lastShareMs = nowMs
@@ -128,26 +144,21 @@
     version += 1
     seq += 1
     const usage: UsageShare['usage'] = []
-    for (const [caller, known] of usages) {
-      const demand = publish(known, elapsedMs)
-      if (demand.requests > 0 || demand.tokens > 0 || demand.concurrency > 0) usage.push({ caller, ...demand })
-      if (limitOf(caller) === undefined && isIdle(known)) forget(caller)
+    for (const [caller, known] of callers) {
+      const demand = publish(known.usage, elapsedMs)
+      if (!isNothing(demand)) usage.push({ caller, ...demand })
+      beginPeriod(caller, known)
     }
     return { kind: MessageKind.UsageShare, entry, incarnation, seq, usage }
   }
 
-  function forget (caller: string): void {
-    usages.delete(caller)
-    parts.delete(caller)
-  }
-
   return {
     admit,
     settle (caller, admittedTokens, usedTokens) {
-      usages.get(caller)?.tokens.spend(usedTokens - admittedTokens)
+      callers.get(caller)?.usage.tokens.spend(usedTokens - admittedTokens)
     },
     release (caller) {
-      const usage = usages.get(caller)
+      const usage = callers.get(caller)?.usage
       if (usage !== undefined) usage.inFlight = Math.max(0, usage.inFlight - 1)
     },
     share,
--- /dev/null
+++ b/core/retry/retry_test.ts
@@ -0,0 +1,72 @@
+/**
+ * Steps for retries.
+ */
+import assert from 'node:assert/strict'
+import { Given, Then } from '@cucumber/cucumber'
+import fc from 'fast-check'
+import { Outcome } from '../types/mod.ts'
+import { createRetryBudget, shouldRetry } from './mod.ts'
+import type { Result } from '../results/mod.ts'
+import type { RefusalCode } from '../types/mod.ts'
+import type { FailedAttempt, RetryBudget, RetryPlan } from './mod.ts'
+
+interface World {
+  budget: RetryBudget
+}
+
+const failed: FailedAttempt = {
+  outcome: Outcome.NotRun, idempotent: true, attempt: 1, deadlineMs: 1e9, lastBackend: 'd1'
+}
+
+function decide (budget: RetryBudget, fields: Partial<FailedAttempt>, nowMs: number): Result<RetryPlan, RefusalCode> {
+  return shouldRetry({ ...failed, ...fields }, { budget, nowMs, random: () => 0.5 })
+}
+
+Given('a retry budget with {int} saved retries', function (this: World, saved: number) {
+  this.budget = createRetryBudget({ ratio: 1, minPerS: 0 })
+  for (let i = 0; i < saved; i++) this.budget.succeeded()
+})
+
+Then('a retry of a request with the outcome {string}, idempotent {string}, attempt {int} and {int} ms left gives {string}',
+  function (this: World, outcome: string, idempotent: string, attempt: number, leftMs: number, verdict: string) {
+    const fields = { outcome: outcome as Outcome, idempotent: idempotent === 'yes', attempt, deadlineMs: leftMs }
+    const plan = decide(this.budget, fields, 0)
+    assert.equal(plan.ok ? 'retry' : plan.val, verdict)
+    assert.equal(this.budget.left(0), verdict === 'retry' ? 4 : 5)
+  })
+
+// Returns how many attempts one request makes when each succeeds with the given chance.
+function attempts (budget: RetryBudget, chances: number[], chance: number, nowMs: number): number {
+  for (let attempt = 1; ; attempt++) {
+    if ((chances[attempt - 1] ?? 0) < chance) {
+      budget.succeeded()
+      return attempt
+    }
+    if (decide(budget, { attempt }, nowMs).err) return attempt
+  }
+}
+
+Then('retries with the ratio {float} amplify load by less than {float} in {int} random outages',
+  function (ratio: number, most: number, numRuns: number) {
+    const outage = fc.record({ chance: fc.double({ min: 0, max: 1, noNaN: true }), requests: fc.integer({ min: 100, max: 400 }) })
+    const inputs = [fc.array(outage, { minLength: 1, maxLength: 5 }), fc.infiniteStream(fc.nat(999))] as const
+    fc.assert(fc.property(...inputs, (outages, dice) => {
+      const budget = createRetryBudget({ ratio, minPerS: 0.5 })
+      let nowMs = 0
+      let requests = 0
+      let sent = 0
+      for (const { chance, requests: count } of outages) {
+        for (let i = 0; i < count; i++) {
+          const chances = [...dice.take(3)].map((die) => die / 1000)
+          sent += attempts(budget, chances, chance, nowMs)
+          requests += 1
+          nowMs += 10
+        }
+      }
+      assert.ok(sent / requests < most, `${sent} attempts for ${requests} requests`)
+    }), { seed: 31, numRuns })
+  })
+
+Then('a retry after {string} excludes {string}', function (this: World, last: string, excluded: string) {
+  assert.deepEqual(decide(this.budget, { lastBackend: last }, 0).unwrap().exclude, [excluded])
+})
--- a/wire/messages.ts
+++ b/wire/messages.ts
@@ -273,7 +273,10 @@
   incarnation: number
   /** Counter that grows with each message. */
   seq: number
-  usage: Array<{ caller: string, requests: number, tokens: number, concurrency: number }>
+  /**
+   * Requests and tokens offered per second, requests in flight, and requests that were lately refused for concurrency.
+   */
+  usage: Array<{ caller: string, requests: number, tokens: number, concurrency: number, waiting: number }>
 }
 
 /** Asks a process for its own view. */
