--- a/wire/messages.ts
+++ b/wire/messages.ts
@@ -168,6 +168,7 @@
 export interface CallMessage extends AttemptRef {
   kind: MessageKind.Call
   service: string
+  caller: string
   /** Ticket under which the call runs at most once; absent for idempotent calls. */
   ticket?: string
   method: string
@@ -247,14 +248,21 @@
   revision: number
   /** True when the sender asks for records above this revision. */
   wants: boolean
+  /** Milliseconds since the sender, or whoever it heard from, last read the configuration service; absent when never. */
+  ageMs?: number
 }
 
 /** Carries configuration records between peers. */
 export interface ConfigRecords {
   kind: MessageKind.ConfigRecords
+  /** Revision up to which the message is whole. */
   revision: number
+  /** Revision above which the message holds every change up to `revision`; absent when it claims nothing. */
+  after?: number
   /** True when the changes hold every record, so that a record that is missing was deleted. */
   complete: boolean
+  /** True when the next message continues this one; only the last one counts as a page. */
+  more?: boolean
   changes: ConfigChange[]
 }
 
