Relay configuration between processes, with few readers of the service

Cause: 5,130 processes may not all watch a service that allows 2,000 reads a second, and a change has to arrive while the service is down or stale. Three readers a zone watch; changes are pushed along two trees a zone and between zones; digests once a second let who is behind get the difference; a starting process asks its peers before it serves; a process whose peers are silent, or have heard nothing from the service for 20 s, reads for itself with jitter and backoff. Parents are now distinct, the readers' children have links between zones, and a digest that is behind is answered with the records.

--- a/core/subset/subset.feature
+++ b/core/subset/subset.feature
@@ -18,8 +18,8 @@
 
   Scenario: Relay trees reach every process within a few steps although any one process is gone
     Given a subset deployment of 30 entries and 365 agents in 3 availability zones with 18 groups
-    Then the relay trees with 3 readers in each zone and a fan-out of 4 reach everyone in at most 10 steps without any one of 20 processes
-    And each process of the relay trees has at most 2 parents, 8 children and 8 links between zones
+    Then the relay trees with 3 readers in each zone and a fan-out of 4 reach everyone in at most 10 steps without any one process
+    And each process of the relay trees chooses at most 8 links and has at most 32
 
   Scenario: The loss of a reader changes one reader of its zone
     Given a subset deployment of 30 entries and 365 agents in 3 availability zones with 18 groups
--- /dev/null
+++ b/relay/create_config_relay.ts
@@ -0,0 +1,232 @@
+/**
+ * Brings the configuration into force everywhere: a few processes read the service, the others get it from peers.
+ */
+import type { ConfigurationPage } from '../core/configuration/mod.ts'
+import type { SubsetMember } from '../core/subset/mod.ts'
+import type { Subscription } from '../timer/mod.ts'
+import { MessageKind } from '../wire/mod.ts'
+import type { ConfigDigest, ConfigRecords } from '../wire/mod.ts'
+import { withDefaults } from './_options.ts'
+import type { ConfigRelayOptions } from './_options.ts'
+import { sizeOf, splitPage } from './_pages.ts'
+import { createPeers } from './_peers.ts'
+import { createReader } from './_reader.ts'
+import { RelayEventKind } from './_types.ts'
+import type { ConfigRelay, RelayMessage, RelayStatus } from './_types.ts'
+
+const maxPushBytes = 64 * 1024
+
+/**
+ * Creates a relay that brings a configuration store up to date and keeps it so.
+ *
+ * A few readers of each availability zone watch the service and push changes along two trees. Each process exchanges digests with
+ * its links once a second, and who is behind asks for the difference. A starting process asks its peers before it serves, so that a
+ * stale service cannot take it back. A process whose peers fall silent, or whose peers heard nothing from the
+ * service for long, reads the service itself, spread by jitter and backoff.
+ *
+ * @param options the store, the service, the identity, the way to send, and the bounds in milliseconds
+ * @returns the relay; it does nothing before `start`
+ *
+ * @example
+ * ```ts
+ * import { createConfiguration } from 'briarloom/core/configuration'
+ * import { createConfigHttp } from 'briarloom/platform'
+ * import { createConfigRelay } from 'briarloom/relay'
+ * import { createSystemTimer } from 'briarloom/timer'
+ *
+ * const timer = createSystemTimer()
+ * const config = createConfiguration()
+ * const service = createConfigHttp({ url: 'http://127.0.0.1:8500' })
+ * const self = { name: 'e1', availabilityZone: 'levis', region: 'qc-est' }
+ * const relay = createConfigRelay({ timer, config, service, self, send: () => {}, random: () => 0.5 })
+ * relay.start()
+ * relay.close()
+ * timer.close()
+ * ```
+ */
+export function createConfigRelay (options: ConfigRelayOptions): ConfigRelay {
+  const { timer, config, service, send, random, onEvent = () => {} } = options
+  const { self, readersPerZone, fanOut, digestMs, silentMs, staleMs, bootstrapMs, askMs, bounds } = withDefaults(options)
+  const peers = createPeers({ self, readersPerZone, fanOut, now: () => timer.now() })
+  const subscriptions: Subscription[] = []
+  let startedMs: number | undefined
+  let heardMs: number | undefined
+  let sourceReadMs: number | undefined
+  let asked: { peer: string, atMs: number } | undefined
+  let nextAsked = 0
+  let isReady = false
+  const reader = createReader({
+    timer,
+    service,
+    bounds,
+    random,
+    revision: () => config.revision(),
+    onPage: takeServicePage,
+    onError: (err) => onEvent({ kind: RelayEventKind.ReadFailed, ...err })
+  })
+
+  function digest (wants: boolean, reply = false): ConfigDigest {
+    return {
+      kind: MessageKind.ConfigDigest,
+      revision: config.revision(),
+      wants,
+      ...(reply && { reply }),
+      ...(sourceReadMs !== undefined && { ageMs: Math.max(0, timer.now() - sourceReadMs) })
+    }
+  }
+
+  function ask (peer: string): void {
+    if (asked !== undefined && timer.now() - asked.atMs < askMs) return
+    asked = { peer, atMs: timer.now() }
+    send(peer, digest(true))
+  }
+
+  function becomeReady (): void {
+    if (isReady) return
+    isReady = true
+    onEvent({ kind: RelayEventKind.Ready, revision: config.revision() })
+    for (const name of peers.names()) {
+      if (peers.isLink(name) || peers.isSubscriber(name)) send(name, digest(false))
+    }
+  }
+
+  function take (from: string, page: ConfigurationPage): void {
+    const before = config.revision()
+    const result = config.apply(page)
+    const rejected = result.rejected.filter((change) => change.error !== undefined)
+    const keys = result.applied.map((change) => change.key)
+    if (keys.length > 0) onEvent({ kind: RelayEventKind.Applied, from, revision: config.revision(), keys })
+    if (rejected.length > 0) onEvent({ kind: RelayEventKind.Rejected, from, rejected })
+    // What a process holds before it is ready may be older than what its peers have in force.
+    if (result.news && isReady) spread(before, from)
+  }
+
+  function spread (before: number, from: string): void {
+    const page = config.since(before)
+    const isPushable = isSmall(page)
+    for (const name of peers.names()) {
+      if (name === from) continue
+      const getsPush = peers.isFellowReader(name) || peers.isSubscriber(name)
+      const isBehind = peers.of(name).revision < page.revision ||
+        page.changes.some((change) => change.revision > page.revision)
+      if (getsPush && isBehind && isPushable) sendPage(name, page)
+      else if (getsPush || peers.isLink(name)) send(name, digest(false))
+    }
+  }
+
+  function sendPage (peer: string, page: ConfigurationPage): void {
+    for (const msg of splitPage(page)) send(peer, msg)
+  }
+
+  function takeServicePage (page: ConfigurationPage): void {
+    // A page older than what is known comes from a stale service and says nothing about the present.
+    if (page.revision >= config.revision()) sourceReadMs = timer.now()
+    take('service', page)
+    if (isBootstrapOver()) becomeReady()
+  }
+
+  function isBootstrapOver (): boolean {
+    if (sourceReadMs === undefined || startedMs === undefined) return false
+    return peers.wanted().length === 0 || timer.now() - startedMs >= bootstrapMs
+  }
+
+  function takeDigest (name: string, msg: ConfigDigest): void {
+    const peer = peers.of(name)
+    peer.revision = Math.max(peer.revision, msg.revision)
+    if (msg.ageMs !== undefined) sourceReadMs = Math.max(sourceReadMs ?? -Infinity, timer.now() - msg.ageMs)
+    const isLink = peers.isLink(name)
+    if (!isLink && msg.reply !== true) peers.subscribe(name)
+    const wantsAnswer = msg.wants || (!isLink && msg.reply !== true)
+    const page = wantsAnswer && isReady && msg.revision < config.revision() ? config.since(msg.revision) : undefined
+    if (page !== undefined && (msg.wants || isSmall(page))) sendPage(name, page)
+    else if (wantsAnswer) send(name, digest(false, true))
+    if (msg.revision > config.revision()) ask(name)
+  }
+
+  function takeRecords (name: string, msg: ConfigRecords): void {
+    const peer = peers.of(name)
+    const page = peer.joiner.push(msg)
+    if (page === undefined) return
+    if (asked?.peer === name) asked = undefined
+    peer.revision = Math.max(peer.revision, page.revision)
+    take(name, page)
+    if (page.revision > config.revision()) ask(name)
+    else if (page.revision > 0) becomeReady()
+  }
+
+  const handlers = {
+    [MessageKind.ConfigDigest]: takeDigest,
+    [MessageKind.ConfigRecords]: takeRecords
+  } as { [K in RelayMessage['kind']]: (name: string, msg: RelayMessage) => void }
+
+  function handle (name: string, msg: RelayMessage): void {
+    if (peers.isLink(name)) heardMs = timer.now()
+    handlers[msg.kind](name, msg)
+  }
+
+  function tick (): void {
+    const links = peers.names().filter(peers.isLink)
+    for (const name of links) send(name, digest(false))
+    const sources = links.length > 0 ? links : peers.names()
+    if (!isReady && sources.length > 0) ask(sources[nextAsked++ % sources.length] as string)
+    reader.setNeedy(isNeedy())
+    if (isBootstrapOver()) becomeReady()
+  }
+
+  function isNeedy (): boolean {
+    const nowMs = timer.now()
+    const isSilent = nowMs - (heardMs ?? startedMs ?? nowMs) > silentMs
+    return isSilent || nowMs - (sourceReadMs ?? startedMs ?? nowMs) > staleMs
+  }
+
+  function setMembers (members: SubsetMember[]): void {
+    peers.setMembers(members)
+    if (startedMs !== undefined) reader.setWatching(peers.chosen().isReader)
+  }
+
+  function status (): RelayStatus {
+    return {
+      ready: isReady,
+      isReader: peers.chosen().isReader,
+      revision: config.revision(),
+      highestSeen: config.highestSeen(),
+      ...(sourceReadMs !== undefined && { ageMs: timer.now() - sourceReadMs }),
+      links: peers.names().filter(peers.isLink).length,
+      subscribers: peers.names().filter(peers.isSubscriber).length,
+      ...reader.counts()
+    }
+  }
+
+  return {
+    start () {
+      startedMs = timer.now()
+      reader.setWatching(peers.chosen().isReader)
+      // A random phase keeps the digests of processes apart that start together.
+      subscriptions.push(timer.after(random() * digestMs, () => {
+        subscriptions.push(timer.every(digestMs, tick))
+        tick()
+      }))
+    },
+    handle,
+    connected (name) {
+      peers.add(name)
+      if (!peers.isLink(name)) return
+      if (isReady) send(name, digest(false))
+      else ask(name)
+    },
+    disconnected: peers.remove,
+    setMembers,
+    wanted: peers.wanted,
+    ready: () => isReady,
+    status,
+    close () {
+      reader.close()
+      for (const subscription of subscriptions) subscription.cancel()
+    }
+  }
+}
+
+function isSmall (page: ConfigurationPage): boolean {
+  const size = page.changes.reduce((sum, change) => sum + sizeOf(change), 0)
+  return !page.complete && size <= maxPushBytes
+}
--- a/wire/_message_checks.ts
+++ b/wire/_message_checks.ts
@@ -103,7 +103,7 @@
     prefixes: listOf(isName),
     stalledMs: isAmount
   },
-  [MessageKind.ConfigDigest]: { revision: isCount, wants: isFlag, ageMs: optional(isAmount) },
+  [MessageKind.ConfigDigest]: { revision: isCount, wants: isFlag, ageMs: optional(isAmount), reply: optional(isFlag) },
   [MessageKind.ConfigRecords]: {
     revision: isCount,
     after: optional(isCount),
--- a/wire/messages.ts
+++ b/wire/messages.ts
@@ -249,6 +249,8 @@
   wants: boolean
   /** Milliseconds since the sender, or whoever it heard from, last read the configuration service; absent when never. */
   ageMs?: number
+  /** True when this answers a digest; it gets no answer. */
+  reply?: boolean
 }
 
 /** Carries configuration records between peers. */
