--- a/wire/_message_checks.ts
+++ b/wire/_message_checks.ts
@@ -72,6 +72,7 @@
   [MessageKind.Call]: {
     ...attempt,
     service: isName,
+    caller: isName,
     ticket: optional(isName),
     method: isName,
     path: isText,
@@ -89,8 +90,8 @@
   [MessageKind.Load]: {
     backend: isName,
     role: isRole,
-    model: isName,
-    version: isName,
+    model: isText,
+    version: isText,
     seats: isCount,
     seatsUsed: isCount,
     pieces: isCount,
--- a/wire/messages.ts
+++ b/wire/messages.ts
@@ -168,6 +168,7 @@
 export interface CallMessage extends AttemptRef {
   kind: MessageKind.Call
   service: string
+  caller: string
   /** Ticket under which the call runs at most once; absent for idempotent calls. */
   ticket?: string
   method: string
@@ -282,7 +283,10 @@
   incarnation: number
   /** Counter that grows with each message. */
   seq: number
-  usage: Array<{ caller: string, requests: number, tokens: number, concurrency: number }>
+  /**
+   * Requests and tokens offered per second, requests in flight, and requests that were lately refused for concurrency.
+   */
+  usage: Array<{ caller: string, requests: number, tokens: number, concurrency: number, waiting: number }>
 }
 
 /** Asks a process for its own view. */
