--- a/testing/engine/_decode.ts
+++ b/testing/engine/_decode.ts
@@ -25,6 +25,9 @@
 interface Stream {
   ref: RefBody
   pieces: number
+  promptTokens: number
+  /** True once a token was generated here. */
+  generated: boolean
   answer: string[]
   reason: string
   /** Offset after the last generated token. */
@@ -65,6 +68,8 @@
     const stream: Stream = {
       ref: { request_id: body.request_id, attempt: body.attempt },
       pieces,
+      promptTokens: body.prompt_tokens,
+      generated: false,
       answer: [],
       reason: 'stop',
       offset: body.start_offset,
@@ -128,6 +133,7 @@
     const token = stream.answer[stream.offset]
     if (token === undefined) throw new Error(`stream "${refKey(stream.ref)}" runs past its answer`)
     ctx.counters.tokens_decoded += 1
+    stream.generated = true
     stream.reader?.tokens(stream.offset, [token])
     stream.offset += 1
     if (stream.offset >= stream.answer.length) endStream(stream)
@@ -168,6 +174,8 @@
 
   function drop (stream: Stream): number {
     const pieces = free(stream)
+    const isWaste = pieces > 0 && stream.phase === 'running' && !stream.generated
+    if (isWaste) ctx.counters.wasted_undecoded += stream.promptTokens
     stream.importing.abort()
     stream.reader?.fail('cancelled')
     stream.call?.reply(409, { error: 'cancelled' })
--- a/testing/engine/_kv_export.ts
+++ b/testing/engine/_kv_export.ts
@@ -48,7 +48,7 @@
   function stop (running: Export): void {
     if (!exports.delete(running)) return
     if (running.leftBytes > 0) running.call.res.destroy()
-    prefills.free(running.entry)
+    prefills.free(running.entry, running.leftBytes > 0 ? 'wasted_cancelled' : undefined)
   }
 
   function schedule (): void {
--- a/testing/engine/_memory.ts
+++ b/testing/engine/_memory.ts
@@ -12,6 +12,14 @@
   cancels: number
   orders_refused: number
   streams_dropped: number
+  /** Prefilled tokens whose result nobody fetched in time. */
+  wasted_expired: number
+  /** Prefilled tokens whose attempt was cancelled before its export ended. */
+  wasted_cancelled: number
+  /** Prefilled tokens that an order dropped. */
+  wasted_dropped: number
+  /** Tokens of imported prompts whose stream ended without a generated token. */
+  wasted_undecoded: number
 }
 
 /** Holds the memory of the engine. */
@@ -49,6 +57,10 @@
     kv_bytes_exported: 0,
     cancels: 0,
     orders_refused: 0,
-    streams_dropped: 0
+    streams_dropped: 0,
+    wasted_expired: 0,
+    wasted_cancelled: 0,
+    wasted_dropped: 0,
+    wasted_undecoded: 0
   }
 }
--- a/testing/engine/_prefill.ts
+++ b/testing/engine/_prefill.ts
@@ -23,6 +23,8 @@
   tokens: string[]
   pieces: number
   cachedTokens: number
+  /** Tokens that were computed for this entry. */
+  computedTokens: number
   order: number
   handle: string
   phase: 'queued' | 'running' | 'kept' | 'exporting'
@@ -32,13 +34,16 @@
   stopExport?: () => void
 }
 
+/** Counters of tokens whose prefill came to nothing. */
+export type WasteCounter = 'wasted_expired' | 'wasted_cancelled' | 'wasted_dropped'
+
 /** The prefill side of the engine. */
 export interface PrefillSide {
   add (call: HttpCall, body: PrefillBody, address: string): void
   cancel (key: string): number
   find (handle: string): PrefillEntry | undefined
-  /** Drops an entry and frees its memory; answers the pieces. */
-  free (entry: PrefillEntry): number
+  /** Drops an entry, frees its memory and counts its tokens as wasted when a counter is named; answers the pieces. */
+  free (entry: PrefillEntry, waste?: WasteCounter): number
   held (): HeldBody[]
   queuedTokens (): number
   dropAll (): void
@@ -59,7 +64,7 @@
     const order = nextOrder++
     const handle = `kv-${address.split(':')[1]}-${order}`
     const ref = { request_id: body.request_id, attempt: body.attempt }
-    entries.set(key, { ref, body, call, tokens, pieces, cachedTokens: 0, order, handle, phase: 'queued' })
+    entries.set(key, { ref, body, call, tokens, pieces, cachedTokens: 0, computedTokens: 0, order, handle, phase: 'queued' })
     startNext(address)
   }
 
@@ -83,7 +88,9 @@
     running = undefined
     ctx.counters.prefills += 1
     ctx.counters.prefilled_tokens += computed
+    entry.computedTokens = computed
     if (entries.get(refKey(entry.ref)) === entry) keep(entry, address)
+    else ctx.counters.wasted_cancelled += computed
     startNext(address)
   }
 
@@ -91,7 +98,7 @@
     entry.phase = 'kept'
     entry.expiry = ctx.timer.after(ctx.options.keepsMs, () => {
       ctx.counters.prefills_expired += 1
-      free(entry)
+      free(entry, 'wasted_expired')
     })
     entry.call.reply(200, {
       handle: entry.handle,
@@ -102,10 +109,11 @@
     })
   }
 
-  function free (entry: PrefillEntry): number {
+  function free (entry: PrefillEntry, waste?: WasteCounter): number {
     const key = refKey(entry.ref)
     if (entries.get(key) !== entry) return 0
     entries.delete(key)
+    if (waste) ctx.counters[waste] += entry.computedTokens
     entry.expiry?.cancel()
     entry.stopExport?.()
     entry.call.reply(409, { error: 'cancelled' })
@@ -115,7 +123,7 @@
 
   function cancel (key: string): number {
     const entry = entries.get(key)
-    return entry ? free(entry) : 0
+    return entry ? free(entry, 'wasted_cancelled') : 0
   }
 
   function held (): HeldBody[] {
@@ -138,7 +146,7 @@
     dropAll () {
       for (const entry of [...entries.values()]) {
         ctx.counters.streams_dropped += 1
-        free(entry)
+        free(entry, 'wasted_dropped')
       }
     }
   }
