--- a/settings/_zod_problems.ts
+++ b/settings/_zod_problems.ts
@@ -30,7 +30,7 @@
   const known = knownKeys(schema, path)
   return keys.map((key) => {
     const nearest = nearestKey(key, known)
-    const hint = nearest === undefined ? 'no such key' : `no such key; the nearest known key is "${nearest}"`
+    const hint = nearest === undefined ? 'a known key' : `a known key; the nearest is "${nearest}"`
     return { file, line: parsed.lineOf([...path, key]), path: [...path, key].join('.'), expected: hint }
   })
 }
--- a/settings/settings.feature
+++ b/settings/settings.feature
@@ -9,16 +9,16 @@
 
     Examples:
       | process | path                | value   | line | expected                           |
-      | entry   | limits.maxFrameByte | 5       | 18   | nearest known key is maxFrameBytes |
-      | entry   | http.prot           | 80      | 10   | nearest known key is port          |
-      | entry   | htpp                | {}      | 18   | nearest known key is http          |
+      | entry   | limits.maxFrameByte | 5       | 18   | the nearest is maxFrameBytes  |
+      | entry   | http.prot           | 80      | 10   | the nearest is port           |
+      | entry   | htpp                | {}      | 18   | the nearest is http           |
       | entry   | peer.port           | 70000   | 8    | at most 65535                      |
       | entry   | peer.host           | "levis" | 8    | an IP number                       |
       | entry   | psk                 | {}      | 18   | a string                           |
       | entry   | timings.heartbeatMs | 1500    | 17   | at most half                       |
       | agent   | backend.kind        | "motor" | 7    | a known kind                       |
       | agent   | backend.adapter     | "grpc"  | 7    | one of engine_http                 |
-      | agent   | http                | {}      | 18   | no such key                        |
+      | agent   | http                | {}      | 18   | a known key                        |
 
   Scenario: Settings that are no JSON name the line
     When settings have a syntax fault in line 3
