--- a/wire/messages.ts
+++ b/wire/messages.ts
@@ -168,6 +168,7 @@
 export interface CallMessage extends AttemptRef {
   kind: MessageKind.Call
   service: string
+  caller: string
   /** Ticket under which the call runs at most once; absent for idempotent calls. */
   ticket?: string
   method: string
@@ -247,6 +248,8 @@
   revision: number
   /** True when the sender asks for records above this revision. */
   wants: boolean
+  /** Milliseconds since the sender, or whoever it heard from, last read the configuration service; absent when never. */
+  ageMs?: number
 }
 
 /** Carries configuration records between peers. */
@@ -258,6 +261,8 @@
   after?: number
   /** True when the changes hold every record, so that a record that is missing was deleted. */
   complete: boolean
+  /** True when the next message continues this one; only the last one counts as a page. */
+  more?: boolean
   changes: ConfigChange[]
 }
 
@@ -276,7 +281,10 @@
   incarnation: number
   /** Counter that grows with each message. */
   seq: number
-  usage: Array<{ caller: string, requests: number, tokens: number, concurrency: number }>
+  /**
+   * Requests and tokens offered per second, requests in flight, and requests that were lately refused for concurrency.
+   */
+  usage: Array<{ caller: string, requests: number, tokens: number, concurrency: number, waiting: number }>
 }
 
 /** Asks a process for its own view. */
