Start the daemons by static imports

The table of starters is typed by the process of the settings: a process without a starter does not compile. Before: dynamic import.

--- a/cli/run_daemon.ts
+++ b/cli/run_daemon.ts
@@ -8,7 +8,7 @@
 import type { Output } from './check.ts'
 import { ExitCode } from './_exit_code.ts'
 import { readText } from './_read_file.ts'
-import { loadStarter } from './_starters.ts'
+import { startDaemon } from './_starters.ts'
 import { supervise } from './supervise.ts'
 
 const stopSignals = ['SIGTERM', 'SIGINT'] as const
@@ -52,8 +52,7 @@
 }
 
 async function start (settings: Settings, output: Output): Promise<ExitCode> {
-  const starter = await loadStarter(settings.process)
-  const daemon = await starter(settings)
+  const daemon = await startDaemon(settings)
   if (daemon.err) {
     output.err(`${settings.process} "${settings.name}" did not start: ${daemon.val}`)
     return ExitCode.Failed
--- a/cli/supervise.ts
+++ b/cli/supervise.ts
@@ -1,10 +1,10 @@
 /**
  * Takes a daemon from its start to its end.
  */
+import type { Daemon } from '../daemon/mod.ts'
 import type { Log } from '../log/mod.ts'
 import type { Timer } from '../timer/mod.ts'
 import { ExitCode } from './_exit_code.ts'
-import type { Daemon } from './_starters.ts'
 
 /** Gives a daemon its clock, its log and its signals. */
 export interface SuperviseOptions {
