Feed hostile input to frames, messages and listeners

Cause: the interior of lists in messages was checked by hand-written shapes that the compiler did not tie to the types: the field 'waiting' of UsageShare, added later, was let through when it was missing. Shapes are now typed, so a field without a check does not compile, and a scenario removes every required field of a sample of each kind. Before: 'waiting' unchecked, found by the compiler while the samples were written. Ruled out: generating samples from the checks, which would agree with themselves.

--- a/wire/_checks.ts
+++ b/wire/_checks.ts
@@ -63,9 +63,9 @@
   return check(`null or ${inner.expected}`, (value) => value === null || inner(value))
 }
 
-/** Accepts maps whose listed fields pass. */
-export function shape (fields: Record<string, Check>): Check {
-  const entries = Object.entries(fields)
+/** Accepts maps whose fields pass; every field of the type has its check. */
+export function shape<T> (fields: { [F in keyof T]-?: Check }): Check {
+  const entries = Object.entries<Check>(fields)
   const names = entries.map(([name]) => name).join(', ')
   return check(`a map with ${names}`, (value) => isMap(value) &&
     entries.every(([name, test]) => test((value as Record<string, unknown>)[name])))
--- a/wire/_message_checks.ts
+++ b/wire/_message_checks.ts
@@ -5,22 +5,26 @@
 import {
   isAmount, isBytes, isCount, isFlag, isMap, isName, isText, isTextMap, listOf, nullable, oneOf, optional, shape
 } from './_checks.ts'
+import type { AttemptRef } from '../core/types/mod.ts'
+import type { ConfigChange } from '../platform/mod.ts'
 import type { Check } from './_checks.ts'
 import { MessageKind } from './messages.ts'
-import type { MessageOf } from './messages.ts'
+import type { CallDone, MessageOf, UsageShare } from './messages.ts'
 
 type Fields<K extends MessageKind> = { [F in Exclude<keyof MessageOf<K>, 'kind'>]-?: Check }
 
 const attempt = { requestId: isName, attempt: isCount }
-const isAttempt = shape(attempt)
+const isAttempt = shape<AttemptRef>(attempt)
 const isTierClass = oneOf(Object.values(TierClass))
 const isCode = oneOf(Object.values(RefusalCode))
 const isOutcome = oneOf(Object.values(Outcome))
 const isRole = oneOf(Object.values(Role))
 const isEnd = oneOf(['stop', 'length'])
-const isChange = shape({ key: isName, revision: isCount, value: nullable(isText) })
-const isReply = shape({ status: isCount, headers: isTextMap, body: isBytes })
-const isUsage = shape({ caller: isName, requests: isAmount, tokens: isAmount, concurrency: isAmount })
+const isChange = shape<ConfigChange>({ key: isName, revision: isCount, value: nullable(isText) })
+const isReply = shape<NonNullable<CallDone['reply']>>({ status: isCount, headers: isTextMap, body: isBytes })
+const isUsage = shape<UsageShare['usage'][number]>({
+  caller: isName, requests: isAmount, tokens: isAmount, concurrency: isAmount, waiting: isAmount
+})
 
 /** Holds the checks for the fields of each kind of message. */
 export const messageChecks: { [K in MessageKind]: Fields<K> } = {
--- /dev/null
+++ b/wire/wire_fuzz_test.ts
@@ -0,0 +1,215 @@
+/**
+ * Steps that feed hostile input to frames, messages and connections.
+ */
+import assert from 'node:assert/strict'
+import { connect as connectTcp } from 'node:net'
+import type { Socket } from 'node:net'
+import { Then, When } from '@cucumber/cucumber'
+import fc from 'fast-check'
+import { Outcome, RefusalCode, Role, TierClass } from '../core/types/mod.ts'
+import { connect, createFrameDecoder, encodeFrame, MessageKind, parseAddress, validateMessage } from './mod.ts'
+import type { Connection, Listener, Message, MessageOf } from './mod.ts'
+
+interface World {
+  listener: Listener
+  accepted: Connection[]
+}
+
+const ref = { requestId: 'r1', attempt: 1 }
+const served = { model: 'redaction', version: 'v1' }
+const body = Buffer.from('corps')
+
+const samples: { [K in MessageKind]: MessageOf<K> } = {
+  [MessageKind.Hello]: {
+    kind: MessageKind.Hello,
+    name: 'levis-1',
+    process: 'entry',
+    incarnation: 1796372376305,
+    address: '127.0.0.1:7000',
+    revision: 3,
+    availabilityZone: 'levis',
+    region: 'qc-est'
+  },
+  [MessageKind.Heartbeat]: { kind: MessageKind.Heartbeat, progress: 9, live: [ref], revision: 3 },
+  [MessageKind.Reserve]: {
+    kind: MessageKind.Reserve, ...ref, ...served, pieces: 0, tokens: 400, tierClass: TierClass.Paid, caller: 'notaires', waitMs: 50.5
+  },
+  [MessageKind.Reserved]: { kind: MessageKind.Reserved, ...ref, pieces: 3 },
+  [MessageKind.Refused]: { kind: MessageKind.Refused, ...ref, code: RefusalCode.NoCapacity, retryAfterMs: 100 },
+  [MessageKind.Prefill]: {
+    kind: MessageKind.Prefill, ...ref, ...served, prompt: 'Avis scellé', tierClass: TierClass.Free, caller: 'essai', budgetMs: 900
+  },
+  [MessageKind.Prefilled]: {
+    kind: MessageKind.Prefilled, ...ref, handle: 'h', kvAddress: '127.0.0.1:1', promptTokens: 2, cachedTokens: 0, keepsMs: 800
+  },
+  [MessageKind.Decode]: {
+    kind: MessageKind.Decode,
+    ...ref,
+    ...served,
+    handle: 'h',
+    kvAddress: '127.0.0.1:1',
+    promptTokens: 2,
+    maxTokens: 16,
+    startOffset: 0,
+    tierClass: TierClass.Paid
+  },
+  [MessageKind.Resume]: { kind: MessageKind.Resume, ...ref, offset: 4 },
+  [MessageKind.Tokens]: { kind: MessageKind.Tokens, ...ref, offset: 4, tokens: [' été'] },
+  [MessageKind.Finished]: { kind: MessageKind.Finished, ...ref, tokens: 16, reason: 'stop' },
+  [MessageKind.Failed]: {
+    kind: MessageKind.Failed, ...ref, code: RefusalCode.BackendError, outcome: Outcome.Unknown, message: 'cut'
+  },
+  [MessageKind.Cancel]: { kind: MessageKind.Cancel, ...ref },
+  [MessageKind.Cancelled]: { kind: MessageKind.Cancelled, ...ref },
+  [MessageKind.Call]: {
+    kind: MessageKind.Call,
+    ...ref,
+    service: 'registre',
+    caller: 'notaires',
+    ticket: 't1',
+    method: 'POST',
+    path: '/signatures',
+    headers: { accept: '*/*' },
+    body,
+    timeoutMs: 5000
+  },
+  [MessageKind.CallDone]: {
+    kind: MessageKind.CallDone, ...ref, outcome: Outcome.Done, reply: { status: 200, headers: {}, body }, replayed: true
+  },
+  [MessageKind.TicketIssue]: { kind: MessageKind.TicketIssue, ...ref, service: 'registre', caller: 'notaires' },
+  [MessageKind.TicketIssued]: { kind: MessageKind.TicketIssued, ...ref, ticket: 't1', keepsMs: 600000 },
+  [MessageKind.TicketVoid]: { kind: MessageKind.TicketVoid, ...ref, ticket: 't1' },
+  [MessageKind.TicketVoided]: { kind: MessageKind.TicketVoided, ...ref, outcome: Outcome.NotRun },
+  [MessageKind.Load]: {
+    kind: MessageKind.Load,
+    ...served,
+    backend: 'redaction-1',
+    role: Role.Decode,
+    seats: 20,
+    seatsUsed: 1,
+    pieces: 4000,
+    piecesUsed: 3,
+    queuedTokens: 0,
+    waitMs: 0,
+    draining: false,
+    seq: 8,
+    tokensPerPiece: 16,
+    prefixes: ['f00'],
+    stalledMs: 0
+  },
+  [MessageKind.ConfigDigest]: { kind: MessageKind.ConfigDigest, revision: 3, wants: true },
+  [MessageKind.ConfigRecords]: {
+    kind: MessageKind.ConfigRecords,
+    after: 0,
+    revision: 3,
+    complete: true,
+    changes: [{ key: 'tier/payant', revision: 3, value: null }]
+  },
+  [MessageKind.PeerReport]: { kind: MessageKind.PeerReport, name: 'levis-1', incarnation: 1, state: 'gone' },
+  [MessageKind.UsageShare]: {
+    kind: MessageKind.UsageShare,
+    entry: 'levis-1',
+    incarnation: 1,
+    seq: 2,
+    usage: [{ caller: 'notaires', requests: 1, tokens: 30, concurrency: 1, waiting: 0 }]
+  },
+  [MessageKind.Status]: { kind: MessageKind.Status },
+  [MessageKind.StatusReply]: { kind: MessageKind.StatusReply, status: { revision: 3 } },
+  [MessageKind.Explain]: { kind: MessageKind.Explain, requestId: 'r1' },
+  [MessageKind.ExplainReply]: { kind: MessageKind.ExplainReply, requestId: 'r1', decisions: [{ reason: 'nearest' }] }
+}
+
+const optionalFields = new Set(['ticket', 'reply', 'code', 'ageMs', 'after', 'more'])
+const freeFields = new Set(['decisions'])
+
+const sample = fc.constantFrom<Message>(...Object.values(samples))
+
+Then('the wire samples cover every kind, are valid and come back equal from {int} to {int} byte pieces', function (low: number, high: number) {
+  const stream = Buffer.concat(Object.values(samples).map((msg) => encodeFrame(msg)))
+  for (let size = low; size <= high; size++) {
+    const decoder = createFrameDecoder()
+    const values: unknown[] = []
+    for (let i = 0; i < stream.length; i += size) values.push(...decoder.push(stream.subarray(i, i + size)).unwrap())
+    assert.deepEqual(values.map((value) => validateMessage(value).unwrap()), Object.values(samples))
+  }
+})
+
+/** Yields copies of a message that lack one required field, also within the items of its lists. */
+function * withoutField (msg: Record<string, unknown>): Generator<Record<string, unknown>> {
+  for (const [name, value] of Object.entries(msg)) {
+    const { [name]: _removed, ...rest } = msg
+    if (!optionalFields.has(name)) yield rest
+    const [item] = Array.isArray(value) && !freeFields.has(name) ? value : []
+    if (typeof item !== 'object' || item === null) continue
+    for (const cut of withoutField(item)) yield { ...msg, [name]: [cut] }
+  }
+}
+
+Then('the wire validator refuses every sample that lacks a required field', function () {
+  for (const msg of Object.values(samples)) {
+    for (const cut of withoutField({ ...msg })) assert.ok(validateMessage(cut).err, JSON.stringify(cut))
+  }
+})
+
+Then('wire decoders with a limit of {int} bytes survive {int} random streams with seed {int}', function (limit: number, numRuns: number, seed: number) {
+  const chunks = fc.array(fc.uint8Array({ maxLength: 300 }), { maxLength: 8 })
+  fc.assert(fc.property(chunks, (parts) => {
+    const decoder = createFrameDecoder({ maxFrameBytes: limit })
+    for (const part of parts) {
+      const result = decoder.push(part)
+      assert.ok(decoder.bufferedBytes <= limit + 4 + part.length)
+      if (result.err) return
+      for (const value of result.val) validateMessage(value)
+    }
+  }), { seed, numRuns })
+})
+
+Then('wire decoders and validators survive {int} changed frames with seed {int}', function (numRuns: number, seed: number) {
+  const changes = fc.array(fc.tuple(fc.nat(), fc.nat(255)), { minLength: 1, maxLength: 4 })
+  fc.assert(fc.property(sample, changes, (msg, edits) => {
+    const bytes = encodeFrame(msg)
+    for (const [at, byte] of edits) bytes[at % bytes.length] = byte
+    const result = createFrameDecoder().push(bytes)
+    if (result.ok) result.val.forEach(validateMessage)
+  }), { seed, numRuns })
+})
+
+Then('the wire validator survives {int} messages with a replaced field with seed {int}', function (numRuns: number, seed: number) {
+  const value = fc.oneof(fc.jsonValue(), fc.uint8Array(), fc.constant(undefined), fc.double(), fc.bigInt())
+  fc.assert(fc.property(sample, fc.nat(), value, (msg, pick, replacement) => {
+    const names = Object.keys(msg)
+    const name = names[pick % names.length] as string
+    const result = validateMessage({ ...msg, [name]: replacement })
+    // What passes has to be of the sample's form, or an absent optional field.
+    if (result.ok && replacement !== undefined) assert.equal(typeof replacement, typeof msg[name as keyof Message])
+  }), { seed, numRuns })
+})
+
+When('{int} wire peers send random bytes with seed {int}', async function (this: World, count: number, seed: number) {
+  const { host, port } = parseAddress(this.listener.address).unwrap()
+  const payloads = fc.sample(fc.uint8Array({ minLength: 1, maxLength: 64 }), { seed, numRuns: count })
+  const open = new Set<Socket>()
+  for (const payload of payloads) {
+    const socket = connectTcp(port, host, () => { socket.end(payload) })
+    socket.on('error', () => {})
+    socket.on('close', () => { open.delete(socket) })
+    open.add(socket)
+    socket.resume()
+  }
+  while (open.size > 0) {
+    for (const connection of this.accepted.splice(0)) connection.onMessage(() => {})
+    await new Promise(setImmediate)
+  }
+})
+
+Then('a wire connection with the key "none" carries {int} messages', async function (this: World, count: number) {
+  const before = this.accepted.length
+  const connection = (await connect({ address: this.listener.address })).unwrap()
+  while (this.accepted.length === before) await new Promise(setImmediate)
+  const peer = this.accepted.at(-1) as Connection
+  let received = 0
+  const all = new Promise<void>((resolve) => peer.onMessage(() => { if (++received === count) resolve() }))
+  for (let i = 0; i < count; i++) assert.ok(connection.send(samples[MessageKind.Tokens]))
+  await all
+  connection.close()
+})
