Add the fault matrix over whole deployments

17 faults at 10 steps on real processes, as one scenario outline; 11 cells make no sense and are named with the reason. Each cell checks exact answers or truthful refusals, runs for each call, empty engines within 3 s of the heal, and configuration that never goes back.

--- a/cucumber.js
+++ b/cucumber.js
@@ -1,5 +1,6 @@
 export default {
   paths: ['!(node_modules|dist)/**/*.feature'],
   import: ['dist/**/*_test.js'],
+  tags: 'not @matrix',
   publishQuiet: true
 }
--- a/testing/caller/call_service.ts
+++ b/testing/caller/call_service.ts
@@ -16,6 +16,8 @@
   /** Ticket under which the call runs at most once. */
   ticket?: string
   body?: string
+  /** Aborts the call, as a caller who goes away does. */
+  signal?: AbortSignal
 }
 
 /** Describes what came back. */
@@ -30,13 +32,14 @@
   broken: string | undefined
 }
 
-type Send = { method: string, url: string, key: string, headers?: Record<string, string>, body?: string }
+type Send = { method: string, url: string, key: string, headers?: Record<string, string>, body?: string, signal?: AbortSignal }
 
 async function send (options: Send): Promise<ServiceAnswer> {
   try {
     const res = await request(options.url, {
       method: options.method as 'POST',
       reset: true,
+      signal: options.signal,
       headersTimeout: 0,
       bodyTimeout: 0,
       headers: { authorization: `Bearer ${options.key}`, 'content-type': 'application/json', ...options.headers },
@@ -75,7 +78,8 @@
     url: `http://${options.address}/services/${options.service}${options.path}`,
     key: options.key,
     headers: options.ticket === undefined ? {} : { 'x-ticket': options.ticket },
-    body: options.body
+    body: options.body,
+    signal: options.signal
   })
 }
 
--- a/testing/deployment/_layout.ts
+++ b/testing/deployment/_layout.ts
@@ -3,6 +3,7 @@
  */
 import { createHash } from 'node:crypto'
 import type { EngineOptions } from '../engine/mod.ts'
+import type { ServiceOptions } from '../service/mod.ts'
 import { firmLayouts } from './_firms.ts'
 import type { Firm, FirmLayout, Zone } from './_firms.ts'
 import { freePort } from './_ports.ts'
@@ -22,6 +23,8 @@
   zones?: string[]
   /** Options of every engine stand-in. */
   engine?: Partial<EngineOptions>
+  /** Options of every plain service stand-in. */
+  service?: Partial<ServiceOptions>
   /** Timings in the settings of entries and agents, in milliseconds. */
   timings?: { leaseMs?: number, heartbeatMs?: number, graceMs?: number }
   /** Fields of the record `policy/default` that differ from the default. */
--- a/testing/deployment/start_deployment.ts
+++ b/testing/deployment/start_deployment.ts
@@ -107,7 +107,7 @@
       const name = `backend/${backend.name}`
       const isService = backend.role === 'service'
       const engine = { ...options.engine, role: backend.role, model: firm.model, version: firm.version }
-      processes.set(name, standIn(name, isService ? 'service' : 'engine', backend.backendPort, isService ? {} : engine, timer))
+      processes.set(name, standIn(name, isService ? 'service' : 'engine', backend.backendPort, isService ? options.service ?? {} : engine, timer))
     }
     for (const backend of layout.backends) await waitForStandIn(`backend/${backend.name}`)
   }
--- a/testing/engine/_context.ts
+++ b/testing/engine/_context.ts
@@ -16,6 +16,8 @@
   memory: Memory
   cache: PrefixCache
   counters: Counters
+  /** How many prefills of each prompt began, by the hash of the prompt. */
+  ran: Map<number, number>
 }
 
 /** Describes held work as it goes over HTTP. */
--- a/testing/engine/_prefill.ts
+++ b/testing/engine/_prefill.ts
@@ -5,7 +5,7 @@
 import type { HttpCall } from '../http/mod.ts'
 import { piecesFor, refKey, scaled } from './_context.ts'
 import type { EngineContext, HeldBody, RefBody } from './_context.ts'
-import { promptTokens } from './expected_answer.ts'
+import { promptHash, promptTokens } from './expected_answer.ts'
 
 /** Body of `POST /v1/prefill`. */
 export interface PrefillBody extends RefBody {
@@ -71,6 +71,8 @@
     if (!next) return
     running = next
     next.phase = 'running'
+    const hash = promptHash(next.body.prompt)
+    ctx.ran.set(hash, (ctx.ran.get(hash) ?? 0) + 1)
     next.cachedTokens = ctx.cache.use(next.tokens)
     const computed = next.tokens.length - next.cachedTokens
     ctx.timer.after(scaled(ctx, computed * ctx.options.prefillMsPerToken), () => {
--- a/testing/engine/expected_answer.ts
+++ b/testing/engine/expected_answer.ts
@@ -38,6 +38,23 @@
   }
 }
 
+/**
+ * Computes the hash under which an engine counts the prefills of a prompt.
+ *
+ * @param prompt the prompt; generated words at its end don't count
+ * @returns the hash, a whole number of 32 bits
+ *
+ * @example
+ * ```ts
+ * import { promptHash } from 'briarloom/testing/engine'
+ *
+ * console.assert(promptHash('a b') === promptHash('a b'))
+ * ```
+ */
+export function promptHash (prompt: string): number {
+  return fnv1a32(stripGenerated(prompt))
+}
+
 /**
  * Computes the whole answer that the stand-in gives to a prompt.
  *
@@ -53,7 +70,7 @@
  * ```
  */
 export function expectedAnswer (prompt: string, maxTokens: number): ExpectedAnswer {
-  const hash = fnv1a32(stripGenerated(prompt))
+  const hash = promptHash(prompt)
   const length = minTokens + hash % tokenSpread
   const count = Math.min(maxTokens, length)
   const tokens = Array.from({ length: count }, (_, i) => ` w${i}-${hash.toString(36)}`)
--- a/testing/engine/start_engine.ts
+++ b/testing/engine/start_engine.ts
@@ -44,7 +44,8 @@
       eventLagMs: options.eventLagMs,
       eventGapEvery: options.eventGapEvery
     }),
-    counters: createCounters()
+    counters: createCounters(),
+    ran: new Map()
   }
 }
 
@@ -143,6 +144,7 @@
       'GET /v1/kv/*': (call) => exporter.start(call, call.path.slice('/v1/kv/'.length))
     },
     control: {
+      'GET /ran': (call) => call.reply(200, Object.fromEntries(ctx.ran)),
       'GET /counters': (call) => {
         call.reply(200, { ...ctx.counters, pieces_used: ctx.memory.used(), seats_used: decodes.seatsUsed() })
       }
--- /dev/null
+++ b/testing/matrix/_cells.ts
@@ -0,0 +1,53 @@
+/**
+ * The faults and the steps of the matrix, and the cells that make no sense.
+ */
+
+/** Names the faults. */
+export enum Fault {
+  None = 'no fault',
+  KillEntry = 'entry killed',
+  KillAgent = 'agent killed',
+  RestartAgent = 'agent killed and started again at once',
+  KillBackend = 'backend server killed',
+  FreezeEntry = 'entry frozen and woken late',
+  FreezeAgent = 'agent frozen and woken late',
+  FreezeBackend = 'backend server frozen',
+  StallTransfer = 'transfer stalled',
+  CallerCancels = 'caller gone',
+  ConfigDown = 'configuration service down',
+  ConfigStale = 'configuration service stale',
+  HostsStale = 'host list stale',
+  OperatorsRace = 'two operators racing',
+  Crossed = 'engine answers crossed',
+  Late = 'backend server answers late',
+  CutBackend = 'backend server cut off'
+}
+
+/** Names the steps. */
+export enum Step {
+  Reserving = 'reserving',
+  Prefilling = 'prefilling',
+  Transferring = 'transferring',
+  FirstToken = 'first token',
+  MidStream = 'mid-stream',
+  LastToken = 'last token',
+  TicketIssued = 'ticket issued',
+  CallSent = 'service call sent',
+  CallAnswered = 'service call answered',
+  Draining = 'draining'
+}
+
+/** The steps of a call to a plain service. */
+export const callSteps = new Set([Step.TicketIssued, Step.CallSent, Step.CallAnswered])
+
+const beforeTransfer = new Set([Step.Reserving, Step.Prefilling, Step.Transferring])
+
+/** Returns why a cell makes no sense, or undefined when it runs. */
+export function reasonAgainst (fault: Fault, step: Step): string | undefined {
+  const isCall = callSteps.has(step)
+  if (fault === Fault.StallTransfer && isCall) return 'a service call has no transfer'
+  if (fault === Fault.StallTransfer && !beforeTransfer.has(step)) return 'the transfer is over'
+  if (fault === Fault.Crossed && isCall) return 'a service sends one answer'
+  if (fault === Fault.CallerCancels && step === Step.CallAnswered) return 'no call is open'
+  return undefined
+}
--- /dev/null
+++ b/testing/matrix/_checks.ts
@@ -0,0 +1,129 @@
+/**
+ * What must hold after each cell of the matrix.
+ */
+import assert from 'node:assert/strict'
+import { request } from 'undici'
+import { expectedAnswer, promptHash } from '../engine/mod.ts'
+import { Fault } from './_cells.ts'
+import { backendsOf, maxTokens, until } from './_world.ts'
+import type { Completion, ServiceAnswer } from '../caller/mod.ts'
+import type { Cell } from './_world.ts'
+
+/** Names how a caller's request ended. */
+export enum Ended {
+  Answered = 'answered',
+  Refused = 'refused',
+  Broken = 'broken with a stated outcome',
+  Gone = 'connection lost'
+}
+
+/** Time in milliseconds after the heal within which every engine must be empty: the lease, the start, one round of cancels. */
+export const freeWithinMs = 3000
+/** Time in milliseconds within which a change of configuration must be in force. */
+const inForceMs = 6000
+
+/** Counts the prefills of a prompt over all engines, also those of engines that were killed. */
+async function prefillsOf (cell: Cell, prompt: string): Promise<number> {
+  const key = String(promptHash(prompt))
+  const pages = await Promise.all(backendsOf(cell, ['prefill']).map((name) => cell.deployment.control(`backend/${name}`, '/ran')))
+  return pages.reduce((sum, page) => sum + Number(page[key] ?? 0), cell.ranBefore.get(key) ?? 0)
+}
+
+/** Counts the runs of a call over all services, also those of services that were killed. */
+export async function runsOf (cell: Cell, callId: string): Promise<number> {
+  const pages = await Promise.all(backendsOf(cell, ['service']).map((name) => cell.deployment.control(`backend/${name}`, '/runs')))
+  const counts = pages.map((page) => (page.runs as Record<string, number>)[callId] ?? 0)
+  return counts.reduce((sum, count) => sum + count, cell.runsBefore.get(callId) ?? 0)
+}
+
+/** Checks that a caller has its own whole answer once, or a truthful refusal. */
+export async function checkCompletion (cell: Cell, prompt: string, done: Completion, mayLose: boolean): Promise<Ended> {
+  const expected = expectedAnswer(prompt, maxTokens)
+  const whole = expected.tokens.join('')
+  assert.ok(whole.startsWith(done.text), `text "${done.text}" does not begin the answer "${whole}"`)
+  assert.ok(done.ends <= 1, `the answer ended ${done.ends} times`)
+  if (done.ends === 1 && done.code === undefined) {
+    assert.equal(done.text, whole)
+    assert.equal(done.finish, expected.reason)
+    return Ended.Answered
+  }
+  if (done.broken !== undefined || done.code === undefined) {
+    assert.ok(mayLose, `the connection broke: ${JSON.stringify(done)}`)
+    return Ended.Gone
+  }
+  assert.ok(done.outcome === 'not_run' || done.outcome === 'unknown', `a refusal states the outcome "${done.outcome}"`)
+  if (done.outcome === 'not_run') {
+    assert.equal(done.text, '', 'not_run came after a part of the answer')
+    assert.equal(await prefillsOf(cell, prompt), 0, `not_run with code ${done.code}, but a prefill of the prompt ran`)
+  }
+  return done.status === 200 ? Ended.Broken : Ended.Refused
+}
+
+/** Checks what one call under a ticket was told against the runs at that moment. */
+export async function checkCall (cell: Cell, answer: ServiceAnswer): Promise<Ended> {
+  const runs = await runsOf(cell, cell.ticket)
+  assert.ok(runs <= 1, `the call ran ${runs} times`)
+  if (answer.broken !== undefined) return Ended.Gone
+  if (answer.status === 200) {
+    assert.equal(runs, 1)
+    assert.equal(answer.body.call_id, cell.ticket)
+    return Ended.Answered
+  }
+  assert.ok(answer.outcome === 'not_run' || answer.outcome === 'unknown', `a refusal states the outcome "${answer.outcome}"`)
+  if (answer.outcome === 'not_run') assert.equal(runs, 0, 'not_run, but the call ran')
+  return Ended.Refused
+}
+
+interface Usage {
+  name: string
+  pieces: number
+  seats: number
+  held: unknown[]
+}
+
+async function usage (cell: Cell): Promise<Usage[]> {
+  return await Promise.all(backendsOf(cell, ['prefill', 'decode']).map(async (name) => {
+    const counters = await cell.deployment.control(`backend/${name}`, '/counters')
+    const page = await cell.deployment.control(`backend/${name}`, '/v1/held')
+    return { name, pieces: Number(counters.pieces_used), seats: Number(counters.seats_used), held: page.streams as unknown[] }
+  }))
+}
+
+/** Checks that every engine holds nothing within the time; answers how long it took in milliseconds. */
+export async function checkFree (cell: Cell): Promise<number> {
+  const startMs = cell.deployment.timer.now()
+  let last: Usage[] = []
+  try {
+    await until(cell, 'empty engines', freeWithinMs, async () => {
+      last = await usage(cell)
+      return last.every((item) => item.pieces === 0 && item.seats === 0) ? true : undefined
+    })
+  } catch {
+    const full = last.filter((item) => item.pieces > 0 || item.seats > 0)
+    assert.fail(`after ${freeWithinMs} ms engines hold ${JSON.stringify(full)}`)
+  }
+  return cell.deployment.timer.now() - startMs
+}
+
+/** Reads the revision in force at an entry; 0 when it does not answer. */
+export async function revisionAt (cell: Cell, entry: number): Promise<number> {
+  try {
+    const res = await request(`http://${cell.deployment.entryAddress(entry)}/readyz`, { reset: true })
+    return (await res.body.json() as { revision: number }).revision
+  } catch {
+    return 0
+  }
+}
+
+/** Checks that the newest revision of the configuration is in force at every entry within the time. */
+export async function checkInForce (cell: Cell): Promise<void> {
+  const { revision } = await cell.deployment.control('config', '/v1/records') as { revision: number }
+  for (const entry of cell.deployment.layout.entries.keys()) {
+    await until(cell, `revision ${revision} in force at entry ${entry + 1}`, inForceMs, async () => {
+      return await revisionAt(cell, entry) >= revision ? true : undefined
+    })
+  }
+}
+
+/** Faults after which the caller may lose its connection without a word. */
+export const mayLoseConnection = new Set([Fault.KillEntry, Fault.CallerCancels])
--- /dev/null
+++ b/testing/matrix/_run_cell.ts
@@ -0,0 +1,149 @@
+/**
+ * Runs one cell of the matrix: the work of the callers, the fault at the step, the heal and the checks.
+ */
+import assert from 'node:assert/strict'
+import { callService } from '../caller/mod.ts'
+import type { ServiceAnswer } from '../caller/mod.ts'
+import type { Deployment } from '../deployment/mod.ts'
+import { callSteps, Fault, Step } from './_cells.ts'
+import {
+  checkCall, checkCompletion, checkFree, checkInForce, Ended, mayLoseConnection, revisionAt, runsOf
+} from './_checks.ts'
+import { causes, ensureRunning } from './_faults.ts'
+import { callBegan, homeOf, triggers } from './_triggers.ts'
+import { ask, bounded, getTicket, sleep, write } from './_world.ts'
+import type { Cell } from './_world.ts'
+
+/** Describes how a cell went. */
+export interface CellResult {
+  fault: Fault
+  step: Step
+  /** How the callers' requests ended: the caller of the fault, then the other one. */
+  ended: string[]
+  /** Time in milliseconds from the heal until every engine was empty. */
+  freeMs: number
+}
+
+const settleMs = 300
+const servingMs = 15_000
+const stopMs = 10_000
+const entryFaults = new Set([Fault.KillEntry, Fault.FreezeEntry, Fault.CallerCancels])
+/** Faults that end or cut a process that the request depends on; without one of these a drain must lose nothing. */
+const hardFaults = new Set([
+  Fault.KillEntry, Fault.KillAgent, Fault.RestartAgent, Fault.KillBackend, Fault.FreezeEntry, Fault.FreezeAgent,
+  Fault.FreezeBackend, Fault.StallTransfer, Fault.CallerCancels, Fault.CutBackend
+])
+let cells = 0
+
+function makeCell (deployment: Deployment, step: Step): Cell {
+  cells += 1
+  const words = Array.from({ length: 200 }, (_, i) => `letter${cells}-${process.pid}-${i}`)
+  return {
+    deployment,
+    step,
+    prompt: words.join(' '),
+    target: '',
+    abort: new AbortController(),
+    ticket: '',
+    ticketVoided: false,
+    runsBefore: new Map(),
+    ranBefore: new Map(),
+    heals: []
+  }
+}
+
+async function heal (cell: Cell): Promise<void> {
+  for (const undo of cell.heals.toReversed()) await undo()
+}
+
+/** Tells a process to stop; the heal waits for its graceful end. */
+function drain (cell: Cell, fault: Fault): void {
+  const name = entryFaults.has(fault) ? 'entry/entry-1' : `agent/${cell.target}`
+  const item = cell.deployment.process(name)
+  item.signal('SIGTERM')
+  cell.heals.push(async () => {
+    const end = await Promise.race([item.ended(), sleep(cell, stopMs).then(() => 'none')])
+    if (!hardFaults.has(fault)) assert.equal(end, '0', `process "${name}" ended with ${end} after SIGTERM`)
+    await ensureRunning(cell, name)
+  })
+}
+
+async function runModelCell (cell: Cell, fault: Fault): Promise<string[]> {
+  const trigger = triggers[cell.step]
+  if (!trigger) throw new Error(`step "${cell.step}" has no trigger`)
+  const fromLine = cell.deployment.process('entry/entry-1').lines().length
+  let text = ''
+  const asked = ask(cell, 0, cell.prompt, (part) => { text += part })
+  cell.target = await trigger(cell, fromLine, () => text)
+  if (cell.step === Step.Draining) drain(cell, fault)
+  await causes[fault](cell)
+  const otherPrompt = `${cell.prompt} other`
+  const [done, other] = await bounded(cell, 'the answers', Promise.all([asked, ask(cell, 1, otherPrompt, () => {})]))
+  await heal(cell)
+  const ended = await checkCompletion(cell, cell.prompt, done, mayLoseConnection.has(fault))
+  const otherEnded = await checkCompletion(cell, otherPrompt, other, false)
+  if (!hardFaults.has(fault)) assert.equal(ended, Ended.Answered, JSON.stringify(done))
+  return [ended, otherEnded]
+}
+
+/** Reads through the other entry, as a caller who has no part in the fault. */
+async function read (cell: Cell): Promise<string> {
+  const { deployment } = cell
+  const { firm } = deployment
+  const path = `${firm.readPath}/1`
+  const options = { address: deployment.entryAddress(1), key: firm.paidKey, service: firm.service, method: 'GET', path }
+  const answer = await bounded(cell, 'a read', callService(options))
+  assert.equal(answer.broken, undefined)
+  assert.ok(answer.status === 200 || answer.outcome !== undefined, `a read was answered with status ${answer.status}`)
+  return answer.status === 200 ? Ended.Answered : Ended.Refused
+}
+
+/** Checks that late runs don't belie what the callers were told last. */
+async function checkRuns (cell: Cell, first: ServiceAnswer, second: ServiceAnswer): Promise<void> {
+  await sleep(cell, settleMs)
+  const runs = await runsOf(cell, cell.ticket)
+  const isCertain = second.outcome === 'not_run' || cell.ticketVoided
+  assert.ok(runs <= (isCertain ? 0 : 1), `the call ran ${runs} times after "${first.outcome}" and "${second.outcome}"`)
+}
+
+async function runCallCell (cell: Cell, fault: Fault): Promise<string[]> {
+  const issued = await bounded(cell, 'a ticket', getTicket(cell, 0))
+  assert.equal(issued.status, 201, JSON.stringify(issued))
+  cell.ticket = String(issued.body.ticket)
+  cell.target = homeOf(cell.ticket)
+  if (cell.step === Step.TicketIssued) await causes[fault](cell)
+  const calling = write(cell, 0)
+  if (cell.step === Step.CallSent) {
+    await callBegan(cell)
+    await causes[fault](cell)
+  }
+  const first = await bounded(cell, 'the call', calling)
+  const ended = await checkCall(cell, first)
+  if (ended === Ended.Gone) assert.ok(mayLoseConnection.has(fault), `the connection broke: ${first.broken}`)
+  if (cell.step === Step.CallAnswered) await causes[fault](cell)
+  const second = await bounded(cell, 'the repeat of the call', write(cell, 1))
+  const repeated = await checkCall(cell, second)
+  const other = await read(cell)
+  await heal(cell)
+  await checkRuns(cell, first, second)
+  return [ended, `repeat ${repeated}`, `read ${other}`]
+}
+
+/**
+ * Runs one cell.
+ *
+ * @throws when a check fails
+ */
+export async function runCell (deployment: Deployment, fault: Fault, step: Step): Promise<CellResult> {
+  const cell = makeCell(deployment, step)
+  const revisions = await Promise.all([0, 1].map((entry) => revisionAt(cell, entry)))
+  const run = callSteps.has(step) ? runCallCell : runModelCell
+  const ended = await run(cell, fault)
+  const freeMs = await checkFree(cell)
+  await checkInForce(cell)
+  for (const [entry, before] of revisions.entries()) {
+    assert.ok(await revisionAt(cell, entry) >= before, `entry ${entry + 1} went back from revision ${before}`)
+  }
+  await deployment.waitUntilServing(servingMs)
+  return { fault, step, ended, freeMs: Math.round(freeMs) }
+}
