--- /dev/null
+++ b/testing/deployment/deployment.feature
@@ -0,0 +1,7 @@
+@matrix
+Feature: Whole deployments
+
+  Scenario: A deployment that was idle for longer than the lease answers the next request
+    Given a matrix deployment in service
+    When the deployment stays idle for 2500 ms
+    Then the deployment answers a model request through every entry at the first try
--- a/testing/matrix/main.ts
+++ b/testing/matrix/main.ts
@@ -60,7 +60,7 @@
   const { runConfiguration } = await loadConfiguration({
     file: false,
     provided: {
-      paths: ['testing/matrix/*.feature'],
+      paths: ['testing/matrix/*.feature', 'testing/deployment/*.feature'],
       import: ['dist/testing/matrix/matrix_test.js'],
       tags: '@matrix',
       parallel: lanes,
--- a/testing/matrix/matrix_test.ts
+++ b/testing/matrix/matrix_test.ts
@@ -1,10 +1,12 @@
 /**
  * Steps of the fault matrix on real processes.
  */
+import assert from 'node:assert/strict'
 import { appendFileSync, mkdirSync } from 'node:fs'
 import { AfterAll, Given, Then, When } from '@cucumber/cucumber'
 import { Firm, startDeployment } from '../deployment/mod.ts'
 import type { Deployment } from '../deployment/mod.ts'
+import { complete } from '../caller/mod.ts'
 import type { Fault, Step } from './_cells.ts'
 import { runCell } from './_run_cell.ts'
 import type { CellResult } from './_run_cell.ts'
@@ -66,3 +68,17 @@
 Then('the matrix finds every promise kept', function (this: World) {
   if (!this.cellResult) throw new Error('the cell has no result')
 })
+
+When('the deployment stays idle for {int} ms', async function (ms: number) {
+  await new Promise<void>((resolve) => shared?.timer.after(ms, resolve))
+})
+
+Then('the deployment answers a model request through every entry at the first try', async function () {
+  if (!shared) throw new Error('the deployment is not running')
+  const { firm } = shared
+  for (const index of shared.layout.entries.keys()) {
+    const address = shared.entryAddress(index)
+    const done = await complete({ address, key: firm.paidKey, model: firm.model, prompt: 'after a rest', maxTokens: 20 })
+    assert.equal(done.ends, 1, `entry ${index + 1} answered ${done.status} ${done.code} ${done.outcome}`)
+  }
+})
