Relay configuration between daemons, follow members and bound who talks with whom

Cause: every daemon watched the configuration service itself (one waiting watch each), dialled every agent, and two processes that dial each other would replace each other's connection for ever. Ruled out: a full mesh (entries times workers); closing both connections on a tie, which redials with jitter until it settles by luck. Conclusion: the connection of the process whose name sorts first stays; relays, agents' subsets and fellow entries state their wishes, and one part merges them.

--- a/agent/start_agent.ts
+++ b/agent/start_agent.ts
@@ -2,17 +2,17 @@
  * Wires the tasks of an agent to its sockets.
  */
 import { createDrain, DrainEffect, DrainState } from '../core/drain/mod.ts'
+import { MemberState } from '../core/membership/mod.ts'
 import { AdmissionPolicy, RecordKind } from '../core/records/mod.ts'
 import { Ok } from '../core/results/mod.ts'
 import { createBase } from '../daemon/mod.ts'
 import { engineAdapters, serviceAdapters } from '../engine/mod.ts'
-import { HostState } from '../platform/mod.ts'
 import { createEngineTask } from './_engine_task.ts'
 import { createServiceTask } from './_service_task.ts'
+import type { MemberChange } from '../core/membership/mod.ts'
 import type { Result } from '../core/results/mod.ts'
 import type { Base, Daemon } from '../daemon/mod.ts'
 import type { EngineAdapter, EngineLoad } from '../engine/mod.ts'
-import type { HostEntry } from '../platform/mod.ts'
 import type { AgentSettings } from '../settings/mod.ts'
 import type { LoadReport } from '../wire/mod.ts'
 import type { BackendTask, TaskPorts } from './_types.ts'
@@ -95,7 +95,7 @@
     },
     status: () => ({ drain: drain.state(), ...own.task?.status() }),
     explain: () => [],
-    onHosts
+    onMembers
   })
 
   function isDraining (): boolean {
@@ -103,11 +103,10 @@
     return drain.state() !== DrainState.Serving || own.isListedAsLeaving || weight === 0
   }
 
-  function onHosts (hosts: HostEntry[]): void {
-    const listed = hosts.find((host) => host.name === settings.name)
-    const leaving = listed?.state === HostState.Leaving
-    if (leaving === own.isListedAsLeaving) return
-    own.isListedAsLeaving = leaving
+  function onMembers (changes: MemberChange[]): void {
+    const change = changes.find(({ member }) => member.name === settings.name)
+    if (change === undefined) return
+    own.isListedAsLeaving = change.member.state === MemberState.Leaving
     own.task?.publish()
   }
 
--- a/daemon/create_base.ts
+++ b/daemon/create_base.ts
@@ -2,32 +2,39 @@
  * Builds what entries and agents have in common.
  */
 import { createConfiguration } from '../core/configuration/mod.ts'
+import { createMembership } from '../core/membership/mod.ts'
 import { createLog } from '../log/mod.ts'
-import { createMetrics } from '../metrics/mod.ts'
+import { createMetrics, Metric } from '../metrics/mod.ts'
 import { createPeers } from '../peer/mod.ts'
 import { configAdapters, hostListAdapters } from '../platform/mod.ts'
+import { createConfigRelay, RelayEventKind } from '../relay/mod.ts'
 import { createSystemTimer } from '../timer/mod.ts'
 import { MessageKind } from '../wire/mod.ts'
-import { followPlatform } from './_follow_platform.ts'
+import { followHosts } from './_follow_hosts.ts'
+import { createLinks } from './_links.ts'
 import type { Configuration } from '../core/configuration/mod.ts'
+import type { MemberChange, Membership } from '../core/membership/mod.ts'
 import type { Log } from '../log/mod.ts'
 import type { Metrics } from '../metrics/mod.ts'
 import type { Peer, PeerHandlers, Peers } from '../peer/mod.ts'
 import type { HostEntry } from '../platform/mod.ts'
+import type { RelayEvent } from '../relay/mod.ts'
 import type { Settings } from '../settings/mod.ts'
 import type { Timer } from '../timer/mod.ts'
-import type { Message } from '../wire/mod.ts'
+import type { Message, MessageOf } from '../wire/mod.ts'
+import type { Links } from './_links.ts'
 
 /** Configures the base of a daemon. */
 export interface BaseOptions {
   settings: Settings
+  /** What the daemon does when peers other than tools come, go and speak. */
   handlers: PeerHandlers
-  /** Answers a status request of a tool. */
+  /** Adds to the answer of a status request. */
   status: () => Record<string, unknown>
   /** Answers an explain request of a tool. */
   explain: (requestId: string) => Array<Record<string, unknown>>
-  /** Gets the host list whenever it was read. */
-  onHosts: (hosts: HostEntry[]) => void
+  /** Gets the members whose state changed. */
+  onMembers: (changes: MemberChange[]) => void
 }
 
 /** What entries and agents have in common. */
@@ -37,10 +44,20 @@
   metrics: Metrics
   config: Configuration
   peers: Peers
+  members: Membership
+  links: Links
   incarnation: number
+  /** True when the configuration is safe to serve from. */
+  isConfigured: () => boolean
+  /** Passes on changes that the daemon learned for the membership view. */
+  changed (changes: MemberChange[]): void
   close (): Promise<void>
 }
 
+const memberTickMs = 250
+
+type Handlers = { [K in MessageKind]?: (peer: Peer, msg: MessageOf<K>) => void }
+
 /** Opens an adapter by its name, which the settings have checked. */
 function openAdapter<T> (table: { [name: string]: (options: { url: string }) => T }, chosen: { adapter: string, url: string }): T {
   const open = table[chosen.adapter]
@@ -49,7 +66,7 @@
 }
 
 /**
- * Builds the base of a daemon. The configuration is followed from the start; `peers` listens only when told to.
+ * Builds the base of a daemon: it follows the configuration and the host list from the start; `peers` listens when told to.
  *
  * @param options settings and handlers
  * @returns the base
@@ -67,46 +84,108 @@
   const log = createLog({ name: settings.name, level: settings.log.level })
   const metrics = createMetrics(settings.metrics)
   const config = createConfiguration()
+  const members = createMembership()
   const incarnation = timer.wall()
   const service = openAdapter(configAdapters, settings.platform.config)
   const hostList = openAdapter(hostListAdapters, settings.platform.hosts)
+  const { name, process, availabilityZone, region, psk } = settings
+  const self = { name, process, incarnation, availabilityZone, region }
 
-  function onMessage (peer: Peer, msg: Message): void {
-    if (msg.kind === MessageKind.Status) {
-      peers.send(peer.name, { kind: MessageKind.StatusReply, status: status() })
-    } else if (msg.kind === MessageKind.Explain) {
-      const decisions = options.explain(msg.requestId)
-      peers.send(peer.name, { kind: MessageKind.ExplainReply, requestId: msg.requestId, decisions })
-    } else {
-      options.handlers.onMessage(peer, msg)
+  const peers = createPeers({
+    timer,
+    self,
+    handlers: { onUp, onDown, onMessage },
+    revision: () => config.revision(),
+    psk: psk === undefined ? undefined : { identity: psk.identity, key: Buffer.from(psk.keyHex, 'hex') },
+    random: Math.random,
+    maxFrameBytes: settings.limits.maxFrameBytes
+  })
+  const links = createLinks(peers)
+  const relay = createConfigRelay({
+    self: { name, availabilityZone, region }, timer, config, service, send: peers.send, random: Math.random, onEvent: onRelayEvent
+  })
+
+  const relayEvents: { [K in RelayEventKind]: (event: Extract<RelayEvent, { kind: K }>) => void } = {
+    [RelayEventKind.Ready]: ({ revision }) => log.info({ revision }, 'configuration is safe to serve from'),
+    [RelayEventKind.Applied]: ({ from, revision, keys }) => {
+      metrics.gauge(Metric.ConfigRevision, revision)
+      log.info({ from, revision, keys: keys.length }, 'configuration in force')
+    },
+    [RelayEventKind.Rejected]: ({ from, rejected }) => {
+      metrics.count(Metric.ConfigRefused, rejected.length)
+      log.error({ from, rejected }, 'configuration records refused')
+    },
+    [RelayEventKind.ReadFailed]: ({ message, limited }) => {
+      metrics.count(Metric.ConfigReads, 1, { result: limited ? 'limited' : 'failed' })
+      log.warn({ message, limited }, 'configuration service can not be read')
+    }
+  }
+
+  function onRelayEvent (event: RelayEvent): void {
+    const handler = relayEvents[event.kind] as (event: RelayEvent) => void
+    handler(event)
+  }
+
+  const handlers: Handlers = {
+    [MessageKind.ConfigDigest]: (peer, msg) => relay.handle(peer.name, msg),
+    [MessageKind.ConfigRecords]: (peer, msg) => relay.handle(peer.name, msg),
+    [MessageKind.PeerReport]: (_peer, msg) => changed(members.reported(msg, timer.now())),
+    [MessageKind.Status]: (peer) => { peers.send(peer.name, { kind: MessageKind.StatusReply, status: status() }) },
+    [MessageKind.Explain]: (peer, { requestId }) => {
+      peers.send(peer.name, { kind: MessageKind.ExplainReply, requestId, decisions: options.explain(requestId) })
     }
   }
 
+  function onMessage (peer: Peer, msg: Message): void {
+    const handler = handlers[msg.kind] as ((peer: Peer, msg: Message) => void) | undefined
+    if (handler !== undefined) handler(peer, msg)
+    else options.handlers.onMessage(peer, msg)
+  }
+
+  function onUp (peer: Peer): void {
+    const { process } = peer
+    if (process === 'tool') return
+    changed(members.connected({ ...peer, process }, timer.now()))
+    relay.connected(peer.name)
+    options.handlers.onUp(peer)
+  }
+
+  function onDown (peer: Peer, reason: string): void {
+    if (peer.process === 'tool') return
+    changed(members.disconnected(peer.name, peer.incarnation, timer.now()))
+    relay.disconnected(peer.name)
+    options.handlers.onDown(peer, reason)
+  }
+
+  function changed (changes: MemberChange[]): void {
+    if (changes.length > 0) options.onMembers(changes)
+  }
+
+  /** Keeps connections to the processes with which configuration is exchanged. */
+  function followRelay (): void {
+    relay.setMembers(members.all())
+    const wanted = relay.wanted().map((peer) => members.get(peer)).filter((member) => member !== undefined)
+    links.want('relay', wanted)
+  }
+
+  function onHosts (hosts: HostEntry[]): void {
+    changed(members.list(hosts, timer.now()))
+    followRelay()
+  }
+
   function status (): Record<string, unknown> {
     return {
-      name: settings.name,
-      process: settings.process,
-      incarnation,
-      availabilityZone: settings.availabilityZone,
-      region: settings.region,
-      configuration: { revision: config.revision(), problems: config.problems() },
+      ...self,
+      configuration: { ...relay.status(), problems: config.problems() },
+      members: members.all().map(({ name, process, state, reason }) => ({ name, process, state, reason })),
       peers: peers.list().map(({ name, process, incarnation }) => ({ name, process, incarnation })),
       ...options.status()
     }
   }
 
-  const { name, process, availabilityZone, region, psk } = settings
-  const peers = createPeers({
-    timer,
-    self: { name, process, incarnation, availabilityZone, region },
-    handlers: { ...options.handlers, onMessage },
-    revision: () => config.revision(),
-    psk: psk === undefined ? undefined : { identity: psk.identity, key: Buffer.from(psk.keyHex, 'hex') },
-    random: Math.random,
-    maxFrameBytes: settings.limits.maxFrameBytes
-  })
-
-  const follower = followPlatform({ timer, log, config, service, hostList, onHosts: options.onHosts })
+  const hosts = followHosts({ timer, hostList, random: Math.random, onHosts })
+  timer.every(memberTickMs, () => changed(members.tick(timer.now())))
+  relay.start()
 
   return {
     timer,
@@ -114,12 +193,18 @@
     metrics,
     config,
     peers,
+    members,
+    links,
     incarnation,
+    isConfigured: relay.ready,
+    changed,
     async close () {
-      follower.close()
+      hosts.close()
+      relay.close()
       await peers.close()
       await service.close()
       await hostList.close()
+      await metrics.close()
       timer.close()
     }
   }
--- a/entry/_agents.ts
+++ b/entry/_agents.ts
@@ -1,29 +1,28 @@
 /**
- * The entry's view of the agents: whom to dial, heartbeats, and signs of a frozen agent.
+ * The entry's view of the agents: whom to connect to, heartbeats, and what the router is told about them.
  */
-import { BackendHealth } from '../core/routing/mod.ts'
+import { MemberState } from '../core/membership/mod.ts'
 import { RecordKind } from '../core/records/mod.ts'
-import { HostState } from '../platform/mod.ts'
+import { BackendHealth } from '../core/routing/mod.ts'
 import { MessageKind } from '../wire/mod.ts'
-import type { Configuration } from '../core/configuration/mod.ts'
+import { chooseAgents } from './_choose_agents.ts'
+import type { MemberChange } from '../core/membership/mod.ts'
 import type { BackendRecord } from '../core/records/mod.ts'
 import type { Router } from '../core/routing/mod.ts'
 import type { AttemptRef } from '../core/types/mod.ts'
-import type { Peer, Peers } from '../peer/mod.ts'
-import type { HostEntry } from '../platform/mod.ts'
-import type { Timer } from '../timer/mod.ts'
-import type { LoadReport } from '../wire/mod.ts'
+import type { Base, WantedPeer } from '../daemon/mod.ts'
+import type { Peer } from '../peer/mod.ts'
+import type { Subscription } from '../timer/mod.ts'
+import type { EntrySettings } from '../settings/mod.ts'
+import type { LoadReport, PeerReport } from '../wire/mod.ts'
 
 /** Configures the view. */
 export interface AgentsOptions {
-  timer: Timer
-  config: Configuration
-  peers: Peers
+  base: Base
+  settings: EntrySettings
   router: Router
-  heartbeatMs: number
-  /** Chooses the backend servers that this entry talks with. */
-  choose: (backends: BackendRecord[]) => BackendRecord[]
   liveAt: (agent: string) => AttemptRef[]
+  /** Counter of finished steps of work. */
   progress: () => number
   /** An agent is lost or silent: its requests go elsewhere. */
   onLost: (agent: string) => void
@@ -32,113 +31,151 @@
 
 /** Follows the agents. */
 export interface Agents {
-  /** Dials the agents that the configuration names. */
+  /** Chooses anew which agents this entry is connected to. */
   refresh (): void
   onUp (peer: Peer): void
   onDown (peer: Peer): void
   onLoad (peer: Peer, report: LoadReport): void
-  onHosts (hosts: HostEntry[]): void
+  onMembers (changes: MemberChange[]): void
   /** Returns the record of a backend server that this entry talks with. */
   record (agent: string): BackendRecord | undefined
+  /** Connects to an agent outside the subset, for the sake of a ticket; false when it is not reached in time. */
+  reach (agent: string): Promise<boolean>
+}
+
+const reachTimeoutMs = 1000
+const reachPollMs = 20
+const reachKeepMs = 60_000
+const refreshMs = 5000
+
+const healths: { [S in MemberState]: BackendHealth } = {
+  [MemberState.Alive]: BackendHealth.Live,
+  [MemberState.Suspect]: BackendHealth.Suspect,
+  [MemberState.Leaving]: BackendHealth.Draining,
+  [MemberState.Gone]: BackendHealth.Gone
 }
 
-/** Heartbeats without a word from an agent after which it counts as silent. */
-const silentHeartbeats = 3
+/** What other entries are told about an agent in each state; nothing while it is alive. */
+const reports: { [S in MemberState]: PeerReport['state'] | undefined } = {
+  [MemberState.Alive]: undefined,
+  [MemberState.Suspect]: 'suspect',
+  [MemberState.Leaving]: 'leaving',
+  [MemberState.Gone]: 'gone'
+}
 
 /**
  * Creates the view of the agents.
  */
 export function createAgents (options: AgentsOptions): Agents {
-  const { timer, config, peers, router } = options
+  const { base, router, settings } = options
+  const { timer, config, peers, members, links } = base
   const records = new Map<string, BackendRecord>()
-  const silent = new Set<string>()
-  const leaving = new Set<string>()
-  const heardMs = new Map<string, number>()
-
-  function health (agent: string): BackendHealth {
-    if (peers.get(agent) === undefined) return BackendHealth.Gone
-    if (leaving.has(agent)) return BackendHealth.Draining
-    return silent.has(agent) ? BackendHealth.Suspect : BackendHealth.Live
-  }
+  const reached = new Map<string, { peer: WantedPeer, forget: Subscription }>()
 
   function update (agent: string): void {
-    router.setHealth(agent, health(agent))
+    const state = members.get(agent)?.state ?? MemberState.Gone
+    const isConnected = peers.get(agent) !== undefined
+    router.setHealth(agent, isConnected ? healths[state] : BackendHealth.Gone)
   }
 
   function refresh (): void {
-    const wanted = new Map(options.choose(config.all(RecordKind.Backend)).map((item) => [item.name, item]))
-    for (const name of [...records.keys()]) {
-      if (wanted.has(name)) continue
+    const wanted = chooseAgents(settings, members.all(), config.all(RecordKind.Backend))
+    const names = new Set(wanted.map((item) => item.name))
+    for (const name of [...records.keys()].filter((name) => !names.has(name))) {
       records.delete(name)
-      peers.undial(name)
       router.remove(name)
     }
-    for (const [name, item] of wanted) {
+    for (const item of wanted) {
+      const { name, role, serves, version, weight, availabilityZone, region } = item
       records.set(name, item)
-      peers.dial(name, item.agent)
-      const { role, serves, version, weight, availabilityZone, region } = item
       router.upsert({ name, role, serves, version, weight, availabilityZone, region })
       update(name)
     }
+    links.want('agents', wanted.map((item) => ({ name: item.name, address: item.agent })))
   }
 
-  function beat (agent: string): void {
-    const live = options.liveAt(agent)
-    if (live.length === 0) return
+  function beat (agent: string, live: AttemptRef[]): void {
     peers.send(agent, { kind: MessageKind.Heartbeat, progress: options.progress(), live, revision: config.revision() })
   }
 
-  function checkSilence (agent: string): void {
-    const lastMs = heardMs.get(agent)
-    const isSilent = lastMs !== undefined && timer.now() - lastMs > silentHeartbeats * options.heartbeatMs
-    if (isSilent === silent.has(agent) || peers.get(agent) === undefined) return
-    if (isSilent) {
-      silent.add(agent)
-      update(agent)
-      options.onLost(agent)
-    } else {
-      silent.delete(agent)
-      update(agent)
-      options.onBack(agent)
+  function beatAll (): void {
+    for (const agent of records.keys()) {
+      const live = options.liveAt(agent)
+      if (live.length > 0) beat(agent, live)
     }
   }
 
-  timer.every(options.heartbeatMs, () => {
-    for (const agent of records.keys()) {
-      beat(agent)
-      checkSilence(agent)
+  /** Tells the connected entries what this process saw itself, so that they need not wait for their own timeouts. */
+  function report (change: MemberChange): void {
+    const { name, incarnation, state } = change.member
+    const told = reports[state]
+    if (told === undefined || !change.own) return
+    for (const peer of peers.list()) {
+      if (peer.process === 'entry') peers.send(peer.name, { kind: MessageKind.PeerReport, name, incarnation, state: told })
     }
-  })
+  }
+
+  function onMember (change: MemberChange): void {
+    const { name, process, state } = change.member
+    if (process !== 'agent') return
+    update(name)
+    report(change)
+    if (!change.own) return
+    if (state === MemberState.Suspect || state === MemberState.Gone) options.onLost(name)
+    else if (state === MemberState.Alive) options.onBack(name)
+  }
+
+  function wantReached (): void {
+    links.want('tickets', [...reached.values()].map((item) => item.peer))
+  }
+
+  function forget (agent: string): void {
+    reached.delete(agent)
+    wantReached()
+  }
+
+  function keepReached (agent: string, address: string): void {
+    reached.get(agent)?.forget.cancel()
+    const forgetting = timer.after(reachKeepMs, () => forget(agent))
+    reached.set(agent, { peer: { name: agent, address }, forget: forgetting })
+    wantReached()
+  }
+
+  timer.every(settings.timings.heartbeatMs, beatAll)
+  timer.every(refreshMs, refresh)
 
   return {
     refresh,
     onUp (peer) {
-      heardMs.set(peer.name, timer.now())
-      silent.delete(peer.name)
       update(peer.name)
       // The first heartbeat also ends what an earlier connection left behind.
-      const live = options.liveAt(peer.name)
-      peers.send(peer.name, { kind: MessageKind.Heartbeat, progress: options.progress(), live, revision: config.revision() })
+      beat(peer.name, options.liveAt(peer.name))
       options.onBack(peer.name)
     },
     onDown (peer) {
-      heardMs.delete(peer.name)
-      silent.delete(peer.name)
       update(peer.name)
       options.onLost(peer.name)
     },
-    onLoad (peer, report) {
-      heardMs.set(peer.name, timer.now())
-      if (silent.has(peer.name)) checkSilence(peer.name)
-      router.onLoad(report, timer.now())
+    onLoad (peer, msg) {
+      const nowMs = timer.now()
+      const { name, incarnation } = peer
+      base.changed(members.progressed({ name, incarnation, progress: msg.seq, busy: true }, nowMs))
+      base.changed(members.draining(name, incarnation, msg.draining, nowMs))
+      router.onLoad(msg, nowMs)
     },
-    onHosts (hosts) {
-      leaving.clear()
-      for (const host of hosts) {
-        if (host.kind === 'agent' && host.state === HostState.Leaving) leaving.add(host.name)
-      }
-      for (const agent of records.keys()) update(agent)
+    onMembers (changes) {
+      for (const change of changes) onMember(change)
     },
-    record: (agent) => records.get(agent)
+    record: (agent) => records.get(agent),
+    async reach (agent) {
+      const address = config.get(RecordKind.Backend, agent)?.agent
+      if (address === undefined) return peers.get(agent) !== undefined
+      if (!records.has(agent)) keepReached(agent, address)
+      const endMs = timer.now() + reachTimeoutMs
+      while (peers.get(agent) === undefined && timer.now() < endMs) {
+        await new Promise<void>((resolve) => { timer.after(reachPollMs, resolve) })
+      }
+      return peers.get(agent) !== undefined
+    }
   }
 }
--- /dev/null
+++ b/entry/_choose_agents.ts
@@ -0,0 +1,47 @@
+/**
+ * The choice of the agents that an entry is connected to.
+ */
+import { MemberState } from '../core/membership/mod.ts'
+import { chooseSubset } from '../core/subset/mod.ts'
+import type { Member } from '../core/membership/mod.ts'
+import type { BackendRecord } from '../core/records/mod.ts'
+import type { SubsetAgent, SubsetMember } from '../core/subset/mod.ts'
+import type { Place } from '../core/types/mod.ts'
+
+/** Agents of each model and role in the entry's own region. */
+const nearPerGroup = 8
+
+/** Agents of each model and role in other regions, for the time when the own region has no room. */
+const farPerGroup = 2
+
+/** Entries that each agent is connected to at least. */
+const coverage = 3
+
+function toAgent (record: BackendRecord): SubsetAgent {
+  const { name, availabilityZone, region, role, serves } = record
+  return { name, availabilityZone, region, group: `${role}/${serves}` }
+}
+
+/**
+ * Chooses the backend servers whose agents an entry connects to: a bounded number for each model and role.
+ *
+ * @param self name and place of the entry
+ * @param members the members that are not gone
+ * @param backends every backend server on record
+ * @returns the records of the chosen ones
+ */
+export function chooseAgents (self: { name: string } & Place, members: Member[], backends: BackendRecord[]): BackendRecord[] {
+  const { name, availabilityZone, region } = self
+  const entry: SubsetMember = { name, availabilityZone, region }
+  const others = members.filter((member) => member.process === 'entry' && member.name !== name)
+  const entries = [entry, ...others]
+  const leaving = new Set(members.filter((member) => member.state === MemberState.Leaving).map((member) => member.name))
+  const candidates = backends.filter((record) => !leaving.has(record.name) && record.weight > 0)
+  const near = candidates.filter((record) => record.region === region).map(toAgent)
+  const far = candidates.filter((record) => record.region !== region).map(toAgent)
+  const chosen = new Set([
+    ...chooseSubset({ entry, entries, agents: near, perGroup: nearPerGroup, coverage }),
+    ...chooseSubset({ entry, entries, agents: far, perGroup: farPerGroup, coverage: 0 })
+  ])
+  return backends.filter((record) => chosen.has(record.name))
+}
--- a/entry/_services.ts
+++ b/entry/_services.ts
@@ -24,6 +24,8 @@
   maxBodyBytes: number
   /** Chooses a backend server of a service outside `exclude`, or says why there is none. */
   choose (requestId: string, attempt: number, caller: Identity, service: string, exclude: string[]): Result<string, RefusalCode>
+  /** Connects to the agent that issued a ticket; false when it is not reached in time. */
+  reach (agent: string): Promise<boolean>
   /** Takes one retry from the budget. */
   takeRetry: () => boolean
   onOutcome (identity: Identity, outcome: Outcome): void
@@ -121,6 +123,7 @@
       sendRefusal(call.res, badRequest(400, 'invalid_ticket', 'header "x-ticket" is not a ticket', 'x-ticket'))
       return
     }
+    await options.reach(parts.val.agent)
     const done = await rpc.call(parts.val.agent, { ...msg, ticket }, msg.timeoutMs + callGraceMs)
     // Another entry may have sent the same ticket before, so a call that did not leave this entry is not known not to have run.
     if (done.err) answer(call, target.identity, { outcome: Outcome.Unknown, code: failureCodes[done.val], replayed: false })
@@ -214,6 +217,7 @@
       return
     }
     const msg = { kind: MessageKind.TicketVoid as const, requestId: call.requestId, attempt: 1, ticket }
+    await options.reach(parts.val.agent)
     const done = await rpc.call(parts.val.agent, msg, ticketTimeoutMs)
     const outcome = done.ok && done.val.kind === MessageKind.TicketVoided ? done.val.outcome : Outcome.Unknown
     call.res.writeHead(200, { 'content-type': 'application/json', 'x-briarloom-outcome': outcome })
--- a/entry/_stats.ts
+++ b/entry/_stats.ts
@@ -12,6 +12,8 @@
   betweenTokens (tier: TierRecord, ms: number): void
   ended (tier: TierRecord, outcome: Outcome, ms: number): void
   callerGone (tier: TierRecord): void
+  /** Counter of requests that ended; a stuck process stops to count. */
+  finished (): number
   status (): Record<string, unknown>
 }
 
@@ -41,6 +43,7 @@
       gone += 1
       metrics.count(Metric.CallersGone, 1, { tier: tier.name })
     },
+    finished: () => outcomes[Outcome.NotRun] + outcomes[Outcome.Done] + outcomes[Outcome.Unknown] + gone,
     status: () => ({ outcomes: { ...outcomes }, callersGone: gone, firstTokenMissed })
   }
 }
--- a/entry/start_entry.ts
+++ b/entry/start_entry.ts
@@ -13,12 +13,14 @@
 import { MessageKind } from '../wire/mod.ts'
 import { createAgents } from './_agents.ts'
 import { createAuth } from './_auth.ts'
+import { createFellows } from './_fellows.ts'
 import { completionRoutes } from './_completions.ts'
 import { startHttpServer } from './_http_server.ts'
 import { createModelRequests } from './_model_requests.ts'
 import { createRpc } from './_rpc.ts'
 import { serviceRoutes } from './_services.ts'
 import { createEntryStats } from './_stats.ts'
+import type { MemberChange } from '../core/membership/mod.ts'
 import type { PolicyRecord } from '../core/records/mod.ts'
 import type { RequestPorts, RequestSpec } from '../core/request/mod.ts'
 import type { Result } from '../core/results/mod.ts'
@@ -33,7 +35,6 @@
 
 const decisionRingSize = 20_000
 const maxUnsentBytes = 1_048_576
-const sharePeriodMs = 200
 const drainPollMs = 50
 const minRetriesPerS = 2
 const requestIdBytes = 9
@@ -77,10 +78,7 @@
     },
     status,
     explain: (requestId) => ring.find(requestId).map((decision) => ({ ...decision })),
-    onHosts: (hosts) => {
-      agents.onHosts(hosts)
-      limits.entries(Math.max(1, hosts.filter((host) => host.kind === 'entry').length))
-    }
+    onMembers
   })
   const { timer, config, peers, metrics } = base
 
@@ -102,20 +100,23 @@
     onDecision: decide
   })
   const agents = createAgents({
-    timer,
-    config,
-    peers,
+    base,
+    settings,
     router,
-    heartbeatMs: timings.heartbeatMs,
-    choose: (backends) => backends,
     liveAt: requests.liveAt,
-    progress: requests.count,
+    progress: stats.finished,
     onLost: (agent) => {
       requests.onAgentLost(agent)
-      rpc.onAgentLost(agent)
+      if (peers.get(agent) === undefined) rpc.onAgentLost(agent)
     },
     onBack: requests.onAgentBack
   })
+  const fellows = createFellows(base, name, limits)
+
+  function onMembers (changes: MemberChange[]): void {
+    agents.onMembers(changes)
+    fellows.onMembers(changes)
+  }
 
   function decide (decision: Omit<Decision, 'revision'>): void {
     const whole = { ...decision, revision: config.revision() }
@@ -180,7 +181,7 @@
   }
 
   function isReady (): boolean {
-    return !draining && config.revision() > 0 && config.all(RecordKind.Caller).length > 0
+    return !draining && base.isConfigured() && config.all(RecordKind.Caller).length > 0
   }
 
   function sendState (call: HttpCall, ok: boolean): void {
@@ -210,6 +211,7 @@
       rpc,
       maxBodyBytes,
       choose: chooseService,
+      reach: agents.reach,
       takeRetry: () => retries.take(timer.now()),
       onOutcome: (identity, outcome) => stats.ended(identity.tier, outcome, 0)
     }),
@@ -222,13 +224,6 @@
     if (event.key.startsWith(`${RecordKind.Policy}/`)) router.setPolicy(policy())
   })
   timer.onPause(timings.leaseMs, requests.revalidate)
-  timer.every(sharePeriodMs, () => {
-    const share = limits.share(timer.now())
-    if (share.usage.length === 0) return
-    for (const peer of peers.list()) {
-      if (peer.process === 'entry') peers.send(peer.name, share)
-    }
-  })
 
   const listening = await peers.listen(settings.peer.host, settings.peer.port)
   if (listening.err) {
--- a/peer/_types.ts
+++ b/peer/_types.ts
@@ -47,7 +47,7 @@
   listen (host: string, port: number): Promise<Result<string, string>>
   /** Keeps a connection to the peer of this name; dials again when it breaks. */
   dial (name: string, address: string): void
-  /** Ends the connection to a dialled peer. */
+  /** Stops dialling a peer, and ends the connection when this process opened it. */
   undial (name: string): void
   /** Sends to a connected peer; false when it is not connected or its buffer is full. */
   send (name: string, msg: Message): boolean
--- a/peer/create_peers.ts
+++ b/peer/create_peers.ts
@@ -2,31 +2,23 @@
  * The table of connections to peers.
  */
 import { Err, Ok } from '../core/results/mod.ts'
-import { connect, listen, MessageKind } from '../wire/mod.ts'
+import { listen, MessageKind } from '../wire/mod.ts'
+import { createDialler } from './_dialler.ts'
 import type { Connection, Listener, Message } from '../wire/mod.ts'
-import type { Subscription } from '../timer/mod.ts'
 import type { Peer, Peers, PeersOptions } from './_types.ts'
 
-const defaultRedialMs = 100
-const defaultMaxRedialMs = 2000
 const helloTimeoutMs = 2000
 
 interface Link {
   conn: Connection
   peer: Peer
-}
-
-interface Target {
-  address: string
-  failures: number
-  retry: Subscription | undefined
-  /** True while a connection is being made or is open. */
-  busy: boolean
+  /** Name of the process that opened the connection. */
+  initiator: string
 }
 
 /**
- * Creates the table of connections to peers. Both ends say hello first; a later connection of the same peer replaces an
- * earlier one.
+ * Creates the table of connections to peers. Both ends say hello first. When two processes dial each other at once, both
+ * keep the connection of the one whose name sorts first; a new connection from the same end replaces an earlier one.
  *
  * @param options timer, identity, handlers, key and waits in milliseconds
  * @returns the table
@@ -51,125 +43,97 @@
  */
 export function createPeers (options: PeersOptions): Peers {
   const { timer, self, handlers } = options
-  const redialMs = options.redialMs ?? defaultRedialMs
-  const maxRedialMs = options.maxRedialMs ?? defaultMaxRedialMs
   const links = new Map<string, Link>()
-  const targets = new Map<string, Target>()
   const unnamed = new Set<Connection>()
+  const dialler = createDialler({
+    peers: options,
+    isLinked: (name) => links.has(name),
+    onConnection: (conn) => attach(conn, true)
+  })
   let listener: Listener | undefined
   let address = ''
-  let closed = false
 
   function hello (): Message {
     return { kind: MessageKind.Hello, ...self, address, revision: options.revision() }
   }
 
-  function adopt (conn: Connection, first: Message): Link | undefined {
+  function drop (link: Link, reason: string): void {
+    links.delete(link.peer.name)
+    handlers.onDown(link.peer, reason)
+    link.conn.close()
+  }
+
+  /** Decides whether an earlier link stays when a second connection to the same run of a peer comes up. */
+  function keepsEarlier (earlier: Link, later: Link): boolean {
+    if (earlier.peer.incarnation !== later.peer.incarnation) return earlier.peer.incarnation > later.peer.incarnation
+    return earlier.initiator !== later.initiator && earlier.initiator < later.initiator
+  }
+
+  function adopt (conn: Connection, first: Message, dialled: boolean): Link | undefined {
     if (first.kind !== MessageKind.Hello) {
       conn.close()
       return undefined
     }
     const { kind: _kind, ...info } = first
     const peer: Peer = { ...info, owner: `${info.name}#${info.incarnation}`, heardMs: timer.now() }
-    const link = { conn, peer }
+    const link = { conn, peer, initiator: dialled ? self.name : info.name }
     const earlier = links.get(peer.name)
-    links.set(peer.name, link)
-    if (earlier !== undefined) {
-      handlers.onDown(earlier.peer, 'replaced by a new connection')
-      earlier.conn.close()
+    if (earlier !== undefined && keepsEarlier(earlier, link)) {
+      conn.close()
+      return undefined
     }
+    if (earlier !== undefined) drop(earlier, 'replaced by a new connection')
+    links.set(peer.name, link)
     handlers.onUp(peer)
     return link
   }
 
-  function attach (conn: Connection, onEnd: () => void): void {
+  function attach (conn: Connection, dialled: boolean): void {
     let link: Link | undefined
-    const limit = timer.after(helloTimeoutMs, () => { if (link === undefined) conn.close() })
+    let isGreeted = false
+    const limit = timer.after(helloTimeoutMs, () => { if (!isGreeted) conn.close() })
     unnamed.add(conn)
     conn.onMessage((msg) => {
-      if (link === undefined) {
-        limit.cancel()
+      if (!isGreeted) {
+        isGreeted = true
         unnamed.delete(conn)
-        link = adopt(conn, msg)
-        return
+        link = adopt(conn, msg, dialled)
+      } else if (link !== undefined && links.get(link.peer.name) === link) {
+        link.peer.heardMs = timer.now()
+        handlers.onMessage(link.peer, msg)
       }
-      link.peer.heardMs = timer.now()
-      if (links.get(link.peer.name) === link) handlers.onMessage(link.peer, msg)
     })
     conn.onClose((reason) => {
       limit.cancel()
       unnamed.delete(conn)
-      if (link !== undefined && links.get(link.peer.name) === link) {
-        links.delete(link.peer.name)
-        handlers.onDown(link.peer, reason)
-      }
-      onEnd()
+      if (link === undefined || links.get(link.peer.name) !== link) return
+      drop(link, reason)
+      dialler.onEnded(link.peer.name)
     })
     conn.send(hello())
   }
 
-  function redial (name: string, target: Target): void {
-    target.busy = false
-    if (closed || targets.get(name) !== target) return
-    const waitMs = Math.min(maxRedialMs, redialMs * 2 ** target.failures)
-    target.failures += 1
-    target.retry = timer.after(waitMs * (0.5 + options.random() / 2), () => { open(name, target) })
-  }
-
-  async function open (name: string, target: Target): Promise<void> {
-    target.busy = true
-    const made = await connect({ address: target.address, psk: options.psk, maxFrameBytes: options.maxFrameBytes })
-    if (made.err) {
-      redial(name, target)
-      return
-    }
-    if (closed || targets.get(name) !== target) {
-      made.val.close()
-      return
-    }
-    target.failures = 0
-    attach(made.val, () => redial(name, target))
-  }
-
-  function undial (name: string): void {
-    const target = targets.get(name)
-    if (target === undefined) return
-    targets.delete(name)
-    target.retry?.cancel()
-    links.get(name)?.conn.close()
-  }
-
   return {
     async listen (host, port) {
-      const made = await listen({
-        host,
-        port,
-        psk: options.psk,
-        maxFrameBytes: options.maxFrameBytes,
-        onConnection: (conn) => attach(conn, () => {})
-      })
+      const { psk, maxFrameBytes } = options
+      const made = await listen({ host, port, psk, maxFrameBytes, onConnection: (conn) => attach(conn, false) })
       if (made.err) return Err(`cannot listen at "${host}:${port}": ${made.val.message}`)
       listener = made.val
       address = made.val.address
       return Ok(address)
     },
-    dial (name, peerAddress) {
-      const known = targets.get(name)
-      if (known?.address === peerAddress) return
-      if (known !== undefined) undial(name)
-      const target: Target = { address: peerAddress, failures: 0, retry: undefined, busy: false }
-      targets.set(name, target)
-      open(name, target)
+    dial: dialler.dial,
+    undial (name) {
+      const link = links.get(name)
+      if (dialler.undial(name) && link?.initiator === self.name) drop(link, 'no longer wanted')
     },
-    undial,
     send: (name, msg) => links.get(name)?.conn.send(msg) ?? false,
     get: (name) => links.get(name)?.peer,
     list: () => [...links.values()].map((link) => link.peer),
-    dialled: () => [...targets.keys()],
+    dialled: dialler.names,
     async close () {
-      closed = true
-      for (const name of [...targets.keys()]) undial(name)
-      for (const link of links.values()) link.conn.close()
+      dialler.close()
+      for (const link of [...links.values()]) link.conn.close()
       for (const conn of unnamed) conn.close()
       await listener?.close()
     }
--- a/wire/_connection.ts
+++ b/wire/_connection.ts
@@ -4,7 +4,7 @@
 import type { Socket } from 'node:net'
 import { createFrameDecoder } from './create_frame_decoder.ts'
 import { encodeFrame } from './encode_frame.ts'
-import { defaultMaxBufferedBytes, lingerMs } from './_limits.ts'
+import { defaultMaxBufferedBytes, keepAliveMs, lingerMs } from './_limits.ts'
 import type { Message } from './messages.ts'
 import { formatAddress } from './parse_address.ts'
 import { validateMessage } from './validate_message.ts'
@@ -105,6 +105,8 @@
   }
 
   socket.setNoDelay(true)
+  // A host that is lost without a word would keep its idle connections open for ever.
+  socket.setKeepAlive(true, keepAliveMs)
   // The socket is not read before a receiver is set, so that early messages wait in the operating system's buffers.
   socket.pause()
   if (options.firstMessageTimeoutMs) {
