Prove the relay over sockets and mend a start without configuration

Cause: a scenario with 50 relays over sockets, one reader at a fresh service and the rest at a stale one, found relays that were ready with no configuration: what a digest said of the last read of the service counted as an own read. Only own reads count now. Ruled out: counting reads at the stand-ins, whose counters refuse too while they are down.

--- a/relay/create_config_relay.ts
+++ b/relay/create_config_relay.ts
@@ -54,6 +54,7 @@
   let sourceReadMs: number | undefined
   let asked: { peer: string, atMs: number } | undefined
   let nextAsked = 0
+  let hasRead = false
   let isReady = false
   const reader = createReader({
     timer,
@@ -121,12 +122,13 @@
   function takeServicePage (page: ConfigurationPage): void {
     // A page older than what is known comes from a stale service and says nothing about the present.
     if (page.revision >= config.revision()) sourceReadMs = timer.now()
+    hasRead = true
     take('service', page)
     if (isBootstrapOver()) becomeReady()
   }
 
   function isBootstrapOver (): boolean {
-    if (sourceReadMs === undefined || startedMs === undefined) return false
+    if (!hasRead || startedMs === undefined) return false
     return peers.wanted().length === 0 || timer.now() - startedMs >= bootstrapMs
   }
 
--- /dev/null
+++ b/relay/relay_sockets_test.ts
@@ -0,0 +1,173 @@
+/**
+ * Steps for configuration relays over loopback sockets, against stand-ins of the configuration service.
+ */
+import assert from 'node:assert/strict'
+import { After, Given, Then, When } from '@cucumber/cucumber'
+import { createConfiguration } from '../core/configuration/mod.ts'
+import type { Configuration } from '../core/configuration/mod.ts'
+import { chooseReaders } from '../core/subset/mod.ts'
+import type { SubsetMember } from '../core/subset/mod.ts'
+import { createPeers } from '../peer/mod.ts'
+import type { Peers } from '../peer/mod.ts'
+import { createConfigHttp } from '../platform/mod.ts'
+import { startConfigService } from '../testing/config_service/mod.ts'
+import type { ConfigServiceStandIn } from '../testing/config_service/mod.ts'
+import { FaultKind } from '../testing/faults/mod.ts'
+import { createSystemTimer } from '../timer/mod.ts'
+import type { Timer } from '../timer/mod.ts'
+import { MessageKind } from '../wire/mod.ts'
+import { recordAt } from './_fleet_test.ts'
+import { createConfigRelay } from './mod.ts'
+import type { ConfigRelay, RelayMessage } from './mod.ts'
+
+interface Node {
+  config: Configuration
+  relay: ConfigRelay
+  address: string
+  /** Revisions of the record in force while the relay was ready. */
+  seen: Set<number>
+  close (): Promise<void>
+}
+
+interface World {
+  socketTimer: Timer
+  fresh: ConfigServiceStandIn
+  stale: ConfigServiceStandIn
+  members: SubsetMember[]
+  nodes: Map<string, Node>
+  revision: number
+  restarted: string
+  peakReads: number
+}
+
+const pollMs = 50
+
+function sleep (world: World, ms: number): Promise<void> {
+  return new Promise((resolve) => { world.socketTimer.after(ms, resolve) })
+}
+
+function writeBoth (world: World, timeoutMs: number): number {
+  const value = JSON.stringify({ schema: 1, calls: [], timeoutMs })
+  world.stale.write('service/s', value)
+  return world.fresh.write('service/s', value).revision
+}
+
+async function startNode (world: World, self: SubsetMember, service: ConfigServiceStandIn): Promise<Node> {
+  const timer = world.socketTimer
+  const config = createConfiguration()
+  const seen = new Set<number>()
+  const adapter = createConfigHttp({ url: `http://${service.address}` })
+  const peers: Peers = createPeers({
+    timer,
+    self: { ...self, process: 'agent', incarnation: timer.wall() },
+    random: Math.random,
+    revision: () => config.revision(),
+    handlers: {
+      onUp: ({ name }) => relay.connected(name),
+      onDown: ({ name }) => relay.disconnected(name),
+      onMessage (peer, msg) {
+        const isRelayed = msg.kind === MessageKind.ConfigDigest || msg.kind === MessageKind.ConfigRecords
+        if (isRelayed) relay.handle(peer.name, msg as RelayMessage)
+      }
+    }
+  })
+  const relay = createConfigRelay({
+    timer, config, service: adapter, self, random: Math.random, send: (peer, msg) => { peers.send(peer, msg) }
+  })
+  const address = (await peers.listen('127.0.0.1', 0)).unwrap()
+  const watch = timer.every(pollMs, () => { if (relay.ready()) seen.add(recordAt(config)) })
+  relay.setMembers(world.members)
+  const dialAll = (): void => {
+    for (const name of relay.wanted()) {
+      const peer = world.nodes.get(name)
+      if (peer !== undefined) peers.dial(name, peer.address)
+    }
+  }
+  const dialling = timer.every(pollMs, dialAll)
+  async function close (): Promise<void> {
+    watch.cancel()
+    dialling.cancel()
+    relay.close()
+    await peers.close()
+    await adapter.close()
+  }
+  relay.start()
+  return { config, relay, address, seen, close }
+}
+
+async function waitUntil (world: World, limitMs: number, isDone: () => boolean): Promise<void> {
+  const endMs = world.socketTimer.now() + limitMs
+  while (!isDone() && world.socketTimer.now() < endMs) await sleep(world, pollMs)
+}
+
+/** Counts every call of every relay, so that calls to the service that is down count too. */
+function countReads (world: World): number {
+  return [...world.nodes.values()].reduce((sum, { relay }) => sum + relay.status().reads, 0)
+}
+
+After(async function (this: Partial<World>) {
+  if (this.nodes === undefined) return
+  for (const node of this.nodes.values()) await node.close()
+  await this.fresh?.close()
+  await this.stale?.close()
+  this.socketTimer?.close()
+})
+
+Given('{int} relays over sockets in {int} availability zones, with one reader at a fresh service and the rest at a stale one',
+  { timeout: 20_000 }, async function (this: World, count: number, zones: number) {
+    this.socketTimer = createSystemTimer()
+    this.fresh = await startConfigService()
+    this.stale = await startConfigService()
+    this.nodes = new Map()
+    this.members = Array.from({ length: count }, (_, i) => ({ name: `n${i}`, availabilityZone: `z${i % zones}`, region: 'r' }))
+    const old = writeBoth(this, 1)
+    const first = chooseReaders({ members: this.members, perZone: 3 })[0]
+    for (const member of this.members) {
+      const node = await startNode(this, member, member.name === first ? this.fresh : this.stale)
+      this.nodes.set(member.name, node)
+    }
+    await waitUntil(this, 10_000, () => [...this.nodes.values()].every(({ relay }) => relay.ready()))
+    for (const { config } of this.nodes.values()) assert.equal(config.revision(), old)
+    this.stale.gate.set(FaultKind.Stale, 0)
+  })
+
+When('the socket relays get a change and the fresh service is down {int} ms later', async function (this: World, ms: number) {
+  this.peakReads = countReads(this)
+  this.revision = writeBoth(this, 2)
+  await sleep(this, ms)
+  this.peakReads = countReads(this) - this.peakReads
+  this.fresh.gate.set(FaultKind.Down, 0)
+})
+
+Then('within {int} s the change is in force at every socket relay', { timeout: 10_000 },
+  async function (this: World, seconds: number) {
+    const isEverywhere = (): boolean => [...this.nodes.values()].every(({ config }) => recordAt(config) === 2)
+    await waitUntil(this, seconds * 1000, isEverywhere)
+    assert.ok(isEverywhere())
+  })
+
+Then('the socket relays read the services less than {int} times a second at the most', async function (this: World, most: number) {
+  assert.ok(this.peakReads < most / 2, `${this.peakReads} reads in half a second with the change`)
+  const before = countReads(this)
+  await sleep(this, 1000)
+  const reads = countReads(this) - before
+  assert.ok(reads < most, `${reads} reads in a second with a service down`)
+})
+
+When('a socket relay restarts while one service is stale and the other one down', async function (this: World) {
+  // A reader is the harder case: it reads the stale service at once.
+  this.restarted = chooseReaders({ members: this.members, perZone: 3 }).at(-1)!
+  await this.nodes.get(this.restarted)!.close()
+  const member = this.members.find(({ name }) => name === this.restarted)!
+  this.nodes.set(this.restarted, await startNode(this, member, this.stale))
+})
+
+Then('the restarted socket relay is ready within {int} s, never has the old configuration ready, and keeps the change for {int} s',
+  { timeout: 10_000 }, async function (this: World, limitS: number, keepS: number) {
+    const node = this.nodes.get(this.restarted)!
+    await waitUntil(this, limitS * 1000, () => node.relay.ready())
+    assert.ok(node.relay.ready())
+    await sleep(this, keepS * 1000)
+    assert.deepEqual([...node.seen], [2])
+    assert.equal(node.config.revision(), this.revision)
+  })
