--- a/cucumber.js
+++ b/cucumber.js
@@ -3,6 +3,6 @@
 export default {
   paths: named ? [] : ['!(node_modules|dist)/**/*.feature'],
   import: ['dist/**/*_test.js'],
-  tags: 'not @matrix',
+  tags: 'not @full',
   publishQuiet: true
 }
--- a/testing/deployment/_process.ts
+++ b/testing/deployment/_process.ts
@@ -17,6 +17,8 @@
   ended (): Promise<string>
   /** Starts the process again after it ended. */
   restart (): void
+  /** Tells whether a line since the last start contains a text. */
+  hasLine (text: string): boolean
   /** Waits for a line that begins with a text; rejects when the process ends before or the time in ms is over. */
   waitForLine (prefix: string, timeoutMs: number): Promise<string>
 }
@@ -87,6 +89,7 @@
     isRunning: () => running,
     ended: () => end,
     restart: start,
+    hasLine: (text) => lines.slice(Math.max(0, firstLine)).some((line) => line.includes(text)),
     waitForLine
   }
 }
--- a/testing/deployment/start_deployment.ts
+++ b/testing/deployment/start_deployment.ts
@@ -187,6 +187,7 @@
   async function restart (name: string): Promise<void> {
     find(name).restart()
     if (controls.has(name)) await waitForStandIn(name)
+    else await poll(`the start of ${name}`, startTimeoutMs, async () => find(name).hasLine('"msg":"ready'))
     const index = layout.entries.findIndex((entry) => `entry/${entry.name}` === name)
     if (index >= 0) await poll(`readiness of ${name}`, startTimeoutMs, () => isReady(index))
   }
--- a/testing/matrix/_checks.ts
+++ b/testing/matrix/_checks.ts
@@ -22,16 +22,23 @@
 /** Time in milliseconds within which a change of configuration must be in force. */
 const inForceMs = 6000
 
+/** Reads counts from the stand-ins of some roles; those that do not run have none. */
+async function readCounts (cell: Cell, roles: string[], path: string): Promise<Array<Record<string, unknown>>> {
+  const names = backendsOf(cell, roles).map((name) => `backend/${name}`)
+  const running = names.filter((name) => cell.deployment.process(name).isRunning())
+  return await Promise.all(running.map((name) => cell.deployment.control(name, path)))
+}
+
 /** Counts the prefills of a prompt over all engines, also those of engines that were killed. */
 async function prefillsOf (cell: Cell, prompt: string): Promise<number> {
   const key = String(promptHash(prompt))
-  const pages = await Promise.all(backendsOf(cell, ['prefill']).map((name) => cell.deployment.control(`backend/${name}`, '/ran')))
+  const pages = await readCounts(cell, ['prefill'], '/ran')
   return pages.reduce((sum, page) => sum + Number(page[key] ?? 0), cell.ranBefore.get(key) ?? 0)
 }
 
 /** Counts the runs of a call over all services, also those of services that were killed. */
 export async function runsOf (cell: Cell, callId: string): Promise<number> {
-  const pages = await Promise.all(backendsOf(cell, ['service']).map((name) => cell.deployment.control(`backend/${name}`, '/runs')))
+  const pages = await readCounts(cell, ['service'], '/runs')
   const counts = pages.map((page) => (page.runs as Record<string, number>)[callId] ?? 0)
   return counts.reduce((sum, count) => sum + count, cell.runsBefore.get(callId) ?? 0)
 }
--- a/testing/matrix/_run_cell.ts
+++ b/testing/matrix/_run_cell.ts
@@ -83,7 +83,16 @@
   const ended = await checkCompletion(cell, cell.prompt, done, mayLoseConnection.has(fault))
   const otherEnded = await checkCompletion(cell, otherPrompt, other, false)
   if (!hardFaults.has(fault)) assert.equal(ended, Ended.Answered, JSON.stringify(done))
-  return [ended, otherEnded]
+  return [withCode(ended, done.code), withCode(otherEnded, other.code)]
+}
+
+/** Adds the code of a refusal. */
+function withCode (ended: string, code: unknown): string {
+  return code === undefined ? ended : `${ended}: ${String(code)}`
+}
+
+function codeOf (answer: ServiceAnswer): unknown {
+  return (answer.body.error as { code?: string } | undefined)?.code
 }
 
 /** Reads through the other entry, as a caller who has no part in the fault. */
@@ -95,7 +104,7 @@
   const answer = await bounded(cell, 'a read', callService(options))
   assert.equal(answer.broken, undefined)
   assert.ok(answer.status === 200 || answer.outcome !== undefined, `a read was answered with status ${answer.status}`)
-  return answer.status === 200 ? Ended.Answered : Ended.Refused
+  return withCode(answer.status === 200 ? Ended.Answered : Ended.Refused, codeOf(answer))
 }
 
 /** Checks that late runs don't belie what the callers were told last. */
@@ -126,7 +135,7 @@
   const other = await read(cell)
   await heal(cell)
   await checkRuns(cell, first, second)
-  return [ended, `repeat ${repeated}`, `read ${other}`]
+  return [withCode(ended, codeOf(first)), `repeat ${withCode(repeated, codeOf(second))}`, `read ${other}`]
 }
 
 /**
