Keep the world of the socket relay steps apart from the peer steps

Cause: both kept a field `nodes` in the cucumber world, and the After hook of each closed the other's nodes.

--- a/relay/relay_sockets_test.ts
+++ b/relay/relay_sockets_test.ts
@@ -34,7 +34,7 @@
   fresh: ConfigServiceStandIn
   stale: ConfigServiceStandIn
   members: SubsetMember[]
-  nodes: Map<string, Node>
+  socketNodes: Map<string, Node>
   revision: number
   restarted: string
   peakReads: number
@@ -79,7 +79,7 @@
   relay.setMembers(world.members)
   const dialAll = (): void => {
     for (const name of relay.wanted()) {
-      const peer = world.nodes.get(name)
+      const peer = world.socketNodes.get(name)
       if (peer !== undefined) peers.dial(name, peer.address)
     }
   }
@@ -102,12 +102,12 @@
 
 /** Counts every call of every relay, so that calls to the service that is down count too. */
 function countReads (world: World): number {
-  return [...world.nodes.values()].reduce((sum, { relay }) => sum + relay.status().reads, 0)
+  return [...world.socketNodes.values()].reduce((sum, { relay }) => sum + relay.status().reads, 0)
 }
 
 After(async function (this: Partial<World>) {
-  if (this.nodes === undefined) return
-  for (const node of this.nodes.values()) await node.close()
+  if (this.socketNodes === undefined) return
+  for (const node of this.socketNodes.values()) await node.close()
   await this.fresh?.close()
   await this.stale?.close()
   this.socketTimer?.close()
@@ -118,16 +118,16 @@
     this.socketTimer = createSystemTimer()
     this.fresh = await startConfigService()
     this.stale = await startConfigService()
-    this.nodes = new Map()
+    this.socketNodes = new Map()
     this.members = Array.from({ length: count }, (_, i) => ({ name: `n${i}`, availabilityZone: `z${i % zones}`, region: 'r' }))
     const old = writeBoth(this, 1)
     const first = chooseReaders({ members: this.members, perZone: 3 })[0]
     for (const member of this.members) {
       const node = await startNode(this, member, member.name === first ? this.fresh : this.stale)
-      this.nodes.set(member.name, node)
+      this.socketNodes.set(member.name, node)
     }
-    await waitUntil(this, 10_000, () => [...this.nodes.values()].every(({ relay }) => relay.ready()))
-    for (const { config } of this.nodes.values()) assert.equal(config.revision(), old)
+    await waitUntil(this, 10_000, () => [...this.socketNodes.values()].every(({ relay }) => relay.ready()))
+    for (const { config } of this.socketNodes.values()) assert.equal(config.revision(), old)
     this.stale.gate.set(FaultKind.Stale, 0)
   })
 
@@ -141,7 +141,7 @@
 
 Then('within {int} s the change is in force at every socket relay', { timeout: 10_000 },
   async function (this: World, seconds: number) {
-    const isEverywhere = (): boolean => [...this.nodes.values()].every(({ config }) => recordAt(config) === 2)
+    const isEverywhere = (): boolean => [...this.socketNodes.values()].every(({ config }) => recordAt(config) === 2)
     await waitUntil(this, seconds * 1000, isEverywhere)
     assert.ok(isEverywhere())
   })
@@ -157,14 +157,14 @@
 When('a socket relay restarts while one service is stale and the other one down', async function (this: World) {
   // A reader is the harder case: it reads the stale service at once.
   this.restarted = chooseReaders({ members: this.members, perZone: 3 }).at(-1)!
-  await this.nodes.get(this.restarted)!.close()
+  await this.socketNodes.get(this.restarted)!.close()
   const member = this.members.find(({ name }) => name === this.restarted)!
-  this.nodes.set(this.restarted, await startNode(this, member, this.stale))
+  this.socketNodes.set(this.restarted, await startNode(this, member, this.stale))
 })
 
 Then('the restarted socket relay is ready within {int} s, never has the old configuration ready, and keeps the change for {int} s',
   { timeout: 10_000 }, async function (this: World, limitS: number, keepS: number) {
-    const node = this.nodes.get(this.restarted)!
+    const node = this.socketNodes.get(this.restarted)!
     await waitUntil(this, limitS * 1000, () => node.relay.ready())
     assert.ok(node.relay.ready())
     await sleep(this, keepS * 1000)
