--- a/agent/_engine_task.ts
+++ b/agent/_engine_task.ts
@@ -43,9 +43,15 @@
   const leases = createLeaseTable({ leaseMs: options.leaseMs })
   const table = createReservationTable({ seats: options.seats, pieces: options.pieces })
   const canceller = createCanceller(ports, engine, table, () => queue.pump())
-  const load = createLoadTask(ports, { ...options, table, queued: () => queue.length() + prefill.length() })
+  const load = createLoadTask(ports, {
+    ...options,
+    table,
+    queued: () => queue.length(),
+    tokensBefore: (tierClass) => prefill.tokensBefore(tierClass),
+    reserveWaitMs: () => queue.waitMs()
+  })
   const queue = createQueueTask(ports, { ...options, table, load, running: () => stream.running(), onPaused: setPaused })
-  const prefill = createPrefillTask(ports, { engine, table, load, release, onFreed: () => queue.pump() })
+  const prefill = createPrefillTask(ports, { ...options, table, load, release, onFreed: () => queue.pump() })
   const stream = createStreamTask(ports, { engine, table, leaseMs: options.leaseMs, release, onFreed: () => queue.pump() })
 
   function setPaused (ref: AttemptRef, paused: boolean): void {
--- a/agent/_load_task.ts
+++ b/agent/_load_task.ts
@@ -1,6 +1,7 @@
 /**
  * Follows the load and the state of the engine and publishes them to the entries.
  */
+import { TierClass } from '../core/types/mod.ts'
 import { MessageKind } from '../wire/mod.ts'
 import type { EngineAdapter, EngineState } from '../engine/mod.ts'
 import type { ReservationTable } from '../core/reservation/mod.ts'
@@ -17,6 +18,10 @@
   heartbeatMs: number
   /** Units of work that wait. */
   queued: () => number
+  /** Prompt tokens that the engine computes before new work of a tier class. */
+  tokensBefore: (tierClass: TierClass) => number
+  /** Estimated time in milliseconds that a new reservation of paid work waits. */
+  reserveWaitMs: () => number
   publish: (report: LoadReport) => void
 }
 
@@ -28,7 +33,7 @@
   pieces (tokens: number): number
   /** Estimates the time in milliseconds that a number of prompt tokens takes. */
   prefillMs (tokens: number): number
-  /** Learns from a prefill of `tokens` uncached tokens that took `tookMs` milliseconds. */
+  /** Learns from a prefill of `tokens` uncached tokens that the engine computed in `tookMs` milliseconds. */
   prefilled (tokens: number, tookMs: number): void
   /** Sends a report now. */
   publish (): void
@@ -38,7 +43,8 @@
 const pollMs = 100
 const defaultTokensPerPiece = 16
 const defaultMsPerToken = 0.05
-const speedSmoothing = 0.1
+const speedMemory = 0.95
+const priorTokens = 2000
 const maxSilentPolls = 10
 
 /**
@@ -47,7 +53,7 @@
 export function createLoadTask (ports: TaskPorts, options: LoadTaskOptions): LoadTask {
   const { engine, table } = options
   let state: EngineState | undefined
-  let queuedTokens = 0
+  let computed = { tokens: priorTokens, ms: priorTokens * defaultMsPerToken }
   let msPerToken = defaultMsPerToken
   let seq = 0
   let answeredMs = ports.timer.now()
@@ -59,6 +65,7 @@
 
   function report (): LoadReport {
     const free = table.free()
+    const queuedTokens = options.tokensBefore(TierClass.Free)
     return {
       kind: MessageKind.Load,
       backend: options.backend,
@@ -70,7 +77,8 @@
       pieces: options.pieces,
       piecesUsed: options.pieces - free.pieces,
       queuedTokens,
-      waitMs: Math.round(queuedTokens * msPerToken),
+      paidQueuedTokens: options.tokensBefore(TierClass.Paid),
+      waitMs: Math.round(queuedTokens * msPerToken + options.reserveWaitMs()),
       draining: ports.isDraining(),
       seq: seq++,
       tokensPerPiece: state?.tokensPerPiece ?? defaultTokensPerPiece,
@@ -86,8 +94,8 @@
 
   /** Publishes when the shape of the load changed, and otherwise once a heartbeat. */
   function publishIfDue (): void {
-    const { seatsUsed, piecesUsed, model, role, draining } = report()
-    const shape = `${seatsUsed} ${Math.round(piecesUsed / 64)} ${model} ${role} ${draining} ${state === undefined}`
+    const { seatsUsed, piecesUsed, queuedTokens, model, role, draining } = report()
+    const shape = `${seatsUsed} ${Math.round(piecesUsed / 64)} ${Math.round(queuedTokens / 256)} ${model} ${role} ${draining} ${state === undefined}`
     const isDue = ports.timer.now() - publishedMs >= options.heartbeatMs
     if (!isDue && shape === lastShape) return
     lastShape = shape
@@ -113,7 +121,6 @@
     const [load, now] = await Promise.all([engine.load(), engine.state()])
     if (load.ok && now.ok) {
       state = now.val
-      queuedTokens = load.val.queuedTokens
       answeredMs = ports.timer.now()
       silentPolls = 0
       await readCache()
@@ -134,10 +141,9 @@
     prefillMs: (tokens) => tokens * msPerToken,
     prefilled (tokens, tookMs) {
       if (tokens <= 0) return
-      const sample = tookMs / tokens
-      // Waiting behind other prefills is part of the sample, so only samples near the known speed or below move it fast.
-      const weight = sample <= msPerToken * 2 ? speedSmoothing : speedSmoothing / 10
-      msPerToken += weight * (sample - msPerToken)
+      // Sums weigh a prefill by its size: a short one takes mostly the constant part of a call.
+      computed = { tokens: computed.tokens * speedMemory + tokens, ms: computed.ms * speedMemory + tookMs }
+      msPerToken = computed.ms / computed.tokens
     },
     publish,
     close: () => polls.cancel()
--- a/agent/_prefill_task.ts
+++ b/agent/_prefill_task.ts
@@ -2,7 +2,7 @@
  * Runs prefills at the engine.
  */
 import { EngineErrorKind } from '../engine/mod.ts'
-import { attemptKey, Outcome, RefusalCode } from '../core/types/mod.ts'
+import { attemptKey, Outcome, RefusalCode, TierClass } from '../core/types/mod.ts'
 import { MessageKind } from '../wire/mod.ts'
 import type { EngineAdapter, EngineError, PrefillResult } from '../engine/mod.ts'
 import type { ReservationTable } from '../core/reservation/mod.ts'
@@ -16,6 +16,9 @@
   engine: EngineAdapter
   table: ReservationTable
   load: LoadTask
+  seats: number
+  pieces: number
+  paidHeadroom: () => number
   release: (ref: AttemptRef) => void
   onFreed: () => void
 }
@@ -25,6 +28,8 @@
   run (owner: string, msg: Prefill): void
   /** Number of prefills that were given to the engine and have not ended. */
   length (): number
+  /** Number of prompt tokens that the engine computes before new work of a tier class. */
+  tokensBefore (tierClass: TierClass): number
 }
 
 const wordPattern = /\S+/g
@@ -37,16 +42,20 @@
  */
 export function createPrefillTask (ports: TaskPorts, options: PrefillTaskOptions): PrefillTask {
   const { engine, table, load } = options
-  const running = new Map<string, number>()
+  const running = new Map<string, { tokens: number, tierClass: TierClass }>()
+  let lastDoneMs = 0
 
   function refuse (owner: string, ref: AttemptRef, code: RefusalCode, retryAfterMs: number): void {
     const { requestId, attempt } = ref
     ports.send(owner, { kind: MessageKind.Refused, requestId, attempt, code, retryAfterMs })
   }
 
-  function queuedTokens (): number {
+  /** Counts the tokens that the engine computes before new work of a tier class: it takes paid work first. */
+  function tokensBefore (tierClass: TierClass): number {
     let tokens = 0
-    for (const count of running.values()) tokens += count
+    for (const job of running.values()) {
+      if (tierClass === TierClass.Free || job.tierClass === TierClass.Paid) tokens += job.tokens
+    }
     return tokens
   }
 
@@ -68,11 +77,19 @@
     ports.timer.after(result.keepsMs + releaseGraceMs, () => options.release(ref))
   }
 
+  /** Tells whether free work would take the headroom that only paid work may use. */
+  function takesHeadroom (tierClass: TierClass, pieces: number): boolean {
+    if (tierClass === TierClass.Paid) return false
+    const room = table.free()
+    const headroom = options.paidHeadroom()
+    return room.seats - 1 < options.seats * headroom || room.pieces - pieces < options.pieces * headroom
+  }
+
   async function start (owner: string, msg: Prefill, tokens: number): Promise<void> {
     const ref = { requestId: msg.requestId, attempt: msg.attempt }
     const key = attemptKey(ref)
-    running.set(key, tokens)
     const { model, version, prompt, tierClass } = msg
+    running.set(key, { tokens, tierClass })
     const startedMs = ports.timer.now()
     const done = await engine.prefill({ ...ref, model, version, prompt, tierClass })
     running.delete(key)
@@ -80,7 +97,10 @@
       onFailed(owner, ref, done.val)
       return
     }
-    load.prefilled(tokens - done.val.cachedTokens, ports.timer.now() - startedMs)
+    // The engine computes one prefill after the other, so the time before the last one ended was a wait.
+    const doneMs = ports.timer.now()
+    load.prefilled(tokens - done.val.cachedTokens, doneMs - Math.max(startedMs, lastDoneMs))
+    lastDoneMs = doneMs
     onDone(owner, ref, done.val)
   }
 
@@ -88,12 +108,17 @@
     run (owner, msg) {
       const tokens = msg.prompt.match(wordPattern)?.length ?? 0
       const ref = { requestId: msg.requestId, attempt: msg.attempt }
-      const waitMs = load.prefillMs(queuedTokens() + tokens)
+      const waitMs = load.prefillMs(tokensBefore(msg.tierClass) + tokens)
       if (waitMs > msg.budgetMs) {
         refuse(owner, ref, RefusalCode.TargetMissed, waitMs - msg.budgetMs)
         return
       }
-      const reserved = table.reserve({ ref, owner, pieces: load.pieces(tokens) }, ports.timer.now())
+      const pieces = load.pieces(tokens)
+      if (takesHeadroom(msg.tierClass, pieces)) {
+        refuse(owner, ref, RefusalCode.NoCapacity, waitMs)
+        return
+      }
+      const reserved = table.reserve({ ref, owner, pieces }, ports.timer.now())
       if (reserved.err) {
         refuse(owner, ref, reserved.val, 200)
         return
@@ -101,6 +126,7 @@
       table.start(ref)
       start(owner, msg, tokens)
     },
-    length: () => running.size
+    length: () => running.size,
+    tokensBefore
   }
 }
--- a/agent/_queue_task.ts
+++ b/agent/_queue_task.ts
@@ -2,7 +2,7 @@
  * Admits reservations to the engine through the admission queue.
  */
 import { createAdmission } from '../core/admission/mod.ts'
-import { attemptKey } from '../core/types/mod.ts'
+import { attemptKey, TierClass } from '../core/types/mod.ts'
 import { MessageKind } from '../wire/mod.ts'
 import type { AdmissionItem, RunningItem } from '../core/admission/mod.ts'
 import type { AdmissionPolicy } from '../core/records/mod.ts'
@@ -35,6 +35,8 @@
   keepOnly (owner: string, live: Set<string>): void
   refuse (owner: string, ref: AttemptRef, code: RefusalCode, retryAfterMs: number): void
   length (): number
+  /** Estimated time in milliseconds that a new reservation of paid work waits. */
+  waitMs (): number
 }
 
 const maxQueue = 200
@@ -55,22 +57,40 @@
     quantumTokens
   })
   const waiting = new Map<string, AdmissionItem>()
+  /** Admitted work that does not run yet. */
+  const admitted = new Map<string, AdmissionItem>()
 
   function refuse (owner: string, ref: AttemptRef, code: RefusalCode, retryAfterMs: number): void {
     const { requestId, attempt } = ref
     ports.send(owner, { kind: MessageKind.Refused, requestId, attempt, code, retryAfterMs: Math.round(retryAfterMs) })
   }
 
+  /** Lists what holds memory: streams, and admitted work whose prefill has not come yet. */
+  function holding (): RunningItem[] {
+    const running = options.running()
+    const known = new Set(running.map((item) => attemptKey(item.ref)))
+    const reserved: RunningItem[] = []
+    const held = new Set(table.snapshot().map((entry) => attemptKey(entry.ref)))
+    for (const [key, { ref, tierClass, pieces: count }] of admitted) {
+      if (!held.has(key) || known.has(key)) admitted.delete(key)
+      else reserved.push({ ref, tierClass, pieces: count, paused: false, started: false })
+    }
+    return [...running, ...reserved]
+  }
+
   function admit (item: AdmissionItem): void {
     waiting.delete(attemptKey(item.ref))
     const done = table.reserve({ ref: item.ref, owner: item.owner, pieces: item.pieces }, ports.timer.now())
     if (done.err) refuse(item.owner, item.ref, done.val, 200)
-    else ports.send(item.owner, { kind: MessageKind.Reserved, ...item.ref, pieces: item.pieces })
+    else {
+      admitted.set(attemptKey(item.ref), item)
+      ports.send(item.owner, { kind: MessageKind.Reserved, ...item.ref, pieces: item.pieces })
+    }
   }
 
   function pump (): void {
     admission.setPolicy(options.admission(), options.paidHeadroom())
-    const step = admission.next(table.free(), options.running(), ports.timer.now())
+    const step = admission.next(table.free(), holding(), ports.timer.now())
     for (const ref of step.pause) options.onPaused(ref, true)
     for (const ref of step.resume) options.onPaused(ref, false)
     for (const refusal of step.refuse) {
@@ -120,6 +140,7 @@
       }
     },
     refuse,
-    length: () => waiting.size
+    length: () => waiting.size,
+    waitMs: () => admission.estimateWaitMs(TierClass.Paid)
   }
 }
--- a/agent/_stream_task.ts
+++ b/agent/_stream_task.ts
@@ -177,7 +177,7 @@
     },
     running () {
       const active = [...streams.values()].filter((stream) => stream.end === undefined)
-      return active.map(({ ref, tierClass, pieces, paused }) => ({ ref, tierClass, pieces, paused }))
+      return active.map(({ ref, tierClass, pieces, paused }) => ({ ref, tierClass, pieces, paused, started: true }))
     }
   }
 }
--- a/bench/_compare.ts
+++ b/bench/_compare.ts
@@ -116,7 +116,10 @@
     const cell = { classes: scenario.classes, ratePerS: load * saturation, durationMs, warmupMs, seed }
     cells.push({ variant: variant.name, load, round, figures: await runCell(bench, cell) })
   }
+  const { durationMs, warmupMs, seed } = options
   try {
+    // The first load of new processes meets code that is not compiled yet.
+    await runCell(bench, { classes: scenario.classes, ratePerS: saturation, durationMs, warmupMs, seed })
     for (let round = 0; round < options.rounds; round++) {
       for (const load of options.loads) {
         for (const variant of picked) await run(variant, load, round)
--- a/bench/_policies.ts
+++ b/bench/_policies.ts
@@ -12,7 +12,7 @@
 }
 
 const chosen = {
-  reserve: ReservePolicy.Predicted, choice: ChoicePolicy.PowerOfTwo, admission: AdmissionPolicy.Tiered
+  reserve: ReservePolicy.ReserveFirst, choice: ChoicePolicy.PowerOfTwo, admission: AdmissionPolicy.Tiered
 }
 
 function differing (fields: Partial<Variant>): Variant {
--- a/core/admission/_fair_queue.ts
+++ b/core/admission/_fair_queue.ts
@@ -26,6 +26,7 @@
   /** Takes out every item for which the test holds. */
   removeWhere (test: (item: AdmissionItem) => boolean): AdmissionItem[]
   size (): number
+  items (): AdmissionItem[]
 }
 
 /** Creates an empty queue; a round gives each lane `quantumTokens` tokens. */
@@ -94,5 +95,5 @@
     return removeWhere((item) => attemptKey(item.ref) === key)[0]
   }
 
-  return { push, peek, shift, popLongest, remove, removeWhere, size: () => size }
+  return { push, peek, shift, popLongest, remove, removeWhere, size: () => size, items: () => lanes.flatMap((lane) => lane.items) }
 }
--- a/core/admission/_room.ts
+++ b/core/admission/_room.ts
@@ -23,7 +23,7 @@
   pause (): void
   /** Counts a resumption of free work. */
   resume (): void
-  /** Running free work that is not paused, newest first. */
+  /** Free work that runs, newest first. */
   pausable: RunningItem[]
   /** Paused work, oldest first. */
   paused: RunningItem[]
@@ -55,7 +55,7 @@
       seats -= 1
       freeSeats += 1
     },
-    pausable: ofFree.filter((item) => !item.paused).reverse(),
+    pausable: ofFree.filter((item) => item.started && !item.paused).reverse(),
     paused: running.filter((item) => item.paused)
   }
 }
--- a/core/admission/_simulated_server_test.ts
+++ b/core/admission/_simulated_server_test.ts
@@ -71,7 +71,7 @@
       const { ref, tierClass, pieces } = item
       assert.ok(nowMs < item.deadlineMs, `${attemptKey(ref)} was admitted after its deadline`)
       const leftMs = runMsOf.get(attemptKey(ref)) ?? 0
-      jobs.set(attemptKey(ref), { ref, tierClass, pieces, paused: false, item, leftMs })
+      jobs.set(attemptKey(ref), { ref, tierClass, pieces, paused: false, started: true, item, leftMs })
     }
     check()
   }
--- a/core/admission/_types.ts
+++ b/core/admission/_types.ts
@@ -44,6 +44,8 @@
   pieces: number
   /** True while the work gives up its seat and keeps its memory. */
   paused: boolean
+  /** False while the work holds its seat and memory and does not run yet, so that it can't be paused. */
+  started: boolean
 }
 
 /** Describes what is free at the backend server. */
--- a/core/admission/create_admission.ts
+++ b/core/admission/create_admission.ts
@@ -6,6 +6,7 @@
 import { RefusalCode, TierClass } from '../types/mod.ts'
 import { createFairQueue } from './_fair_queue.ts'
 import { createPauseClock } from './_pause_clock.ts'
+import { createPaidPeak } from './_paid_peak.ts'
 import { policies } from './_policies.ts'
 import { createRoom } from './_room.ts'
 import { createWaitMeter } from './_wait_meter.ts'
@@ -23,8 +24,8 @@
  *
  * Under the policy `tiered`, waiting work is admitted in this order: paused work that has waited for `maxPauseMs` (on
  * at most a tenth of the seats, at least one), paid work, other paused work, free work. Callers of one tier class take
- * turns by deficit round robin, and the item whose turn it is is never overtaken within its class. Free work never uses
- * more than its share outside the headroom. Paid work that finds no seat pauses the newest running free work, which
+ * turns by deficit round robin, and the item whose turn it is is never overtaken within its class. New free work
+ * never takes the headroom above what paid work lately needed. Paid work that finds no seat pauses the newest running free work, which
  * keeps its memory. Paused work that became overdue isn't paused again, so it runs at the latest once every overdue
  * item before it has ended. Under `fifo` items are admitted as they came and nothing is paused.
  *
@@ -59,6 +60,7 @@
   }
   const clock = createPauseClock(options.maxPauseMs ?? defaultMaxPauseMs)
   const meter = createWaitMeter()
+  const peak = createPaidPeak()
   const overdueSeats = Math.max(1, Math.floor(seats * overdueShare))
   let { policy, paidHeadroom } = options
   let evicted: RefusedItem[] = []
@@ -107,12 +109,21 @@
     const decision: AdmissionDecision = { admit: [], refuse: [...evicted, ...refuseLate(nowMs)], pause: [], resume: [] }
     evicted = []
     clock.observe(running, nowMs)
-    const cap = { seats: Math.floor(seats * (1 - paidHeadroom)), pieces: Math.floor(pieces * (1 - paidHeadroom)) }
-    policies[policy]({ queues, room: createRoom(free, running, cap), clock, overdueSeats }, decision)
+    peak.observe(running, queues[TierClass.Paid].items(), nowMs)
+    policies[policy]({ queues, room: createRoom(free, running, freeCap()), clock, overdueSeats }, decision)
     meter.observe(decision.admit.length, size() > 0, nowMs)
     return decision
   }
 
+  /** Leaves room for what paid work lately needed and for the headroom above it. */
+  function freeCap (): FreeRoom {
+    // Paid work takes seats back by a pause but can't take memory back.
+    return {
+      seats: Math.floor(seats * (1 - paidHeadroom)),
+      pieces: Math.floor(pieces * (1 - paidHeadroom) - peak.pieces())
+    }
+  }
+
   function withdrawOwner (owner: string): AdmissionItem[] {
     return [...queues[TierClass.Paid].removeWhere((item) => item.owner === owner),
       ...queues[TierClass.Free].removeWhere((item) => item.owner === owner)]
--- a/core/request/_replies.ts
+++ b/core/request/_replies.ts
@@ -5,7 +5,7 @@
 import { RefusalCode, Role } from '../types/mod.ts'
 import { abandon, replace } from './_recovery.ts'
 import { reservePolicies } from './_reserve_policies.ts'
-import { cancelLeg, decodeWhenReady, enter, ref } from './_state.ts'
+import { budgetMs, cancelLeg, decodeWhenReady, enter, fail, ref } from './_state.ts'
 import { RequestEffectKind, RequestPhase } from './_types.ts'
 import type { Failed, Finished, Refused, Reserved, Prefilled, Tokens } from '../../wire/mod.ts'
 import type { State } from './_state.ts'
@@ -47,6 +47,11 @@
     if (state.phase !== RequestPhase.Preparing) return
     const role = state.decode?.agent === agent ? Role.Decode : Role.Prefill
     if (role === Role.Prefill) state.sentPrefills -= 1
+    // After the target has passed, another backend server would refuse as well.
+    if (msg.code === RefusalCode.TargetMissed && budgetMs(state, nowMs) === 0) {
+      fail(state, msg.code, msg.retryAfterMs)
+      return
+    }
     replace(state, role, msg.code, msg.retryAfterMs, nowMs)
   },
   [MessageKind.Failed]: (state: State, agent: string, msg: Failed, nowMs: number) => {
@@ -57,6 +62,8 @@
   [MessageKind.Tokens]: (state: State, agent: string, msg: Tokens, nowMs: number) => {
     if (state.phase !== RequestPhase.Streaming || state.decode?.agent !== agent) return
     state.progressMs = nowMs
+    if (state.handoffMs !== undefined) state.ports.observeHandoff(nowMs - state.handoffMs)
+    state.handoffMs = undefined
     releasePrefill(state)
     take(state, msg.offset, msg.tokens)
   },
--- a/core/request/_reserve_policies.ts
+++ b/core/request/_reserve_policies.ts
@@ -3,7 +3,7 @@
  */
 import { ReservePolicy } from '../records/mod.ts'
 import { RequestTimer } from './_types.ts'
-import { prefill, reserve, wake } from './_state.ts'
+import { prefill, reserve, totalTokens, wake } from './_state.ts'
 import type { State } from './_state.ts'
 
 /** The steps in which reservation policies differ. */
@@ -22,7 +22,19 @@
   if (state.decode === undefined) reserve(state, nowMs)
 }
 
+function prefillIfMissing (state: State, nowMs: number): void {
+  if (state.prefill === undefined) prefill(state, nowMs)
+}
+
+/**
+ * Binds the decode backend server when the prefill is about to end. When no decode backend server has room, the
+ * reservation comes first, because a prefill result that waits for a seat expires.
+ */
 function beginPredicted (state: State, nowMs: number): void {
+  if (state.ports.estimateReserveMs(totalTokens(state)) > 0) {
+    reserve(state, nowMs)
+    return
+  }
   if (!prefill(state, nowMs) || state.prefill === undefined) return
   const tokens = state.spec.promptTokens + state.answer.next()
   const endMs = state.ports.estimatePrefillMs(state.prefill.agent, tokens)
@@ -33,9 +45,7 @@
 export const reservePolicies: { [P in ReservePolicy]: ReserveSteps } = {
   [ReservePolicy.ReserveFirst]: {
     begin: reserve,
-    reserved (state, nowMs) {
-      if (state.prefill === undefined) prefill(state, nowMs)
-    },
+    reserved: prefillIfMissing,
     prefilled: nothing
   },
   [ReservePolicy.PrefillFirst]: {
@@ -45,7 +55,7 @@
   },
   [ReservePolicy.Predicted]: {
     begin: beginPredicted,
-    reserved: nothing,
+    reserved: prefillIfMissing,
     prefilled: reserveIfMissing
   }
 }
--- a/core/request/_state.ts
+++ b/core/request/_state.ts
@@ -2,12 +2,12 @@
  * The state of a request and the steps that all of its handlers share.
  */
 import { MessageKind } from '../../wire/mod.ts'
-import { Outcome, Role } from '../types/mod.ts'
+import { Outcome, RefusalCode, Role } from '../types/mod.ts'
 import { RequestEffectKind, RequestPhase, RequestTimer } from './_types.ts'
 import type { RequestEffect, RequestOptions, RequestPorts, RequestSpec } from './_types.ts'
 import type { Prefilled } from '../../wire/mod.ts'
 import type { TokenAssembler } from '../stream/mod.ts'
-import type { AttemptRef, RefusalCode } from '../types/mod.ts'
+import type { AttemptRef } from '../types/mod.ts'
 
 /** One backend server's part in the current attempt. */
 export interface Leg {
@@ -31,6 +31,8 @@
   prefill: Leg | undefined
   decode: Leg | undefined
   prefilled: Prefilled | undefined
+  /** Time in milliseconds at which the generation was asked for, until its first token comes. */
+  handoffMs: number | undefined
   /** Backend servers that failed or refused in this request. */
   exclude: Set<string>
   /** Tokens written to the caller. */
@@ -108,7 +110,8 @@
 function choose (state: State, role: Role, near: string | undefined): Leg | undefined {
   const chosen = state.ports.choose(role, promptTokens(state), [...state.exclude], near)
   if (chosen.err) {
-    fail(state, chosen.val, 1000)
+    // Backend servers that refused or failed before are there, so the request found no room rather than no server.
+    fail(state, state.exclude.size > 0 ? RefusalCode.NoCapacity : chosen.val, 1000)
     return undefined
   }
   const reason = state.attempt === 1 ? 'first attempt' : `attempt ${state.attempt}`
@@ -122,14 +125,32 @@
   return Math.max(0, state.startedMs + state.options.firstTokenMs - nowMs)
 }
 
+/** Counts the tokens of the prompt so far and of the rest of the answer. */
+export function totalTokens (state: State): number {
+  return promptTokens(state) + state.spec.maxTokens - state.answer.next()
+}
+
+/** Returns the milliseconds that a reservation may wait so that a prefill after it still meets the target. */
+function reserveBudgetMs (state: State, nowMs: number): number {
+  const leftMs = budgetMs(state, nowMs)
+  const prefillMs = state.prefill === undefined ? state.ports.estimatePrefillMs(undefined, promptTokens(state)) : 0
+  return Math.max(0, leftMs - prefillMs - state.ports.estimateHandoffMs())
+}
+
+/** Returns the milliseconds by which the first token would come too late if everything began now; 0 when it can be in time. */
+export function lateByMs (state: State): number {
+  const neededMs = state.ports.estimatePrefillMs(undefined, promptTokens(state)) + state.ports.estimateHandoffMs()
+  return Math.max(0, neededMs - state.options.firstTokenMs)
+}
+
 /** Asks a decode agent for a seat and memory. Returns false when the request ended. */
 export function reserve (state: State, nowMs: number): boolean {
   const leg = choose(state, Role.Decode, state.prefill?.agent)
   if (leg === undefined) return false
   state.decode = leg
-  const { caller, tierClass, model, version, maxTokens } = state.spec
-  const tokens = promptTokens(state) + maxTokens - state.answer.next()
-  const waitMs = budgetMs(state, nowMs)
+  const { caller, tierClass, model, version } = state.spec
+  const tokens = totalTokens(state)
+  const waitMs = reserveBudgetMs(state, nowMs)
   expect(state, waitMs)
   const msg = { kind: MessageKind.Reserve as const, ...ref(state), pieces: 0, tokens, tierClass, caller, model, version, waitMs }
   state.effects.push({ kind: RequestEffectKind.Send, agent: leg.agent, msg })
@@ -170,5 +191,6 @@
     agent: decode.agent,
     msg: { kind: MessageKind.Decode, ...ref(state), model, version, handle, kvAddress, promptTokens, maxTokens, startOffset, tierClass }
   })
+  state.handoffMs = nowMs
   enter(state, RequestPhase.Streaming, nowMs)
 }
--- a/core/request/_types.ts
+++ b/core/request/_types.ts
@@ -103,8 +103,17 @@
   choose (role: Role, promptTokens: number, exclude: string[], near: string | undefined): Result<RequestChoice, RefusalCode>
   /** Takes one retry from the budget; false when the budget is used up. */
   takeRetry (nowMs: number): boolean
-  /** Estimates the time in milliseconds until a prefill at a backend server ends. */
-  estimatePrefillMs (backend: string, promptTokens: number): number
+  /**
+   * Estimates the time in milliseconds until a prefill at a backend server ends, or at the one that is ready first when
+   * none is named.
+   */
+  estimatePrefillMs (backend: string | undefined, promptTokens: number): number
+  /** Estimates the time in milliseconds from the end of a prefill to the first token. */
+  estimateHandoffMs (): number
+  /** Takes in the time in milliseconds from the end of a prefill to the first token. */
+  observeHandoff (ms: number): void
+  /** Estimates the time in milliseconds that a reservation for so many tokens waits; 0 when there is room now. */
+  estimateReserveMs (tokens: number): number
 }
 
 /** Configures a request. */
--- a/core/request/create_request.ts
+++ b/core/request/create_request.ts
@@ -4,7 +4,7 @@
 import { MessageKind } from '../../wire/mod.ts'
 import { onReply } from './_replies.ts'
 import { reservePolicies } from './_reserve_policies.ts'
-import { dropLegs, enter, fail, ref, reserve, wake } from './_state.ts'
+import { dropLegs, enter, fail, lateByMs, ref, reserve, wake } from './_state.ts'
 import { abandon, lose } from './_recovery.ts'
 import { createTokenAssembler } from '../stream/mod.ts'
 import { RefusalCode } from '../types/mod.ts'
@@ -26,7 +26,9 @@
     state.attempt = 1
     wake(state, RequestTimer.Deadline, state.options.deadlineMs)
     enter(state, RequestPhase.Preparing, nowMs)
-    reservePolicies[state.options.policy].begin(state, nowMs)
+    const lateMs = lateByMs(state)
+    if (lateMs > 0) fail(state, RefusalCode.TargetMissed, lateMs)
+    else reservePolicies[state.options.policy].begin(state, nowMs)
   },
   [RequestEventKind.Reply]: onReply,
   [RequestEventKind.AgentLost]: (state, event, nowMs) => lose(state, event.agent, nowMs),
@@ -115,6 +117,7 @@
     prefill: undefined,
     decode: undefined,
     prefilled: undefined,
+    handoffMs: undefined,
     exclude: new Set(),
     answer: createTokenAssembler(),
     sentPrefills: 0,
--- a/core/request/request_test.ts
+++ b/core/request/request_test.ts
@@ -37,7 +37,10 @@
       return backend === undefined ? Err(RefusalCode.NoBackend) : Ok({ backend, runnersUp: [] })
     },
     takeRetry: () => retries-- > 0,
-    estimatePrefillMs: () => 100
+    estimatePrefillMs: () => 100,
+    estimateReserveMs: () => 0,
+    estimateHandoffMs: () => 0,
+    observeHandoff: () => {}
   }
 }
 
--- /dev/null
+++ b/core/routing/_estimates.ts
@@ -0,0 +1,43 @@
+/**
+ * Estimates of waits from reported load.
+ */
+import { TierClass } from '../types/mod.ts'
+import { freshness } from './_score.ts'
+import type { BackendView } from './_types.ts'
+
+/** Holds what the estimates need beside the view. */
+export interface EstimateContext {
+  nowMs: number
+  reportStaleMs: number
+  paidHeadroom: number
+  /** Own requests at prefill for each decode backend server, which will soon ask for a seat. */
+  coming: number
+}
+
+const leastWaitMs = 1
+
+/** Estimates the time in milliseconds that a reservation waits; 0 when there is room. */
+export function reserveWaitMs (view: BackendView, tokens: number, tierClass: TierClass, ctx: EstimateContext): number {
+  const { report } = view
+  if (report === undefined || freshness(view, ctx.nowMs, ctx.reportStaleMs) === 0) return 0
+  const ownSince = Math.max(0, view.requests - view.requestsAtReport)
+  const share = tierClass === TierClass.Free ? 1 - ctx.paidHeadroom : 1
+  const ahead = ownSince + ctx.coming
+  const pieces = (1 + ahead) * Math.ceil(tokens / Math.max(1, report.tokensPerPiece))
+  const hasPieces = report.piecesUsed + pieces <= report.pieces * share
+  // Paid work pauses free work when it finds no seat, so only its own queue makes it wait for one.
+  const hasSeat = tierClass === TierClass.Paid
+    ? report.waitMs === 0
+    : report.seatsUsed + ahead + 1 <= report.seats * share
+  return hasPieces && hasSeat ? 0 : Math.max(leastWaitMs, report.waitMs)
+}
+
+/** Estimates the time in milliseconds until a prefill of `tokens` tokens sent now has finished. */
+export function prefillMs (view: BackendView, tokens: number, tierClass: TierClass, ctx: EstimateContext): number {
+  const { report } = view
+  const all = report?.queuedTokens ?? 0
+  const queued = tierClass === TierClass.Paid ? report?.paidQueuedTokens ?? all : all
+  const trust = freshness(view, ctx.nowMs, ctx.reportStaleMs)
+  const ownSince = Math.max(0, view.tokens - view.tokensAtReport)
+  return (queued * trust + ownSince + tokens) * view.msPerToken
+}
--- a/core/routing/_score.ts
+++ b/core/routing/_score.ts
@@ -76,7 +76,8 @@
     const scale = view.info.role !== Role.Prefill && seats > 0 ? referenceSeats / seats : 1
     const load = work * scale / Math.max(view.info.weight, 0.01)
     const distance = distanceSeats(ctx.place, view.info)
-    const affinity = ctx.affinitySeats * matchedShare(view, wanted, ctx)
+    const savedSeats = matchedShare(view, wanted, ctx) * (wanted.prefixTokens ?? wanted.promptTokens) / promptTokensPerSeat
+    const affinity = Math.min(ctx.affinitySeats, savedSeats)
     return { view, load, distance, affinity, score: load + distance - affinity }
   })
 }
--- a/core/routing/_types.ts
+++ b/core/routing/_types.ts
@@ -3,7 +3,7 @@
  */
 import type { ChoicePolicy } from '../records/mod.ts'
 import type { Result } from '../results/mod.ts'
-import type { Place, RefusalCode, Role } from '../types/mod.ts'
+import type { Place, RefusalCode, Role, TierClass } from '../types/mod.ts'
 import type { LoadReport } from '../../wire/mod.ts'
 
 /** Names what is believed about a backend server. */
@@ -37,6 +37,8 @@
   choice: ChoicePolicy
   /** How far a prefix match may outweigh load, in seats. */
   affinitySeats: number
+  /** Share of seats and memory that only paid work may use, from 0 to 1; 0 when absent. */
+  paidHeadroom?: number
 }
 
 /** Configures a router. */
@@ -79,6 +81,8 @@
   promptTokens: number
   /** Hashes of the prompt's prefixes, shortest first. */
   prefixes: string[]
+  /** Number of prompt tokens that the longest prefix covers; all of them when absent. */
+  prefixTokens?: number
   /** Names of backend servers that must not be chosen. */
   exclude: string[]
   /** Region outside of which nothing is chosen. */
@@ -151,8 +155,15 @@
   choose (wanted: Choose, nowMs: number): Result<Choice, RefusalCode>
   /** Chooses a prefill and a decode backend server in the same region. */
   choosePair (wanted: ChoosePair, nowMs: number): Result<PairChoice, RefusalCode>
+  /**
+   * Estimates the time in milliseconds that a reservation for `promptTokens` tokens waits at the decode backend server
+   * that is ready first; 0 when one has room now.
+   */
+  estimateReserveMs (wanted: Choose, tierClass: TierClass, nowMs: number): number
+  /** Estimates the time in milliseconds until a prefill sent now to the prefill backend server that is ready first ends. */
+  estimateBestPrefillMs (wanted: Choose, tierClass: TierClass, nowMs: number): number
   /** Estimates the time in milliseconds until a prefill of `promptTokens` tokens sent now has finished. */
-  estimateFirstTokenMs (backend: string, promptTokens: number, nowMs: number): number
+  estimateFirstTokenMs (backend: string, promptTokens: number, tierClass: TierClass, nowMs: number): number
   /** Returns what is believed about every backend server. */
   views (): BackendView[]
 }
--- a/core/routing/_views.ts
+++ b/core/routing/_views.ts
@@ -1,6 +1,7 @@
 /**
  * The table of views that a router holds, one for each backend server.
  */
+import { Role } from '../types/mod.ts'
 import { freshness } from './_score.ts'
 import { BackendHealth } from './_types.ts'
 import type { LoadReport } from '../../wire/mod.ts'
@@ -25,7 +26,7 @@
   count (backend: string, requests: number, tokens: number): void
   notePrefixes (backend: string, prefixes: string[], nowMs: number): void
   observePrefill (backend: string, tokens: number, elapsedMs: number): void
-  estimateFirstTokenMs (backend: string, promptTokens: number, nowMs: number): number
+  get (backend: string): BackendView | undefined
 }
 
 function dropOldPrefixes (view: BackendView, beforeMs: number): void {
@@ -78,6 +79,8 @@
     view.reportAtMs = nowMs
     view.requestsAtReport = view.requests
     view.tokensAtReport = view.tokens
+    // The agent measures the speed of its engine; only a report with a queue carries it.
+    if (report.role === Role.Prefill && report.queuedTokens > 0) view.msPerToken = report.waitMs / report.queuedTokens
     notePrefixes(report.backend, report.prefixes, nowMs)
   }
 
@@ -94,14 +97,6 @@
     view.msPerToken += smoothing * (elapsedMs / tokens - view.msPerToken)
   }
 
-  function estimateFirstTokenMs (backend: string, promptTokens: number, nowMs: number): number {
-    const view = views.get(backend)
-    if (view === undefined) return 0
-    const trust = freshness(view, nowMs, options.reportStaleMs)
-    const others = Math.max(0, (view.report?.queuedTokens ?? 0) - view.tokensAtReport) * trust
-    return (others + view.tokens + promptTokens) * view.msPerToken
-  }
-
   return {
     all: () => views.values(),
     upsert,
@@ -114,6 +109,6 @@
     count,
     notePrefixes,
     observePrefill,
-    estimateFirstTokenMs
+    get: (backend) => views.get(backend)
   }
 }
--- a/core/routing/create_router.ts
+++ b/core/routing/create_router.ts
@@ -6,13 +6,16 @@
 import { RefusalCode, Role } from '../types/mod.ts'
 import { choicePolicies } from './_choice_policies.ts'
 import { eligible } from './_eligible.ts'
+import { prefillMs, reserveWaitMs } from './_estimates.ts'
 import { scoreAll } from './_score.ts'
 import { LossReason } from './_types.ts'
 import { createViews } from './_views.ts'
 import type { Result } from '../results/mod.ts'
+import type { TierClass } from '../types/mod.ts'
 import type { Pick } from './_choice_policies.ts'
+import type { EstimateContext } from './_estimates.ts'
 import type { Scored } from './_score.ts'
-import type { BackendInfo, Choice, Choose, ChoosePair, PairChoice, Router, RouterOptions, RunnerUp, BackendHealth } from './_types.ts'
+import type { BackendInfo, BackendView, Choice, Choose, ChoosePair, PairChoice, Router, RouterOptions, RunnerUp, BackendHealth } from './_types.ts'
 
 const maxRunnersUp = 16
 
@@ -83,6 +86,26 @@
     })
   }
 
+  function requestsAtPrefill (): number {
+    return [...views.all()].reduce((sum, view) => sum + (view.info.role === Role.Prefill ? view.requests : 0), 0)
+  }
+
+  function contextAt (nowMs: number, candidates: number): EstimateContext {
+    const coming = requestsAtPrefill() / Math.max(1, candidates)
+    return { nowMs, reportStaleMs, paidHeadroom: policy.paidHeadroom ?? 0, coming }
+  }
+
+  function leastOver (wanted: Choose, nowMs: number, estimate: (view: BackendView, ctx: EstimateContext) => number): number {
+    const { candidates } = eligible(views.all(), wanted, { nowMs, stallMs, reportStaleMs })
+    const ctx = contextAt(nowMs, candidates.length)
+    return candidates.length === 0 ? 0 : Math.min(...candidates.map((view) => estimate(view, ctx)))
+  }
+
+  function estimateFirstTokenMs (backend: string, promptTokens: number, tierClass: TierClass, nowMs: number): number {
+    const view = views.get(backend)
+    return view === undefined ? 0 : prefillMs(view, promptTokens, tierClass, contextAt(nowMs, 1))
+  }
+
   function regionsOf (wanted: ChoosePair): string[] {
     if (wanted.region !== undefined) return [wanted.region]
     const regions = new Set([place.region])
@@ -131,7 +154,11 @@
     observePrefill: views.observePrefill,
     choose,
     choosePair,
-    estimateFirstTokenMs: views.estimateFirstTokenMs,
+    estimateReserveMs: (wanted, tierClass, nowMs) =>
+      leastOver(wanted, nowMs, (view, ctx) => reserveWaitMs(view, wanted.promptTokens, tierClass, ctx)),
+    estimateBestPrefillMs: (wanted, tierClass, nowMs) =>
+      leastOver(wanted, nowMs, (view, ctx) => prefillMs(view, wanted.promptTokens, tierClass, ctx)),
+    estimateFirstTokenMs,
     views: () => [...views.all()]
   }
 }
--- a/core/routing/routing.feature
+++ b/core/routing/routing.feature
@@ -38,7 +38,24 @@
   Scenario: A router keeps prefill and decode in one region
     Then the router chooses no pair across regions in 500 random views
 
-  Scenario: A router estimates the first token from the reported queue and its own work
-    Given a router for prefill with 1000 queued tokens and 0.5 ms for each token
-    When the router sends 200 own tokens and asks for 100 more
-    Then the router estimates 650 ms
+  Scenario Outline: A router estimates the first token from the reported queue of the tier and its own work
+    Given a router for prefill with 1000 queued tokens, 400 of them paid, and 0.5 ms for each token
+    When the router sends 200 own tokens and asks for 100 more of the tier "<tier>"
+    Then the router estimates <ms> ms
+
+    Examples:
+      | tier | ms  |
+      | free | 650 |
+      | paid | 350 |
+
+  Scenario Outline: A router expects a wait where a reservation finds no room
+    Then the router expects a wait "<waits>" of "<tier>" work with <seats> of 20 seats and <pieces> of 4000 pieces used and a queue of <queueMs> ms
+
+    Examples:
+      | tier | seats | pieces | queueMs | waits |
+      | free | 10    | 2000   | 0       | no    |
+      | free | 18    | 2000   | 0       | yes   |
+      | paid | 20    | 2000   | 0       | no    |
+      | paid | 20    | 2000   | 50      | yes   |
+      | paid | 10    | 3995   | 0       | yes   |
+      | free | 10    | 3700   | 0       | yes   |
--- a/core/routing/routing_test.ts
+++ b/core/routing/routing_test.ts
@@ -10,6 +10,7 @@
 import { Role } from '../types/mod.ts'
 import { MessageKind } from '../../wire/mod.ts'
 import { BackendHealth, createRouter } from './mod.ts'
+import type { TierClass } from '../types/mod.ts'
 import type { LoadReport } from '../../wire/mod.ts'
 import type { Choose, Router, RouterOptions } from './mod.ts'
 
@@ -115,7 +116,7 @@
 
 function withAffinity (world: World, affinitySeats: number, nowMs: number): string {
   world.router.setPolicy({ choice: world.choice, affinitySeats })
-  return chosen(world.router, nowMs, { prefixes: ['p1', 'p2'], exclude: ['d3'] })
+  return chosen(world.router, nowMs, { prefixes: ['p1', 'p2'], promptTokens: 6 * 256, exclude: ['d3'] })
 }
 
 Then('the router chooses {string} with {int} affinity seats and {string} with {int}',
@@ -170,19 +171,30 @@
   }), { seed: 13, numRuns })
 })
 
-Given('a router for prefill with {int} queued tokens and {float} ms for each token',
-  function (this: World, queuedTokens: number, prefillMsPerToken: number) {
+Given('a router for prefill with {int} queued tokens, {int} of them paid, and {float} ms for each token',
+  function (this: World, queuedTokens: number, paidQueuedTokens: number, prefillMsPerToken: number) {
     const policy = { choice: ChoicePolicy.LeastLoaded, affinitySeats: 0 }
-    this.router = createRouter({ policy, place, random: seeded(1), prefillMsPerToken })
+    this.router = createRouter({ policy, place, random: seeded(1), prefillMsPerToken: 9 })
     this.router.upsert({ ...place, name: 'p1', role: Role.Prefill, serves: 'redaction', version: '1', weight: 1 })
-    this.router.onLoad(report('p1', { role: Role.Prefill, queuedTokens }), 0)
+    const waitMs = queuedTokens * prefillMsPerToken
+    this.router.onLoad(report('p1', { role: Role.Prefill, queuedTokens, paidQueuedTokens, waitMs }), 0)
   })
 
-When('the router sends {int} own tokens and asks for {int} more', function (this: World, own: number, more: number) {
-  this.router.started('p1', own)
-  this.nowMs = this.router.estimateFirstTokenMs('p1', more, 0)
-})
+When('the router sends {int} own tokens and asks for {int} more of the tier {string}',
+  function (this: World, own: number, more: number, tier: string) {
+    this.router.started('p1', own)
+    this.nowMs = this.router.estimateFirstTokenMs('p1', more, tier as TierClass, 0)
+  })
 
 Then('the router estimates {int} ms', function (this: World, ms: number) {
   assert.equal(this.nowMs, ms)
 })
+
+Then('the router expects a wait {string} of {string} work with {int} of 20 seats and {int} of 4000 pieces used and a queue of {int} ms',
+  function (waits: string, tier: string, seatsUsed: number, piecesUsed: number, waitMs: number) {
+    const policy = { choice: ChoicePolicy.LeastLoaded, affinitySeats: 0, paidHeadroom: 0.1 }
+    const router = build(policy, [0])
+    router.onLoad(report('d1', { seatsUsed, piecesUsed, waitMs, seq: 2 }), 0)
+    const expected = router.estimateReserveMs(wanted, tier as TierClass, 0)
+    assert.equal(expected > 0 ? 'yes' : 'no', waits)
+  })
--- a/entry/start_entry.ts
+++ b/entry/start_entry.ts
@@ -6,7 +6,7 @@
 import { ChoicePolicy, RecordKind, ReservePolicy } from '../core/records/mod.ts'
 import { createRetryBudget } from '../core/retry/mod.ts'
 import { Err, Ok } from '../core/results/mod.ts'
-import { createRouter } from '../core/routing/mod.ts'
+import { createDelayEstimate, createRouter } from '../core/routing/mod.ts'
 import { Role } from '../core/types/mod.ts'
 import { createBase } from '../daemon/mod.ts'
 import { createDecisionRing, DecisionKind } from '../log/mod.ts'
@@ -17,6 +17,7 @@
 import { completionRoutes } from './_completions.ts'
 import { startHttpServer } from './_http_server.ts'
 import { createModelRequests } from './_model_requests.ts'
+import { createPrefixHasher } from './_prefix_hashes.ts'
 import { createRpc } from './_rpc.ts'
 import { serviceRoutes } from './_services.ts'
 import { createEntryStats } from './_stats.ts'
@@ -24,6 +25,7 @@
 import type { PolicyRecord } from '../core/records/mod.ts'
 import type { RequestPorts, RequestSpec } from '../core/request/mod.ts'
 import type { Result } from '../core/results/mod.ts'
+import type { Choose } from '../core/routing/mod.ts'
 import type { Daemon } from '../daemon/mod.ts'
 import type { Decision } from '../log/mod.ts'
 import type { Peer } from '../peer/mod.ts'
@@ -36,7 +38,7 @@
 const decisionRingSize = 20_000
 const maxUnsentBytes = 1_048_576
 const drainPollMs = 50
-const minRetriesPerS = 2
+const minRetriesPerS = 0.5
 const requestIdBytes = 9
 
 const defaultPolicy: Omit<PolicyRecord, 'kind' | 'name'> = {
@@ -66,6 +68,7 @@
 export async function startEntry (settings: EntrySettings): Promise<Result<Daemon, string>> {
   const { timings, name } = settings
   const place = { availabilityZone: settings.availabilityZone, region: settings.region }
+  const hashPrefixes = await createPrefixHasher()
   const ring = createDecisionRing({ size: decisionRingSize })
   let draining = false
 
@@ -84,6 +87,7 @@
 
   const policy = (): Omit<PolicyRecord, 'kind' | 'name'> => config.get(RecordKind.Policy, 'default') ?? defaultPolicy
   const router = createRouter({ policy: policy(), place, random: Math.random })
+  const handoff = createDelayEstimate()
   const retries = createRetryBudget({ ratio: policy().retryBudget, minPerS: minRetriesPerS })
   const stats = createEntryStats(metrics, retries.succeeded)
   const limits = createLimits({
@@ -118,6 +122,11 @@
     fellows.onMembers(changes)
   }
 
+  function applyPolicy (): void {
+    router.setPolicy(policy())
+    retries.setRatio(policy().retryBudget)
+  }
+
   function decide (decision: Omit<Decision, 'revision'>): void {
     const whole = { ...decision, revision: config.revision() }
     ring.add(whole)
@@ -147,14 +156,25 @@
   }
 
   function requestPorts (spec: RequestSpec): RequestPorts {
+    const { model, version, tierClass } = spec
+    const beginnings = hashPrefixes(spec.prompt)
+    const wanted = (role: Role, promptTokens: number, exclude: string[], region?: string): Choose => {
+      return { role, model, version, promptTokens, ...beginnings, exclude, region }
+    }
     return {
       choose (role, promptTokens, exclude, near) {
         const region = near === undefined ? undefined : agents.record(near)?.region
-        const { model, version } = spec
-        return router.choose({ role, model, version, promptTokens, prefixes: [], exclude, region }, timer.now())
+        const chosen = router.choose(wanted(role, promptTokens, exclude, region), timer.now())
+        if (chosen.ok && role === Role.Prefill) router.notePrefixes(chosen.val.backend, beginnings.prefixes, timer.now())
+        return chosen
       },
       takeRetry: (nowMs) => retries.take(nowMs),
-      estimatePrefillMs: (backend, tokens) => router.estimateFirstTokenMs(backend, tokens, timer.now())
+      estimatePrefillMs: (backend, tokens) => backend === undefined
+        ? router.estimateBestPrefillMs(wanted(Role.Prefill, tokens, []), tierClass, timer.now())
+        : router.estimateFirstTokenMs(backend, tokens, tierClass, timer.now()),
+      estimateHandoffMs: handoff.ms,
+      observeHandoff: handoff.observe,
+      estimateReserveMs: (tokens) => router.estimateReserveMs(wanted(Role.Decode, tokens, []), tierClass, timer.now())
     }
   }
 
@@ -221,7 +241,7 @@
 
   config.onChange((event) => {
     if (event.key.startsWith(`${RecordKind.Backend}/`)) agents.refresh()
-    if (event.key.startsWith(`${RecordKind.Policy}/`)) router.setPolicy(policy())
+    if (event.key.startsWith(`${RecordKind.Policy}/`)) applyPolicy()
   })
   timer.onPause(timings.leaseMs, requests.revalidate)
 
--- a/wire/_message_checks.ts
+++ b/wire/_message_checks.ts
@@ -101,6 +101,7 @@
     pieces: isCount,
     piecesUsed: isCount,
     queuedTokens: isAmount,
+    paidQueuedTokens: optional(isAmount),
     waitMs: isAmount,
     draining: isFlag,
     seq: isCount,
--- a/wire/messages.ts
+++ b/wire/messages.ts
@@ -229,6 +229,8 @@
   pieces: number
   piecesUsed: number
   queuedTokens: number
+  /** The part of `queuedTokens` that belongs to paid work, which goes first; all of it when absent. */
+  paidQueuedTokens?: number
   /** Estimated time in milliseconds that new work waits before it starts. */
   waitMs: number
   draining: boolean
