--- a/cli/cli.feature
+++ b/cli/cli.feature
@@ -1,3 +1,4 @@
+@cli
 Feature: The command line
   Scenario Outline: The command line ends with a conventional code and tells faults on standard error
     When the command line "<arguments>" runs
--- a/cli/http_fuzz.feature
+++ b/cli/http_fuzz.feature
@@ -1,3 +1,4 @@
+@http
 Feature: HTTP input of callers with hostile content
   Scenario: An entry refuses every hostile HTTP body as not run and holds nothing afterwards
     Given an HTTP entry with the records of the example "fleuve" and no backend servers
--- a/metrics/_table.ts
+++ b/metrics/_table.ts
@@ -79,8 +79,8 @@
   [Metric.Connections]: { kind: Gauge, unit: 'connections', tags: ['process'], meaning: 'peers connected' },
   [Metric.Orders]: { kind: Counter, unit: 'orders', tags: ['result'], meaning: 'orders given to the engine' },
   [Metric.ConfigRevision]: { kind: Gauge, unit: 'revision', tags: [], meaning: 'highest revision in force' },
-  [Metric.ConfigReads]: { kind: Counter, unit: 'reads', tags: ['result'], meaning: 'reads of the configuration service' },
-  [Metric.ConfigRefused]: { kind: Counter, unit: 'records', tags: ['reason'], meaning: 'records that were not accepted' },
+  [Metric.ConfigReads]: { kind: Counter, unit: 'reads', tags: ['result'], meaning: 'failed reads of the configuration service' },
+  [Metric.ConfigRefused]: { kind: Counter, unit: 'records', tags: [], meaning: 'records that were not accepted' },
   [Metric.Pauses]: { kind: Counter, unit: 'pauses', tags: [], meaning: 'pauses of the process beyond the lease' }
 } as const satisfies Record<Metric, MetricSpec>
 
@@ -88,3 +88,6 @@
 export type MetricOf<K extends MetricKind> = {
   [M in Metric]: (typeof metricTable)[M]['kind'] extends K ? M : never
 }[Metric]
+
+/** The tags of one metric. */
+export type TagsOf<M extends Metric> = { [T in (typeof metricTable)[M]['tags'][number]]: string }
--- a/metrics/create_metrics.ts
+++ b/metrics/create_metrics.ts
@@ -2,7 +2,7 @@
  * Sends counters, gauges and timings to a StatsD server.
  */
 import { StatsD } from 'hot-shots'
-import type { MetricKind, MetricOf } from './_table.ts'
+import type { Metric, MetricKind, MetricOf, TagsOf } from './_table.ts'
 
 /** Configures the metrics of a process. */
 export interface MetricsOptions {
@@ -14,15 +14,15 @@
   prefix: string
 }
 
-/** Values of the tags of one metric. */
-export type MetricTags = Record<string, string>
+/** The tags of a metric as the last argument; none when the metric has no tags. */
+export type TagArgs<M extends Metric> = keyof TagsOf<M> extends never ? [] : [tags: TagsOf<M>]
 
 /** Sends metrics; a lost one is not reported. */
 export interface Metrics {
-  count (metric: MetricOf<MetricKind.Counter>, delta?: number, tags?: MetricTags): void
-  gauge (metric: MetricOf<MetricKind.Gauge>, value: number, tags?: MetricTags): void
+  count<M extends MetricOf<MetricKind.Counter>> (metric: M, delta: number, ...tags: TagArgs<M>): void
+  gauge<M extends MetricOf<MetricKind.Gauge>> (metric: M, value: number, ...tags: TagArgs<M>): void
   /** Records a time in milliseconds. */
-  timing (metric: MetricOf<MetricKind.Timing>, ms: number, tags?: MetricTags): void
+  timing<M extends MetricOf<MetricKind.Timing>> (metric: M, ms: number, ...tags: TagArgs<M>): void
   /** Sends what is buffered and closes the socket. */
   close (): Promise<void>
 }
@@ -63,9 +63,9 @@
     errorHandler: () => {}
   })
   return {
-    count: (metric, delta = 1, tags = {}) => { client.increment(metric, delta, tags) },
-    gauge: (metric, value, tags = {}) => { client.gauge(metric, value, tags) },
-    timing: (metric, ms, tags = {}) => { client.timing(metric, ms, tags) },
+    count: (metric, delta, ...[tags]) => { client.increment(metric, delta, tags) },
+    gauge: (metric, value, ...[tags]) => { client.gauge(metric, value, tags) },
+    timing: (metric, ms, ...[tags]) => { client.timing(metric, ms, tags) },
     close: () => new Promise((resolve) => { client.close(() => resolve()) })
   }
 }
--- a/metrics/metrics.feature
+++ b/metrics/metrics.feature
@@ -1,3 +1,4 @@
+@metrics
 Feature: Metrics
   Scenario: The page of metrics and the table agree
     When the metrics page is read
--- a/metrics/mod.ts
+++ b/metrics/mod.ts
@@ -3,5 +3,5 @@
  */
 export { createMetrics } from './create_metrics.ts'
 export { Metric, MetricKind, metricTable } from './_table.ts'
-export type { Metrics, MetricsOptions, MetricTags } from './create_metrics.ts'
-export type { MetricOf, MetricSpec } from './_table.ts'
+export type { Metrics, MetricsOptions, TagArgs } from './create_metrics.ts'
+export type { MetricOf, MetricSpec, TagsOf } from './_table.ts'
--- a/wire/wire.feature
+++ b/wire/wire.feature
@@ -1,3 +1,4 @@
+@wire
 Feature: Wire frames, messages and connections
   Scenario Outline: A wire frame decoder joins frames however the stream is cut
     When wire frames of 5 messages arrive in pieces of <bytes> bytes
--- a/wire/wire_fuzz.feature
+++ b/wire/wire_fuzz.feature
@@ -1,3 +1,4 @@
+@wire
 Feature: Wire input from hostile peers
   Scenario: A sample of every kind of wire message is valid and survives a round trip
     Then the wire samples cover every kind, are valid and come back equal from 1 to 50 byte pieces
