Test the load tool, the key of the tools and commands in the same process

Rows that do not end the process now run in place; help and usage errors, which sade ends itself, still run as processes. The load tool now counts against a target that answers, refuses and breaks off.

--- a/cli/cli.feature
+++ b/cli/cli.feature
@@ -1,18 +1,31 @@
 @cli
 Feature: The command line
   Scenario Outline: The command line ends with a conventional code and tells faults on standard error
-    When the command line "<arguments>" runs
+    When the command line "<arguments>" runs as a process
     Then the command line ends with <code> and prints "<out>" to <stream>
 
     Examples:
-      | arguments               | code | out                          | stream          |
-      | --help                  | 0    | Available Commands           | standard output |
-      | load --help             | 0    | --between-tokens-ms          | standard output |
-      | check missing.jsonc     | 1    | "missing.jsonc" cannot be    | standard error  |
-      | entry                   | 1    | expected --settings FILE     | standard error  |
-      | entry --setings x.jsonc | 1    | Unknown option: --setings    | standard error  |
-      | status 127.0.0.1:1      | 1    | connection to 127.0.0.1:1    | standard error  |
-      | load --rate 5           | 1    | --url is missing             | standard error  |
+      | arguments               | code | out                       | stream          |
+      | load --help             | 0    | --between-tokens-ms       | standard output |
+      | entry --setings x.jsonc | 1    | Unknown option: --setings | standard error  |
+
+  Scenario Outline: Commands of the command line tell faults on standard error
+    When the command line "<arguments>" runs here
+    Then the command line ends with 1 and prints "<out>" to standard error
+
+    Examples:
+      | arguments                              | out                       |
+      | check missing.jsonc                    | "missing.jsonc" cannot be |
+      | entry                                  | expected --settings FILE  |
+      | entry --settings missing.jsonc         | "missing.jsonc" cannot be |
+      | agent --settings examples/fleuve/entry.jsonc | expected those of an agent |
+      | status 127.0.0.1:1                     | connection to 127.0.0.1:1 |
+      | load --rate 5                          | --url is missing          |
+
+  Scenario: The command line load tool counts what finished, was refused and broke off
+    Given a command line target that in turn answers, refuses with "no_capacity" and breaks off
+    When the command line loads the target at 100 requests a second for 1 s
+    Then the command line load report counts one third of each and goodput of the finished only
 
   Scenario Outline: The command line asks a running process
     Given a command line peer that answers status and explain
@@ -25,6 +38,17 @@
       | explain r1 | 0    | not d2: no seat   |
       | explain r9 | 1    | remembers nothing |
 
+  Scenario Outline: The command line reaches a process with a key only through settings that hold it
+    Given a command line peer with the key of the example "fleuve"
+    When the command line asks the peer for its status with the settings "<settings>"
+    Then the command line answer has the code <code> and names "<text>"
+
+    Examples:
+      | settings                     | code | text                  |
+      | examples/fleuve/entry.jsonc  | 0    | "revision": 7         |
+      | examples/velluto/entry.jsonc | 1    | connection to         |
+      | none                         | 1    | closed the connection |
+
   Scenario Outline: A command line daemon obeys signals, and ends work only after the grace period
     Given a command line daemon with a grace period of 1000 ms and work that ends <end>
     When the command line daemon gets SIGTERM at the times "<signals>"
