Test that replacing agents one after the other refuses nothing

The matrix showed "draining" cells whose other caller was refused with no_backend although the second decode engine was free. New scenario: each of two decode agents is told to stop and started again, twice, 1 s apart, under 10 requests a second. A status poll shows the entry without the new agent until 8.7 s after its ready line.

--- a/testing/deployment/deployment.feature
+++ b/testing/deployment/deployment.feature
@@ -5,3 +5,9 @@
     Given a matrix deployment in service
     When the deployment stays idle for 2500 ms
     Then the deployment answers a model request through every entry at the first try
+
+  @full
+  Scenario: A deployment whose decode agents are replaced one after the other refuses nothing
+    Given a matrix deployment in service
+    When the deployment replaces each decode agent twice, 1000 ms apart, while callers ask
+    Then the deployment answered every caller
--- a/testing/matrix/main.ts
+++ b/testing/matrix/main.ts
@@ -61,7 +61,7 @@
     file: false,
     provided: {
       paths: ['testing/matrix/*.feature', 'testing/deployment/*.feature'],
-      import: ['dist/testing/matrix/matrix_test.js'],
+      import: ['dist/testing/matrix/*_test.js'],
       tags: '@matrix',
       parallel: lanes,
       format: ['progress']
