--- a/peer/peer_test.ts
+++ b/peer/peer_test.ts
@@ -18,7 +18,7 @@
 
 interface World {
   peerTimer: Timer
-  nodes: Map<string, Node>
+  peerNodes: Map<string, Node>
 }
 
 async function startNode (world: World, name: string, incarnation: number, port = 0): Promise<Node> {
@@ -35,12 +35,12 @@
     random: () => 0.5
   })
   node.address = (await node.peers.listen('127.0.0.1', port)).unwrap()
-  world.nodes.set(name, node)
+  world.peerNodes.set(name, node)
   return node
 }
 
 function node (world: World, name: string): Node {
-  const found = world.nodes.get(name)
+  const found = world.peerNodes.get(name)
   assert.ok(found, `no peer "${name}"`)
   return found
 }
@@ -55,13 +55,13 @@
 
 Given('peers {string} and {string} that listen', async function (this: World, first: string, second: string) {
   this.peerTimer = createSystemTimer()
-  this.nodes = new Map()
+  this.peerNodes = new Map()
   await startNode(this, first, 1)
   await startNode(this, second, 1)
 })
 
 After(async function (this: Partial<World>) {
-  for (const item of this.nodes?.values() ?? []) await item.peers.close()
+  for (const item of this.peerNodes?.values() ?? []) await item.peers.close()
   this.peerTimer?.close()
 })
 
