Measure the slopes of state, messages, processor time and memory

Cause: docs/CAPACITY.md may quote only measured slopes. `npm run slopes` runs the real cores and the wire over loopback connections to a source process, so that only the measured side's processor time counts, and fits lines to medians of 3 rounds. Found by it: the tick of the membership cost 1.85 us for each member of the fleet, 4 times a second; at 5,130 members that is 38 ms a second, 3.8% of a core. It now passes over members that only the host list knows: 0.029 us. Ruled out: sending all messages at once, which hides the cost of a read for each message.

--- /dev/null
+++ b/bench/slopes/_wire_slopes.ts
@@ -0,0 +1,182 @@
+/**
+ * Slopes of messages: bytes by the codec, processor time over sockets.
+ */
+import { createConfiguration } from '../../core/configuration/mod.ts'
+import { createLeaseTable } from '../../core/lease/mod.ts'
+import { createLimits } from '../../core/limits/mod.ts'
+import { createMembership } from '../../core/membership/mod.ts'
+import { ChoicePolicy } from '../../core/records/mod.ts'
+import { createRouter } from '../../core/routing/mod.ts'
+import { Role } from '../../core/types/mod.ts'
+import type { ConfigService } from '../../platform/mod.ts'
+import { createConfigRelay } from '../../relay/mod.ts'
+import type { RelayMessage } from '../../relay/mod.ts'
+import { createManualTimer } from '../../timer/mod.ts'
+import { encodeFrame, MessageKind } from '../../wire/mod.ts'
+import type { Connection, Message } from '../../wire/mod.ts'
+import type { Point } from './_fit.ts'
+import { cpuMicros } from './_rig.ts'
+import type { Rig } from './_rig.ts'
+import { sample } from './_samples.ts'
+import type { SampleName } from './_samples.ts'
+
+/** A slope that is to be measured. */
+export interface Measure {
+  name: string
+  /** What x counts. */
+  per: string
+  unit: string
+  run: (rig: Rig) => Promise<Point[]>
+}
+
+type Handler = (connection: Connection, msg: Message) => void
+
+const counts = [1000, 2000, 3000, 4000, 6000]
+const rounds = 3
+const place = { availabilityZone: 'zone-0', region: 'region-0' }
+
+function bytesMeasure (name: SampleName, per: string, sizes: number[]): Measure {
+  const run = async (): Promise<Point[]> => sizes.map((x) => ({ x, y: encodeFrame(sample(name, x, 123456)).length }))
+  return { name: `bytes of ${name}`, per, unit: 'B', run }
+}
+
+/** Measures the processor time for receiving and handling samples. */
+function receiveMeasure (label: string, name: SampleName, size: number, createHandler: () => Handler, scale = 1): Measure {
+  async function run (rig: Rig): Promise<Point[]> {
+    const points: Point[] = []
+    for (let round = 0; round <= rounds; round++) {
+      for (const x of counts.map((count) => Math.round(count * scale))) {
+        rig.setHandler(createHandler())
+        rig.resetCount()
+        const y = await cpuMicros(async () => {
+          await Promise.all([rig.order({ op: 'send', name, size, count: x }), rig.waitFor(x)])
+        })
+        // The first round warms the compiler up.
+        if (round > 0) points.push({ x, y })
+      }
+    }
+    return points
+  }
+  return { name: `cpu to receive ${label}`, per: 'message', unit: 'us', run }
+}
+
+/** Measures the processor time for encoding and sending samples, each on its own. */
+function sendMeasure (label: string, name: SampleName, size: number): Measure {
+  async function run (rig: Rig): Promise<Point[]> {
+    const points: Point[] = []
+    let n = 0
+    for (let round = 0; round <= rounds; round++) {
+      for (const x of counts) {
+        const y = await cpuMicros(async () => {
+          for (let sent = 0; sent < x;) {
+            for (const connection of rig.connections) {
+              if (sent++ < x) connection.send(sample(name, size, n++))
+            }
+            await new Promise((resolve) => setImmediate(resolve))
+          }
+        })
+        if (round > 0) points.push({ x, y })
+      }
+    }
+    return points
+  }
+  return { name: `cpu to send ${label}`, per: 'message', unit: 'us', run }
+}
+
+function takeHeartbeat (): Handler {
+  const leases = createLeaseTable({ leaseMs: 2000 })
+  for (let i = 0; i < 100; i++) leases.open(`entry-${i}#1`, 0)
+  let n = 0
+  return (_connection, msg) => {
+    if (msg.kind !== MessageKind.Heartbeat) return
+    const live = new Set(msg.live.map(({ requestId, attempt }) => `${requestId}/${attempt}`))
+    if (live.size >= 0) leases.renew(`entry-${n++ % 100}#1`, 1)
+  }
+}
+
+function takeLoad (): Handler {
+  const members = createMembership()
+  const router = createRouter({ policy: { choice: ChoicePolicy.PowerOfTwo, affinitySeats: 2 }, place, random: () => 0.5 })
+  for (let i = 0; i < 100; i++) {
+    const name = `backend-${i}`
+    members.connected({ name, process: 'agent', address: '127.0.0.1:1', incarnation: 1, ...place }, 0)
+    router.upsert({ name, role: Role.Decode, serves: 'resume-70b', version: '2026-11', weight: 1, ...place })
+  }
+  return (_connection, msg) => {
+    if (msg.kind !== MessageKind.Load) return
+    members.progressed({ name: msg.backend, incarnation: 1, progress: msg.seq, busy: true }, 1)
+    members.draining(msg.backend, 1, msg.draining, 1)
+    router.onLoad(msg, 1)
+  }
+}
+
+function takeUsage (): Handler {
+  const limitOf = (): { requestsPerS: number, tokensPerS: number, concurrency: number } =>
+    ({ requestsPerS: 150, tokensPerS: 50_000, concurrency: 1500 })
+  const limits = createLimits({ entry: 'entry-0', incarnation: 1, limitOf })
+  return (_connection, msg) => {
+    if (msg.kind === MessageKind.UsageShare) limits.onShare(msg, 1)
+  }
+}
+
+const silentService: ConfigService = {
+  readAll: () => new Promise(() => {}),
+  watch: () => new Promise(() => {}),
+  close: async () => {}
+}
+
+/** Relays digests and records with 2 links and 4 subscribers, as a process in the middle of the trees has. */
+function takeRelayed (rig: Rig): Handler {
+  const timer = createManualTimer()
+  const config = createConfiguration()
+  const members = Array.from({ length: 400 }, (_, i) => ({ name: `backend-${i}`, ...place }))
+  const peerName = (i: number): string => `backend-${i % 100}`
+  const byName = new Map(rig.connections.map((connection, i) => [peerName(i), connection]))
+  const relay = createConfigRelay({
+    timer,
+    config,
+    service: silentService,
+    self: { name: 'backend-399', ...place },
+    random: () => 0.5,
+    send: (peer, msg) => { byName.get(peer)?.send(msg) }
+  })
+  relay.setMembers(members)
+  config.apply({ revision: 1, complete: true, changes: [] })
+  for (const name of byName.keys()) relay.connected(name)
+  relay.handle('backend-0', { kind: MessageKind.ConfigRecords, revision: 1, complete: true, changes: [] })
+  for (let i = 0; i < 4; i++) relay.handle(`backend-${i}`, { kind: MessageKind.ConfigDigest, revision: 1, wants: false })
+  let n = 1
+  return (_connection, msg) => {
+    if (msg.kind === MessageKind.ConfigDigest) relay.handle('backend-1', { ...msg, revision: 1 })
+    if (msg.kind !== MessageKind.ConfigRecords) return
+    const changes = msg.changes.map((change) => ({ ...change, revision: n + 1 }))
+    relay.handle('backend-50', { ...msg, after: n, revision: ++n, changes } as RelayMessage)
+  }
+}
+
+/** Lists the slopes of messages. */
+export function wireSlopes (rig: Rig): Measure[] {
+  return [
+    bytesMeasure('heartbeat', 'live attempt', [0, 5, 10, 20, 40, 80, 160]),
+    bytesMeasure('load', 'prefix', [0, 8, 16, 32, 64]),
+    bytesMeasure('usage', 'caller', [0, 20, 65, 130, 260]),
+    bytesMeasure('tokens', 'token', [1, 2, 4, 8, 16]),
+    bytesMeasure('digest', 'nothing (constant)', [1, 2, 3]),
+    bytesMeasure('records', 'nothing (constant)', [1, 2, 3]),
+    bytesMeasure('reserve', 'nothing (constant)', [1, 2, 3]),
+    receiveMeasure('heartbeat, 0 live', 'heartbeat', 0, takeHeartbeat),
+    receiveMeasure('heartbeat, 40 live', 'heartbeat', 40, takeHeartbeat),
+    receiveMeasure('load, 0 prefixes', 'load', 0, takeLoad),
+    receiveMeasure('load, 64 prefixes', 'load', 64, takeLoad),
+    receiveMeasure('usage, 0 callers', 'usage', 0, takeUsage),
+    receiveMeasure('usage, 260 callers', 'usage', 260, takeUsage, 0.25),
+    receiveMeasure('digest and reply', 'digest', 0, () => takeRelayed(rig)),
+    receiveMeasure('a change, apply and push to 4', 'records', 0, () => takeRelayed(rig)),
+    sendMeasure('heartbeat, 0 live', 'heartbeat', 0),
+    sendMeasure('heartbeat, 40 live', 'heartbeat', 40),
+    sendMeasure('load, 0 prefixes', 'load', 0),
+    sendMeasure('load, 64 prefixes', 'load', 64),
+    sendMeasure('usage, 260 callers', 'usage', 260),
+    sendMeasure('digest', 'digest', 0)
+  ]
+}
--- /dev/null
+++ b/bench/slopes/main.ts
@@ -0,0 +1,57 @@
+/**
+ * Measures how state, messages, processor time and memory grow, and prints the fitted slopes.
+ */
+import { mkdirSync, writeFileSync } from 'node:fs'
+import { cpus } from 'node:os'
+import { performance } from 'node:perf_hooks'
+import { fitLine, medians } from './_fit.ts'
+import type { Fit } from './_fit.ts'
+import { connectionSlopes, requestSlopes } from './_request_slopes.ts'
+import { createRig } from './_rig.ts'
+import { stateSlopes } from './_state_slopes.ts'
+import { wireSlopes } from './_wire_slopes.ts'
+import type { Measure } from './_wire_slopes.ts'
+
+interface Row extends Fit {
+  name: string
+  per: string
+  unit: string
+}
+
+function cell (value: number): string {
+  if (Math.abs(value) >= 1000) return value.toFixed(0)
+  return Math.abs(value) >= 10 ? value.toFixed(1) : value.toFixed(3)
+}
+
+function line (row: Row): string {
+  const range = `${row.minX}..${row.maxX}`
+  const slope = `${cell(row.slope)} ± ${cell(row.slopeError)}`
+  const intercept = `${cell(row.intercept)} ± ${cell(row.interceptError)}`
+  return `| ${row.name} | ${row.per} | ${slope} ${row.unit} | ${intercept} | ${range} | ${row.points} | ${row.r2.toFixed(4)} |`
+}
+
+async function main (): Promise<void> {
+  const startMs = performance.now()
+  const only = process.argv[2] ?? ''
+  const rig = await createRig()
+  const measures: Measure[] = [...connectionSlopes(), ...wireSlopes(rig), ...requestSlopes(), ...stateSlopes()]
+  const rows: Row[] = []
+  console.log('| slope | per | slope ± standard error | intercept | x | medians | R² |')
+  console.log('|---|---|---|---|---|---|---|')
+  for (const measure of measures) {
+    // The other slopes need the open connections.
+    if (!measure.name.includes(only) && measure !== measures[0]) continue
+    const { name, per, unit } = measure
+    const row = { name, per, unit, ...fitLine(medians(await measure.run(rig))) }
+    rows.push(row)
+    console.log(line(row))
+  }
+  await rig.close()
+  const tookS = (performance.now() - startMs) / 1000
+  const machine = { node: process.version, cpu: cpus()[0]?.model, cores: cpus().length }
+  mkdirSync('out', { recursive: true })
+  writeFileSync('out/slopes.json', JSON.stringify({ machine, tookS, rows }, null, 2))
+  console.log(`${rows.length} slopes in ${tookS.toFixed(0)} s on ${machine.cpu}, ${machine.cores} cores, Node ${machine.node}`)
+}
+
+await main()
--- a/core/membership/create_membership.ts
+++ b/core/membership/create_membership.ts
@@ -147,6 +147,16 @@
     return update(hint.name, nowMs, false)
   }
 
+  function tick (nowMs: number): MemberChange[] {
+    const changes: MemberChange[] = []
+    for (const [name, { evidence }] of members) {
+      // Nearly all members are known from the host list only, and time alone does not change their state.
+      const dependsOnTime = evidence.connections > 0 || evidence.brokenMs !== undefined || evidence.hint !== undefined
+      if (dependsOnTime) changes.push(...update(name, nowMs, true))
+    }
+    return changes
+  }
+
   return {
     list,
     connected,
@@ -154,7 +164,7 @@
     progressed,
     draining,
     reported,
-    tick: (nowMs) => [...members.keys()].flatMap((name) => update(name, nowMs, true)),
+    tick,
     get: (name) => members.get(name)?.member,
     all: () => [...members.values()].map(({ member }) => member)
       .filter(({ state }) => state !== MemberState.Gone).sort((a, b) => a.name < b.name ? -1 : 1),
