--- /dev/null
+++ b/bench/slopes/_relay_fleet.ts
@@ -0,0 +1,143 @@
+/**
+ * A fleet of configuration relays in one process, with a manual timer and a network that counts.
+ */
+import { uniformInt } from 'pure-rand/distribution/uniformInt'
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
+import { createConfiguration } from '../../core/configuration/mod.ts'
+import type { Configuration } from '../../core/configuration/mod.ts'
+import { Ok } from '../../core/results/mod.ts'
+import type { SubsetMember } from '../../core/subset/mod.ts'
+import type { ConfigChange, ConfigPage, ConfigService } from '../../platform/mod.ts'
+import { createConfigRelay } from '../../relay/mod.ts'
+import type { ConfigRelay } from '../../relay/mod.ts'
+import { createManualTimer } from '../../timer/mod.ts'
+import { encodeFrame } from '../../wire/mod.ts'
+import { backendChange } from './_samples.ts'
+
+/** A fleet of relays that is in step with the service. */
+export interface RelayFleet {
+  /** Runs for some milliseconds of virtual time. */
+  run (ms: number): Promise<void>
+  /** Changes a record and returns the milliseconds until it is in force everywhere, or `limitMs`. */
+  change (limitMs: number): Promise<number>
+  /** Messages, bytes and reads since the last call. */
+  counts (): { messages: number, bytes: number, maxBytes: number, reads: number }
+}
+
+const stepMs = 10
+const zoneCount = 13
+const regionCount = 5
+const sameRegionMs = 1
+const otherRegionMs = 20
+
+/** Starts `size` relays in 13 availability zones of 5 regions. */
+export async function createRelayFleet (size: number, seed: number): Promise<RelayFleet> {
+  const timer = createManualTimer()
+  const rng = xoroshiro128plus(seed)
+  const random = (): number => uniformInt(rng, 0, 2 ** 30 - 1) / 2 ** 30
+  const nodes = new Map<string, { config: Configuration, relay: ConfigRelay, region: string }>()
+  const sentBytes = new Map<string, number>()
+  const wakers = new Set<() => void>()
+  const records: ConfigChange[] = []
+  let messages = 0
+  let reads = 0
+  const members: SubsetMember[] = Array.from({ length: size }, (_, i) => ({
+    name: `host-${i}`, availabilityZone: `zone-${i % zoneCount}`, region: `region-${i % zoneCount % regionCount}`
+  }))
+
+  function pageAfter (after: number): ConfigPage {
+    return { revision: records.length, changes: records.filter((change) => change.revision > after) }
+  }
+
+  function waitForChange (after: number, waitMs: number): Promise<void> {
+    if (records.length > after) return Promise.resolve()
+    return new Promise((resolve) => {
+      const done = (): void => {
+        timeout.cancel()
+        wakers.delete(done)
+        resolve()
+      }
+      const timeout = timer.after(waitMs, done)
+      wakers.add(done)
+    })
+  }
+
+  const service: ConfigService = {
+    async readAll () {
+      reads++
+      return Ok(pageAfter(0))
+    },
+    async watch (after, waitMs) {
+      reads++
+      await waitForChange(after, waitMs)
+      return Ok(pageAfter(after))
+    },
+    close: async () => {}
+  }
+
+  function start (self: SubsetMember): void {
+    const config = createConfiguration()
+    const relay = createConfigRelay({
+      timer,
+      config,
+      service,
+      self,
+      random,
+      send (peer, msg) {
+        messages++
+        sentBytes.set(self.name, (sentBytes.get(self.name) ?? 0) + encodeFrame(msg).length)
+        const target = nodes.get(peer)
+        const delayMs = target?.region === self.region ? sameRegionMs : otherRegionMs
+        timer.after(delayMs, () => target?.relay.handle(self.name, msg))
+      }
+    })
+    nodes.set(self.name, { config, relay, region: self.region })
+    relay.setMembers(members)
+    relay.start()
+  }
+
+  async function run (ms: number): Promise<void> {
+    for (let passed = 0; passed < ms; passed += stepMs) {
+      timer.advance(stepMs)
+      // Lets the promises of reads settle.
+      for (let i = 0; i < 8; i++) await null
+    }
+  }
+
+  function write (): void {
+    records.push(backendChange(records.length, records.length + 1))
+    for (const wake of [...wakers]) wake()
+  }
+
+  function isEverywhere (): boolean {
+    return [...nodes.values()].every(({ config }) => config.revision() === records.length)
+  }
+
+  async function change (limitMs: number): Promise<number> {
+    write()
+    const startMs = timer.now()
+    while (!isEverywhere() && timer.now() - startMs < limitMs) await run(stepMs)
+    return timer.now() - startMs
+  }
+
+  write()
+  for (const member of members) start(member)
+  for (const [name, { relay }] of nodes) {
+    for (const peer of relay.wanted()) {
+      relay.connected(peer)
+      nodes.get(peer)?.relay.connected(name)
+    }
+  }
+  return {
+    run,
+    change,
+    counts () {
+      const all = [...sentBytes.values()]
+      const counts = { messages, bytes: all.reduce((a, b) => a + b, 0), maxBytes: Math.max(0, ...all), reads }
+      messages = 0
+      reads = 0
+      sentBytes.clear()
+      return counts
+    }
+  }
+}
--- a/bench/slopes/main.ts
+++ b/bench/slopes/main.ts
@@ -8,6 +8,8 @@
 import type { Fit } from './_fit.ts'
 import { connectionSlopes, requestSlopes } from './_request_slopes.ts'
 import { createRig } from './_rig.ts'
+import { processSlopes } from './_process_slopes.ts'
+import { relaySlopes } from './_relay_slopes.ts'
 import { stateSlopes } from './_state_slopes.ts'
 import { wireSlopes } from './_wire_slopes.ts'
 import type { Measure } from './_wire_slopes.ts'
@@ -34,7 +36,9 @@
   const startMs = performance.now()
   const only = process.argv[2] ?? ''
   const rig = await createRig()
-  const measures: Measure[] = [...connectionSlopes(), ...wireSlopes(rig), ...requestSlopes(), ...stateSlopes()]
+  const measures: Measure[] = [
+    ...connectionSlopes(), ...wireSlopes(rig), ...requestSlopes(), ...stateSlopes(), ...processSlopes(), ...relaySlopes()
+  ]
   const rows: Row[] = []
   console.log('| slope | per | slope ± standard error | intercept | x | medians | R² |')
   console.log('|---|---|---|---|---|---|---|')
