Give the slopes' request machine the estimates that the policies now ask for

Ruled out: optional ports, which would hide a missing estimate in the daemon. Before: tsc failed in bench/slopes.

--- a/bench/slopes/_request_slopes.ts
+++ b/bench/slopes/_request_slopes.ts
@@ -30,7 +30,10 @@
   const ports = {
     choose: (role: Role) => Ok({ backend: backend(role), runnersUp: [] }),
     takeRetry: () => true,
-    estimatePrefillMs: () => 10
+    estimatePrefillMs: () => 10,
+    estimateHandoffMs: () => 10,
+    observeHandoff: () => {},
+    estimateReserveMs: () => 0
   }
   return createRequest(spec, ports, { policy: ReservePolicy.ReserveFirst, firstTokenMs: 1200 })
 }
