--- /dev/null
+++ b/agent/_prefill_task.ts
@@ -0,0 +1,132 @@
+/**
+ * Runs prefills at the engine.
+ */
+import { EngineErrorKind } from '../engine/mod.ts'
+import { attemptKey, Outcome, RefusalCode, TierClass } from '../core/types/mod.ts'
+import { MessageKind } from '../wire/mod.ts'
+import type { EngineAdapter, EngineError, PrefillResult } from '../engine/mod.ts'
+import type { ReservationTable } from '../core/reservation/mod.ts'
+import type { AttemptRef } from '../core/types/mod.ts'
+import type { Prefill } from '../wire/mod.ts'
+import type { LoadTask } from './_load_task.ts'
+import type { TaskPorts } from './_types.ts'
+
+/** Configures the prefill task. */
+export interface PrefillTaskOptions {
+  engine: EngineAdapter
+  table: ReservationTable
+  load: LoadTask
+  seats: number
+  pieces: number
+  paidHeadroom: () => number
+  release: (ref: AttemptRef) => void
+  onFreed: () => void
+}
+
+/** Runs prefills. */
+export interface PrefillTask {
+  run (owner: string, msg: Prefill): void
+  /** Number of prefills that were given to the engine and have not ended. */
+  length (): number
+  /** Number of prompt tokens that the engine computes before new work of a tier class. */
+  tokensBefore (tierClass: TierClass): number
+}
+
+const wordPattern = /\S+/g
+
+/** Time in milliseconds after which a prefill result that was not fetched is released, beyond the engine's own limit. */
+const releaseGraceMs = 200
+
+/**
+ * Creates the prefill task.
+ */
+export function createPrefillTask (ports: TaskPorts, options: PrefillTaskOptions): PrefillTask {
+  const { engine, table, load } = options
+  const running = new Map<string, { tokens: number, tierClass: TierClass }>()
+  let lastDoneMs = 0
+
+  function refuse (owner: string, ref: AttemptRef, code: RefusalCode, retryAfterMs: number): void {
+    const { requestId, attempt } = ref
+    ports.send(owner, { kind: MessageKind.Refused, requestId, attempt, code, retryAfterMs })
+  }
+
+  /** Counts the tokens that the engine computes before new work of a tier class: it takes paid work first. */
+  function tokensBefore (tierClass: TierClass): number {
+    let tokens = 0
+    for (const job of running.values()) {
+      if (tierClass === TierClass.Free || job.tierClass === TierClass.Paid) tokens += job.tokens
+    }
+    return tokens
+  }
+
+  function onFailed (owner: string, ref: AttemptRef, err: EngineError): void {
+    if (err.kind === EngineErrorKind.Cancelled) return
+    if (!err.sent || err.kind === EngineErrorKind.Refused) {
+      refuse(owner, ref, err.sent ? RefusalCode.NoCapacity : RefusalCode.Unreachable, 1000)
+    } else {
+      const { requestId, attempt } = ref
+      const code = RefusalCode.BackendError
+      ports.send(owner, { kind: MessageKind.Failed, requestId, attempt, code, outcome: Outcome.Unknown, message: err.message })
+    }
+    options.release(ref)
+  }
+
+  function onDone (owner: string, ref: AttemptRef, result: PrefillResult): void {
+    const { requestId, attempt } = ref
+    ports.send(owner, { kind: MessageKind.Prefilled, requestId, attempt, ...result })
+    ports.timer.after(result.keepsMs + releaseGraceMs, () => options.release(ref))
+  }
+
+  /** Tells whether free work would take the headroom that only paid work may use. */
+  function takesHeadroom (tierClass: TierClass, pieces: number): boolean {
+    if (tierClass === TierClass.Paid) return false
+    const room = table.free()
+    const headroom = options.paidHeadroom()
+    return room.seats - 1 < options.seats * headroom || room.pieces - pieces < options.pieces * headroom
+  }
+
+  async function start (owner: string, msg: Prefill, tokens: number): Promise<void> {
+    const ref = { requestId: msg.requestId, attempt: msg.attempt }
+    const key = attemptKey(ref)
+    const { model, version, prompt, tierClass } = msg
+    running.set(key, { tokens, tierClass })
+    const startedMs = ports.timer.now()
+    const done = await engine.prefill({ ...ref, model, version, prompt, tierClass })
+    running.delete(key)
+    if (done.err) {
+      onFailed(owner, ref, done.val)
+      return
+    }
+    // The engine computes one prefill after the other, so the time before the last one ended was a wait.
+    const doneMs = ports.timer.now()
+    load.prefilled(tokens - done.val.cachedTokens, doneMs - Math.max(startedMs, lastDoneMs))
+    lastDoneMs = doneMs
+    onDone(owner, ref, done.val)
+  }
+
+  return {
+    run (owner, msg) {
+      const tokens = msg.prompt.match(wordPattern)?.length ?? 0
+      const ref = { requestId: msg.requestId, attempt: msg.attempt }
+      const waitMs = load.prefillMs(tokensBefore(msg.tierClass) + tokens)
+      if (waitMs > msg.budgetMs) {
+        refuse(owner, ref, RefusalCode.TargetMissed, waitMs - msg.budgetMs)
+        return
+      }
+      const pieces = load.pieces(tokens)
+      if (takesHeadroom(msg.tierClass, pieces)) {
+        refuse(owner, ref, RefusalCode.NoCapacity, waitMs)
+        return
+      }
+      const reserved = table.reserve({ ref, owner, pieces }, ports.timer.now())
+      if (reserved.err) {
+        refuse(owner, ref, reserved.val, 200)
+        return
+      }
+      table.start(ref)
+      start(owner, msg, tokens)
+    },
+    length: () => running.size,
+    tokensBefore
+  }
+}
--- /dev/null
+++ b/entry/start_entry.ts
@@ -0,0 +1,298 @@
+/**
+ * Wires the tasks of an entry to its sockets.
+ */
+import { randomBytes } from 'node:crypto'
+import { createLimits } from '../core/limits/mod.ts'
+import { AdmissionPolicy, ChoicePolicy, PlacementPolicy, RecordKind, ReservePolicy } from '../core/records/mod.ts'
+import { createRetryBudget } from '../core/retry/mod.ts'
+import { Err, Ok } from '../core/results/mod.ts'
+import { createDelayEstimate, createRouter } from '../core/routing/mod.ts'
+import { Role } from '../core/types/mod.ts'
+import { createBase } from '../daemon/mod.ts'
+import { createDecisionRing, DecisionKind } from '../log/mod.ts'
+import { MessageKind } from '../wire/mod.ts'
+import { createAgents } from './_agents.ts'
+import { createAuth } from './_auth.ts'
+import { createFellows } from './_fellows.ts'
+import { completionRoutes } from './_completions.ts'
+import { startHttpServer } from './_http_server.ts'
+import { createModelRequests } from './_model_requests.ts'
+import { createPrefixHasher } from './_prefix_hashes.ts'
+import { createRpc } from './_rpc.ts'
+import { serviceRoutes } from './_services.ts'
+import { createEntryStats } from './_stats.ts'
+import type { MemberChange } from '../core/membership/mod.ts'
+import type { PolicyRecord } from '../core/records/mod.ts'
+import type { RequestPorts, RequestSpec } from '../core/request/mod.ts'
+import type { Result } from '../core/results/mod.ts'
+import type { Choose } from '../core/routing/mod.ts'
+import type { Daemon } from '../daemon/mod.ts'
+import type { Decision } from '../log/mod.ts'
+import type { Peer } from '../peer/mod.ts'
+import type { EntrySettings } from '../settings/mod.ts'
+import type { Message, MessageOf } from '../wire/mod.ts'
+import type { Identity } from './_auth.ts'
+import type { HttpCall, HttpRoute } from './_http_server.ts'
+import type { AnswerSink } from './_model_requests.ts'
+
+const decisionRingSize = 20_000
+const maxUnsentBytes = 1_048_576
+const drainPollMs = 50
+const minRetriesPerS = 0.5
+const requestIdBytes = 9
+
+const defaultPolicy: Omit<PolicyRecord, 'kind' | 'name'> = {
+  reserve: ReservePolicy.ReserveFirst,
+  choice: ChoicePolicy.PowerOfTwo,
+  admission: AdmissionPolicy.Tiered,
+  placement: PlacementPolicy.Records,
+  paidHeadroom: 0.1,
+  retryBudget: 0.1,
+  affinitySeats: 2
+}
+
+type Handlers = { [K in MessageKind]?: (peer: Peer, msg: MessageOf<K>) => void }
+
+/**
+ * Starts an entry.
+ *
+ * @param settings the checked settings
+ * @returns the running entry, or why it could not start
+ *
+ * @example
+ * ```ts
+ * import { startEntry } from 'briarloom/entry'
+ *
+ * console.assert(typeof startEntry === 'function')
+ * ```
+ */
+export async function startEntry (settings: EntrySettings): Promise<Result<Daemon, string>> {
+  const { timings, name } = settings
+  const place = { availabilityZone: settings.availabilityZone, region: settings.region }
+  const hashPrefixes = await createPrefixHasher()
+  const ring = createDecisionRing({ size: decisionRingSize })
+  let draining = false
+
+  const base = createBase({
+    settings,
+    handlers: {
+      onUp: (peer) => { if (peer.process === 'agent') agents.onUp(peer) },
+      onDown: (peer) => { if (peer.process === 'agent') agents.onDown(peer) },
+      onMessage
+    },
+    status,
+    explain: (requestId) => ring.find(requestId).map((decision) => ({ ...decision })),
+    onMembers
+  })
+  const { timer, config, peers, metrics } = base
+
+  const policy = (): Omit<PolicyRecord, 'kind' | 'name'> => config.get(RecordKind.Policy, 'default') ?? defaultPolicy
+  const router = createRouter({ policy: policy(), place, random: Math.random })
+  const handoff = createDelayEstimate()
+  const retries = createRetryBudget({ ratio: policy().retryBudget, minPerS: minRetriesPerS })
+  const stats = createEntryStats(metrics, retries.succeeded)
+  const limits = createLimits({
+    entry: name,
+    incarnation: base.incarnation,
+    limitOf: (caller) => config.get(RecordKind.Caller, caller)
+  })
+  const rpc = createRpc(timer, peers.send)
+  const requests = createModelRequests({
+    timer,
+    router,
+    send: peers.send,
+    isConnected: (agent) => peers.get(agent) !== undefined,
+    onDecision: decide
+  })
+  const agents = createAgents({
+    base,
+    settings,
+    router,
+    liveAt: requests.liveAt,
+    progress: stats.finished,
+    onLost: (agent) => {
+      requests.onAgentLost(agent)
+      if (peers.get(agent) === undefined) rpc.onAgentLost(agent)
+    },
+    onBack: requests.onAgentBack
+  })
+  const fellows = createFellows(base, name, limits)
+
+  function onMembers (changes: MemberChange[]): void {
+    agents.onMembers(changes)
+    fellows.onMembers(changes)
+  }
+
+  function applyPolicy (): void {
+    router.setPolicy(policy())
+    retries.setRatio(policy().retryBudget)
+  }
+
+  function decide (decision: Omit<Decision, 'revision'>): void {
+    const whole = { ...decision, revision: config.revision() }
+    ring.add(whole)
+    base.log.decision(whole)
+  }
+
+  const handlers: Handlers = {
+    [MessageKind.Load]: (peer, msg) => agents.onLoad(peer, msg),
+    [MessageKind.Reserved]: (peer, msg) => requests.onReply(peer.name, msg),
+    [MessageKind.Prefilled]: (peer, msg) => requests.onReply(peer.name, msg),
+    [MessageKind.Tokens]: (peer, msg) => requests.onReply(peer.name, msg),
+    [MessageKind.Finished]: (peer, msg) => requests.onReply(peer.name, msg),
+    [MessageKind.Failed]: (peer, msg) => requests.onReply(peer.name, msg),
+    [MessageKind.Cancelled]: (peer, msg) => requests.onReply(peer.name, msg),
+    [MessageKind.Refused]: (peer, msg) => {
+      if (!rpc.onReply(peer.name, msg)) requests.onReply(peer.name, msg)
+    },
+    [MessageKind.CallDone]: (peer, msg) => { rpc.onReply(peer.name, msg) },
+    [MessageKind.TicketIssued]: (peer, msg) => { rpc.onReply(peer.name, msg) },
+    [MessageKind.TicketVoided]: (peer, msg) => { rpc.onReply(peer.name, msg) },
+    [MessageKind.UsageShare]: (_peer, msg) => limits.onShare(msg, timer.now())
+  }
+
+  function onMessage (peer: Peer, msg: Message): void {
+    const handler = handlers[msg.kind] as ((peer: Peer, msg: Message) => void) | undefined
+    handler?.(peer, msg)
+  }
+
+  function requestPorts (spec: RequestSpec): RequestPorts {
+    const { model, version, tierClass } = spec
+    const beginnings = hashPrefixes(spec.prompt)
+    const wanted = (role: Role, promptTokens: number, exclude: string[], region?: string): Choose => {
+      return { role, model, version, promptTokens, ...beginnings, exclude, region }
+    }
+    return {
+      choose (role, promptTokens, exclude, near) {
+        const region = near === undefined ? undefined : agents.record(near)?.region
+        const chosen = router.choose(wanted(role, promptTokens, exclude, region), timer.now())
+        if (chosen.ok && role === Role.Prefill) router.notePrefixes(chosen.val.backend, beginnings.prefixes, timer.now())
+        return chosen
+      },
+      takeRetry: (nowMs) => retries.take(nowMs),
+      estimatePrefillMs: (backend, tokens) => backend === undefined
+        ? router.estimateBestPrefillMs(wanted(Role.Prefill, tokens, []), tierClass, timer.now())
+        : router.estimateFirstTokenMs(backend, tokens, tierClass, timer.now()),
+      estimateHandoffMs: handoff.ms,
+      observeHandoff: handoff.observe,
+      estimateReserveMs: (tokens) => router.estimateReserveMs(wanted(Role.Decode, tokens, []), tierClass, timer.now())
+    }
+  }
+
+  function run (spec: RequestSpec, identity: Identity, sink: AnswerSink): void {
+    const options = { policy: policy().reserve, firstTokenMs: identity.tier.firstTokenMs }
+    requests.start(spec, requestPorts(spec), options, identity.tier.name, sink)
+  }
+
+  function chooseService (requestId: string, attempt: number, identity: Identity, service: string, exclude: string[]) {
+    const wanted = { role: Role.Service, model: service, version: '*', promptTokens: 0, prefixes: [], exclude }
+    const chosen = router.choose(wanted, timer.now())
+    if (chosen.err) return chosen
+    decide({
+      kind: attempt === 1 ? DecisionKind.Routing : DecisionKind.Retry,
+      request: requestId,
+      attempt,
+      caller: identity.caller.name,
+      tier: identity.tier.name,
+      chosen: chosen.val.backend,
+      runnersUp: chosen.val.runnersUp,
+      reason: `service: attempt ${attempt}`
+    })
+    return Ok(chosen.val.backend)
+  }
+
+  function isReady (): boolean {
+    return !draining && base.isConfigured() && config.all(RecordKind.Caller).length > 0
+  }
+
+  function isFull (): boolean {
+    return requests.count() + rpc.count() >= settings.limits.maxRequests
+  }
+
+  function sendState (call: HttpCall, ok: boolean): void {
+    call.res.writeHead(ok ? 200 : 503, { 'content-type': 'application/json' })
+    call.res.end(JSON.stringify({ ok, revision: config.revision() }))
+  }
+
+  function status (): Record<string, unknown> {
+    return {
+      draining,
+      requests: requests.count(),
+      calls: rpc.count(),
+      callers: stats.status(),
+      backends: router.views().map(({ info, health, requests }) => ({ name: info.name, health, requests }))
+    }
+  }
+
+  const auth = createAuth(config)
+  const { maxBodyBytes, maxHeaderBytes } = settings.limits
+  const routes: HttpRoute[] = [
+    ...completionRoutes({
+      timer, config, auth, limits, stats, maxBodyBytes, maxUnsentBytes, isFull, run, cancel: requests.cancel
+    }),
+    ...serviceRoutes({
+      config,
+      auth,
+      rpc,
+      maxBodyBytes,
+      isFull,
+      choose: chooseService,
+      reach: agents.reach,
+      takeRetry: () => retries.take(timer.now()),
+      onOutcome: (identity, outcome) => stats.ended(identity.tier, outcome, 0)
+    }),
+    { method: 'GET', path: '/healthz', handle: (call) => sendState(call, true) },
+    { method: 'GET', path: '/readyz', handle: (call) => sendState(call, isReady()) }
+  ]
+
+  config.onChange((event) => {
+    if (event.key.startsWith(`${RecordKind.Backend}/`)) agents.refresh()
+    if (event.key.startsWith(`${RecordKind.Policy}/`)) applyPolicy()
+  })
+  timer.onPause(timings.leaseMs, requests.revalidate)
+
+  const listening = await peers.listen(settings.peer.host, settings.peer.port)
+  if (listening.err) {
+    await base.close()
+    return listening
+  }
+  const http = await startHttpServer({
+    host: settings.http.host,
+    port: settings.http.port,
+    routes,
+    maxHeaderBytes,
+    nextRequestId: () => `${name}-${randomBytes(requestIdBytes).toString('base64url')}`,
+    onFault: (requestId, err) => base.log.error({ requestId, err }, 'handler failed')
+  })
+  if (http.err) {
+    await base.close()
+    return Err(http.val)
+  }
+  const server = http.val
+
+  function idle (): Promise<void> {
+    return new Promise((resolve) => {
+      const poll = timer.every(drainPollMs, () => {
+        if (requests.count() > 0 || rpc.count() > 0) return
+        poll.cancel()
+        resolve()
+      })
+    })
+  }
+
+  return Ok({
+    address: listening.val,
+    httpAddress: server.address,
+    async stop () {
+      draining = true
+      const closed = server.close()
+      await idle()
+      await closed
+      await base.close()
+    },
+    async kill () {
+      server.closeNow()
+      await base.close()
+    }
+  })
+}
--- /dev/null
+++ b/testing/deployment/deployment.feature
@@ -0,0 +1,13 @@
+@matrix
+Feature: Whole deployments
+
+  Scenario: A deployment that was idle for longer than the lease answers the next request
+    Given a matrix deployment in service
+    When the deployment stays idle for 2500 ms
+    Then the deployment answers a model request through every entry at the first try
+
+  @full
+  Scenario: A deployment whose decode agents are replaced one after the other refuses nothing
+    Given a matrix deployment in service
+    When the deployment replaces each decode agent twice, 1000 ms apart, while callers ask
+    Then the deployment answered every caller
--- a/wire/messages.ts
+++ b/wire/messages.ts
@@ -168,6 +168,7 @@
 export interface CallMessage extends AttemptRef {
   kind: MessageKind.Call
   service: string
+  caller: string
   /** Ticket under which the call runs at most once; absent for idempotent calls. */
   ticket?: string
   method: string
@@ -228,6 +229,8 @@
   pieces: number
   piecesUsed: number
   queuedTokens: number
+  /** The part of `queuedTokens` that belongs to paid work, which goes first; all of it when absent. */
+  paidQueuedTokens?: number
   /** Estimated time in milliseconds that new work waits before it starts. */
   waitMs: number
   draining: boolean
@@ -247,14 +250,23 @@
   revision: number
   /** True when the sender asks for records above this revision. */
   wants: boolean
+  /** Milliseconds since the sender, or whoever it heard from, last read the configuration service; absent when never. */
+  ageMs?: number
+  /** True when this answers a digest; it gets no answer. */
+  reply?: boolean
 }
 
 /** Carries configuration records between peers. */
 export interface ConfigRecords {
   kind: MessageKind.ConfigRecords
+  /** Revision up to which the message is whole. */
   revision: number
+  /** Revision above which the message holds every change up to `revision`; absent when it claims nothing. */
+  after?: number
   /** True when the changes hold every record, so that a record that is missing was deleted. */
   complete: boolean
+  /** True when the next message continues this one; only the last one counts as a page. */
+  more?: boolean
   changes: ConfigChange[]
 }
 
@@ -273,7 +285,10 @@
   incarnation: number
   /** Counter that grows with each message. */
   seq: number
-  usage: Array<{ caller: string, requests: number, tokens: number, concurrency: number }>
+  /**
+   * Requests and tokens offered per second, requests in flight, and requests that were lately refused for concurrency.
+   */
+  usage: Array<{ caller: string, requests: number, tokens: number, concurrency: number, waiting: number }>
 }
 
 /** Asks a process for its own view. */
