Extend the matrix by double faults, graceful stops and own views

Three more faults (agent killed and started again twice, backend server cut off twice, entry frozen while the agent is killed) make 189 cells; each cell now also asks entries and agents for requests, calls, reservations and queues of their own to be empty; six scenarios stop each kind of process with work in flight.

--- a/testing/deployment/deployment.feature
+++ b/testing/deployment/deployment.feature
@@ -11,3 +11,18 @@
     Given a matrix deployment in service
     When the deployment replaces each decode agent twice, 1000 ms apart, while callers ask
     Then the deployment answered every caller
+
+  @full
+  Scenario Outline: A deployment cuts off nothing when the <process> is told to stop at <step>
+    Given a matrix deployment in service
+    When the deployment's <process> is told to stop at "<step>"
+    Then the deployment answered the caller without a second run and the process ended with 0
+
+    Examples:
+      | process       | step              |
+      | entry         | mid-stream        |
+      | entry         | service call sent |
+      | prefill agent | prefilling        |
+      | decode agent  | transferring      |
+      | decode agent  | mid-stream        |
+      | service agent | service call sent |
--- a/testing/deployment/start_deployment.ts
+++ b/testing/deployment/start_deployment.ts
@@ -9,6 +9,7 @@
 import { createSystemTimer } from '../../timer/mod.ts'
 import type { Timer } from '../../timer/mod.ts'
 import { complete, callService } from '../caller/mod.ts'
+import { askStatus } from './_ask_status.ts'
 import { createControlClient } from './_control_client.ts'
 import type { ControlClient } from './_control_client.ts'
 import type { FirmLayout } from './_firms.ts'
@@ -34,6 +35,8 @@
   thaw (name: string): void
   /** Starts a process again and waits until a stand-in listens or an entry is ready. */
   restart (name: string): Promise<void>
+  /** Asks an entry or agent for its own view; undefined when it does not answer. */
+  status (host: Host): Promise<Record<string, unknown> | undefined>
   /** Waits until every entry answers a model request and a service call. */
   waitUntilServing (timeoutMs: number): Promise<void>
   /** Ends every process, gently first. */
@@ -125,10 +128,10 @@
     processes.set(name, startProcess(name, [mainPath, kind, '--settings', file], timer))
   }
 
-  async function poll (what: string, timeoutMs: number, check: () => Promise<boolean>): Promise<void> {
+  async function poll (what: string, names: string[], timeoutMs: number, check: () => Promise<boolean>): Promise<void> {
     const endMs = timer.now() + timeoutMs
     while (!await check()) {
-      const isOver = timer.now() > endMs || [...processes.values()].some((item) => !item.isRunning())
+      const isOver = timer.now() > endMs || names.some((name) => !find(name).isRunning())
       if (isOver) throw new Error(`${what} did not come within ${timeoutMs} ms: ${describe()}`)
       await sleep(pollMs)
     }
@@ -164,9 +167,10 @@
   }
 
   async function waitUntilServing (timeoutMs: number): Promise<void> {
+    const names = [...processes.keys()]
     for (let i = 0; i < layout.entries.length; i++) {
-      await poll(`readiness of entry ${i + 1}`, timeoutMs, () => isReady(i))
-      await poll(`an answer through entry ${i + 1}`, timeoutMs, () => serves(i))
+      await poll(`readiness of entry ${i + 1}`, names, timeoutMs, () => isReady(i))
+      await poll(`an answer through entry ${i + 1}`, names, timeoutMs, () => serves(i))
     }
   }
 
@@ -187,9 +191,9 @@
   async function restart (name: string): Promise<void> {
     find(name).restart()
     if (controls.has(name)) await waitForStandIn(name)
-    else await poll(`the start of ${name}`, startTimeoutMs, async () => find(name).hasLine('"msg":"ready'))
+    else await poll(`the start of ${name}`, [name], startTimeoutMs, async () => find(name).hasLine('"msg":"ready'))
     const index = layout.entries.findIndex((entry) => `entry/${entry.name}` === name)
-    if (index >= 0) await poll(`readiness of ${name}`, startTimeoutMs, () => isReady(index))
+    if (index >= 0) await poll(`readiness of ${name}`, [name], startTimeoutMs, () => isReady(index))
   }
 
   const deployment: Deployment = {
@@ -207,6 +211,7 @@
     freeze: (name) => find(name).signal('SIGSTOP'),
     thaw: (name) => find(name).signal('SIGCONT'),
     restart,
+    status: (host) => askStatus(`127.0.0.1:${host.peerPort}`, timer),
     waitUntilServing,
     stop
   }
--- a/testing/matrix/_cells.ts
+++ b/testing/matrix/_cells.ts
@@ -20,7 +20,10 @@
   OperatorsRace = 'two operators racing',
   Crossed = 'engine answers crossed',
   Late = 'backend server answers late',
-  CutBackend = 'backend server cut off'
+  CutBackend = 'backend server cut off',
+  RestartAgentTwice = 'agent killed and started again, twice',
+  CutBackendTwice = 'backend server cut off, twice',
+  FreezeEntryKillAgent = 'entry frozen while the agent is killed'
 }
 
 /** Names the steps. */
--- a/testing/matrix/_checks.ts
+++ b/testing/matrix/_checks.ts
@@ -30,7 +30,7 @@
 }
 
 /** Counts the prefills of a prompt over all engines, also those of engines that were killed. */
-async function prefillsOf (cell: Cell, prompt: string): Promise<number> {
+export async function prefillsOf (cell: Cell, prompt: string): Promise<number> {
   const key = String(promptHash(prompt))
   const pages = await readCounts(cell, ['prefill'], '/ran')
   return pages.reduce((sum, page) => sum + Number(page[key] ?? 0), cell.ranBefore.get(key) ?? 0)
@@ -81,33 +81,41 @@
   return Ended.Refused
 }
 
-interface Usage {
-  name: string
-  pieces: number
-  seats: number
-  held: unknown[]
+/** Names what the engines and the processes of the system still hold. */
+async function leftovers (cell: Cell): Promise<string[]> {
+  const engines = backendsOf(cell, ['prefill', 'decode']).map(async (name) => {
+    const { pieces_used: pieces, seats_used: seats } = await cell.deployment.control(`backend/${name}`, '/counters')
+    if (pieces === 0 && seats === 0) return []
+    const { streams } = await cell.deployment.control(`backend/${name}`, '/v1/held')
+    return [`engine "${name}" holds ${JSON.stringify(streams)}`]
+  })
+  const { entries, backends } = cell.deployment.layout
+  const daemons = [...entries, ...backends].map(async (host) => {
+    const status = await cell.deployment.status(host)
+    if (!status) return [`process "${host.name}" does not answer`]
+    const held = heldFields.filter((field) => !isEmpty(status[field]))
+    return held.map((field) => `process "${host.name}" has ${field} ${JSON.stringify(status[field])}`)
+  })
+  return (await Promise.all([...engines, ...daemons])).flat()
 }
 
-async function usage (cell: Cell): Promise<Usage[]> {
-  return await Promise.all(backendsOf(cell, ['prefill', 'decode']).map(async (name) => {
-    const counters = await cell.deployment.control(`backend/${name}`, '/counters')
-    const page = await cell.deployment.control(`backend/${name}`, '/v1/held')
-    return { name, pieces: Number(counters.pieces_used), seats: Number(counters.seats_used), held: page.streams as unknown[] }
-  }))
+const heldFields = ['requests', 'calls', 'reservations', 'queued', 'running']
+
+function isEmpty (value: unknown): boolean {
+  return value === undefined || value === 0 || (Array.isArray(value) && value.length === 0)
 }
 
-/** Checks that every engine holds nothing within the time; answers how long it took in milliseconds. */
+/** Checks that engines, entries and agents hold nothing within the time; answers how long it took in milliseconds. */
 export async function checkFree (cell: Cell): Promise<number> {
   const startMs = cell.deployment.timer.now()
-  let last: Usage[] = []
+  let last: string[] = []
   try {
-    await until(cell, 'empty engines', freeWithinMs, async () => {
-      last = await usage(cell)
-      return last.every((item) => item.pieces === 0 && item.seats === 0) ? true : undefined
+    await until(cell, 'nothing held', freeWithinMs, async () => {
+      last = await leftovers(cell)
+      return last.length === 0 ? true : undefined
     })
   } catch {
-    const full = last.filter((item) => item.pieces > 0 || item.seats > 0)
-    assert.fail(`after ${freeWithinMs} ms engines hold ${JSON.stringify(full)}`)
+    assert.fail(`after ${freeWithinMs} ms: ${last.join('; ')}`)
   }
   return cell.deployment.timer.now() - startMs
 }
--- a/testing/matrix/_faults.ts
+++ b/testing/matrix/_faults.ts
@@ -11,6 +11,7 @@
 const freezeMs = 2500
 const lateMs = 300
 const cutMs = 300
+const againMs = 100
 const stallMs = 1500
 const configFaultMs = 500
 const entryName = 'entry/entry-1'
@@ -101,6 +102,20 @@
     await kill(cell, `agent/${cell.target}`)
     await ensureRunning(cell, `agent/${cell.target}`)
   },
+  [Fault.RestartAgentTwice]: async (cell) => {
+    await causes[Fault.RestartAgent](cell)
+    await sleep(cell, againMs)
+    await causes[Fault.RestartAgent](cell)
+  },
+  [Fault.CutBackendTwice]: async (cell) => {
+    await causes[Fault.CutBackend](cell)
+    await sleep(cell, cutMs + againMs)
+    await causes[Fault.CutBackend](cell)
+  },
+  [Fault.FreezeEntryKillAgent]: async (cell) => {
+    await causes[Fault.FreezeEntry](cell)
+    await causes[Fault.KillAgent](cell)
+  },
   [Fault.KillBackend]: async (cell) => {
     await remember(cell, cell.target)
     await kill(cell, `backend/${cell.target}`)
--- a/testing/matrix/_run_cell.ts
+++ b/testing/matrix/_run_cell.ts
@@ -7,7 +7,7 @@
 import type { Deployment } from '../deployment/mod.ts'
 import { callSteps, Fault, Step } from './_cells.ts'
 import {
-  checkCall, checkCompletion, checkFree, checkInForce, Ended, mayLoseConnection, revisionAt, runsOf
+  checkCall, checkCompletion, checkFree, checkInForce, Ended, mayLoseConnection, prefillsOf, revisionAt, runsOf
 } from './_checks.ts'
 import { causes, ensureRunning } from './_faults.ts'
 import { callBegan, homeOf, triggers } from './_triggers.ts'
@@ -26,16 +26,19 @@
 
 const settleMs = 300
 const servingMs = 15_000
-const stopMs = 10_000
-const entryFaults = new Set([Fault.KillEntry, Fault.FreezeEntry, Fault.CallerCancels])
+const entryFaults = new Set([
+  Fault.KillEntry, Fault.FreezeEntry, Fault.CallerCancels, Fault.FreezeEntryKillAgent
+])
 /** Faults that end or cut a process that the request depends on; without one of these a drain must lose nothing. */
 const hardFaults = new Set([
   Fault.KillEntry, Fault.KillAgent, Fault.RestartAgent, Fault.KillBackend, Fault.FreezeEntry, Fault.FreezeAgent,
-  Fault.FreezeBackend, Fault.StallTransfer, Fault.CallerCancels, Fault.CutBackend
+  Fault.FreezeBackend, Fault.StallTransfer, Fault.CallerCancels, Fault.CutBackend, Fault.RestartAgentTwice,
+  Fault.CutBackendTwice, Fault.FreezeEntryKillAgent
 ])
 let cells = 0
 
-function makeCell (deployment: Deployment, step: Step): Cell {
+/** Prepares a cell with a prompt of its own. */
+export function makeCell (deployment: Deployment, step: Step): Cell {
   cells += 1
   const words = Array.from({ length: 200 }, (_, i) => `letter${cells}-${process.pid}-${i}`)
   return {
@@ -62,7 +65,7 @@
   const item = cell.deployment.process(name)
   item.signal('SIGTERM')
   cell.heals.push(async () => {
-    const end = await Promise.race([item.ended(), sleep(cell, stopMs).then(() => 'none')])
+    const end = await bounded(cell, `the end of ${name}`, item.ended())
     if (!hardFaults.has(fault)) assert.equal(end, '0', `process "${name}" ended with ${end} after SIGTERM`)
     await ensureRunning(cell, name)
   })
@@ -83,6 +86,10 @@
   const ended = await checkCompletion(cell, cell.prompt, done, mayLoseConnection.has(fault))
   const otherEnded = await checkCompletion(cell, otherPrompt, other, false)
   if (!hardFaults.has(fault)) assert.equal(ended, Ended.Answered, JSON.stringify(done))
+  if (!hardFaults.has(fault) && cell.step === Step.Draining) {
+    // A second prefill means that the stop cut the answer and another engine went on with it.
+    assert.equal(await prefillsOf(cell, cell.prompt), 1, 'the graceful stop cut the answer off')
+  }
   return [withCode(ended, done.code), withCode(otherEnded, other.code)]
 }
 
--- a/testing/matrix/main.ts
+++ b/testing/matrix/main.ts
@@ -17,7 +17,7 @@
   freeMs?: number
 }
 
-const lanes = 4
+const lanes = 5
 const resultFile = 'out/matrix.jsonl'
 
 function readVerdicts (): Verdict[] {
--- a/testing/matrix/matrix.feature
+++ b/testing/matrix/matrix.feature
@@ -171,3 +171,33 @@
       | backend server cut off                 | service call sent     |
       | backend server cut off                 | service call answered |
       | backend server cut off                 | draining              |
+      | agent killed and started again, twice  | reserving             |
+      | agent killed and started again, twice  | prefilling            |
+      | agent killed and started again, twice  | transferring          |
+      | agent killed and started again, twice  | first token           |
+      | agent killed and started again, twice  | mid-stream            |
+      | agent killed and started again, twice  | last token            |
+      | agent killed and started again, twice  | ticket issued         |
+      | agent killed and started again, twice  | service call sent     |
+      | agent killed and started again, twice  | service call answered |
+      | agent killed and started again, twice  | draining              |
+      | backend server cut off, twice          | reserving             |
+      | backend server cut off, twice          | prefilling            |
+      | backend server cut off, twice          | transferring          |
+      | backend server cut off, twice          | first token           |
+      | backend server cut off, twice          | mid-stream            |
+      | backend server cut off, twice          | last token            |
+      | backend server cut off, twice          | ticket issued         |
+      | backend server cut off, twice          | service call sent     |
+      | backend server cut off, twice          | service call answered |
+      | backend server cut off, twice          | draining              |
+      | entry frozen while the agent is killed | reserving             |
+      | entry frozen while the agent is killed | prefilling            |
+      | entry frozen while the agent is killed | transferring          |
+      | entry frozen while the agent is killed | first token           |
+      | entry frozen while the agent is killed | mid-stream            |
+      | entry frozen while the agent is killed | last token            |
+      | entry frozen while the agent is killed | ticket issued         |
+      | entry frozen while the agent is killed | service call sent     |
+      | entry frozen while the agent is killed | service call answered |
+      | entry frozen while the agent is killed | draining              |
