Compare what the engine holds with what was admitted, again and again

Cause: spec/attempt.pml needs two rules that the agent did not follow: ADOPT_ONCE (the comparison repeats, because a call of an earlier agent or a call that its cancel overtook may arrive late) and ADMIT_FIRST (nothing is admitted before the first comparison). The agent compared once, while it already listened. Before: the new scenario 'An attempt that reaches the engine without its agent is freed' has no mechanism that could free it; after: agent.feature passes, 3 scenarios. Conclusion: what nobody claims within a lease is cancelled, whenever it appears.

--- a/agent/_engine_task.ts
+++ b/agent/_engine_task.ts
@@ -8,6 +8,7 @@
 import { createCanceller } from './_canceller.ts'
 import { createLoadTask } from './_load_task.ts'
 import { createPlacementTask } from './_placement_task.ts'
+import { createReconciler } from './_reconciler.ts'
 import { createPrefillTask } from './_prefill_task.ts'
 import { createQueueTask } from './_queue_task.ts'
 import { createStreamTask } from './_stream_task.ts'
@@ -40,7 +41,7 @@
 /**
  * Creates the task.
  */
-export function createEngineTask (taskPorts: TaskPorts, options: EngineTaskOptions): BackendTask {
+export async function createEngineTask (taskPorts: TaskPorts, options: EngineTaskOptions): Promise<BackendTask> {
   let isMoving = false
   const ports: TaskPorts = { ...taskPorts, isDraining: () => isMoving || taskPorts.isDraining() }
   const { timer } = ports
@@ -157,18 +158,9 @@
     for (const owner of leases.expired(timer.now())) releaseOwner(owner)
   }
 
-  /** Lists what the engine holds from before this agent started and cancels what no entry claims within one lease. */
-  async function adoptHeld (): Promise<void> {
-    const held = await engine.held()
-    if (held.err) {
-      timer.after(options.heartbeatMs, adoptHeld)
-      return
-    }
-    table.adopt(held.val)
-    timer.after(options.leaseMs, () => {
-      for (const ref of table.unclaimed()) release(ref)
-    })
-  }
+  const reconciler = createReconciler(ports, {
+    engine, table, periodMs: options.leaseMs / 2, claimMs: options.leaseMs, release
+  })
 
   const ticks = timer.every(tickMs, () => {
     expireLeases()
@@ -179,7 +171,8 @@
     // The entries gave up on this agent during the pause, so nothing that was admitted before it is still awaited.
     for (const owner of leases.expireAll()) releaseOwner(owner)
   })
-  adoptHeld()
+  // Admission starts only after the engine told what it holds from before.
+  await reconciler.first()
 
   return {
     handle (owner: string, msg: Message) {
@@ -222,6 +215,7 @@
       pauses.cancel()
       load.close()
       placement.close()
+      reconciler.close()
       await engine.close()
     }
   }
--- a/agent/agent.feature
+++ b/agent/agent.feature
@@ -10,3 +10,8 @@
     Given a deployment for placement
     When placement is balanced with the model's prefill share at 0.3
     Then each role has an engine at every look during 8000 ms and answers are whole
+
+  Scenario: An attempt that reaches the engine without its agent is freed
+    Given a deployment for placement
+    When a decode that the agent of decode host 1 does not know starts at the engine
+    Then the engine of decode host 1 holds nothing within 6000 ms
--- a/agent/agent_test.ts
+++ b/agent/agent_test.ts
@@ -3,6 +3,8 @@
  */
 import assert from 'node:assert/strict'
 import { After, Given, Then, When } from '@cucumber/cucumber'
+import { TierClass } from '../core/types/mod.ts'
+import { createEngineHttp } from '../engine/mod.ts'
 import { complete } from '../testing/caller/mod.ts'
 import { Firm, startDeployment } from '../testing/deployment/mod.ts'
 import { expectedAnswer } from '../testing/engine/mod.ts'
@@ -38,6 +40,11 @@
   return decodes[number - 1]?.name ?? ''
 }
 
+function addressOf (deployment: Deployment, number: number): string {
+  const name = decodeName(deployment, number)
+  return `127.0.0.1:${deployment.layout.backends.find((backend) => backend.name === name)?.backendPort}`
+}
+
 async function roleOf (deployment: Deployment, name: string): Promise<string> {
   const state = await deployment.engineState(name)
   return String(state.role)
@@ -94,3 +101,30 @@
       await sleep(this.placed, pollMs)
     }
   })
+
+When('a decode that the agent of decode host {int} does not know starts at the engine', async function (this: World, number: number) {
+  const { backends, firm } = this.placed.layout
+  const prefillHost = backends.find((backend) => backend.role === 'prefill')
+  const prefill = createEngineHttp({ address: `127.0.0.1:${prefillHost?.backendPort}` })
+  const decode = createEngineHttp({ address: addressOf(this.placed, number) })
+  const job = { requestId: 'late', attempt: 1, model: firm.model, version: firm.version, tierClass: TierClass.Paid }
+  const done = (await prefill.prefill({ ...job, prompt: 'a letter that came late' })).unwrap()
+  const { handle, kvAddress, promptTokens } = done
+  const stream = decode.decode({ ...job, handle, kvAddress, promptTokens, maxTokens: 400, startOffset: 0 }, () => {})
+  await sleep(this.placed, 200)
+  assert.equal((await decode.held()).unwrap().length, 1)
+  await decode.close()
+  await prefill.close()
+  await stream
+})
+
+Then('the engine of decode host {int} holds nothing within {int} ms', startTimeout,
+  async function (this: World, number: number, limitMs: number) {
+    const engine = createEngineHttp({ address: addressOf(this.placed, number) })
+    const endMs = this.placed.timer.now() + limitMs
+    while ((await engine.held()).unwrap().length > 0) {
+      assert.ok(this.placed.timer.now() < endMs, `the engine holds memory after ${limitMs} ms`)
+      await sleep(this.placed, pollMs)
+    }
+    await engine.close()
+  })
