Bound subsets of groups that span many zones

Cause: a group that spans more availability zones than it takes agents gave one agent of each zone: an entry that wants 2 far agents of each group took up to 11, so its far connections grew with the zones. Zones now share the number wanted, in an order of the entry's own hash. A coverage of 0 still took agents at which this entry ranked highest; it takes none now. Before: the scenario "spans more zones than it takes agents" fails (13 agents in place of 2 by the old rule; with the coverage check taken out it fails too).

--- /dev/null
+++ b/bench/slopes/_fleet_slopes.ts
@@ -0,0 +1,109 @@
+/**
+ * Slopes of connections and of the host list with the size of the deployment.
+ */
+import { chooseSubset } from '../../core/subset/mod.ts'
+import type { SubsetAgent, SubsetMember } from '../../core/subset/mod.ts'
+import { createHostListHttp } from '../../platform/mod.ts'
+import type { Point } from './_fit.ts'
+import { cpuMicros } from './_rig.ts'
+import type { Rig } from './_rig.ts'
+import { hostListBody } from './_samples.ts'
+import type { Measure } from './_wire_slopes.ts'
+
+const fullEntries = 430
+const fullAgents = 4700
+const zoneCount = 13
+const regionCount = 5
+const models = 9
+const nearPerGroup = 8
+const farPerGroup = 2
+const coverage = 3
+const hostCounts = [500, 1000, 2000, 3000, 5000]
+const rounds = 3
+const reads = 10
+
+interface Connections {
+  perEntry: number
+  perAgent: number
+  fewestPerAgent: number
+}
+
+const counted = new Map<number, Connections>()
+
+function membersOf (kind: string, count: number): SubsetMember[] {
+  return Array.from({ length: count }, (_, i) => {
+    const zone = i % zoneCount
+    return { name: `${kind}-${i}`, availabilityZone: `zone-${zone}`, region: `region-${zone % regionCount}` }
+  })
+}
+
+/** Counts the connections between entries and agents as the daemons choose them, at a share of the full size. */
+function countConnections (agentCount: number): Connections {
+  const entries = membersOf('entry', Math.round(fullEntries * agentCount / fullAgents))
+  const agents: SubsetAgent[] = membersOf('agent', agentCount)
+    .map((member, i) => ({ ...member, group: `${Math.floor(i / zoneCount) % 5 < 2 ? 'prefill' : 'decode'}/${Math.floor(i / zoneCount / 5) % models}` }))
+  const held = new Map(agents.map(({ name }) => [name, 0]))
+  let total = 0
+  for (const entry of entries) {
+    const near = agents.filter(({ region }) => region === entry.region)
+    const far = agents.filter(({ region }) => region !== entry.region)
+    const chosen = new Set([
+      ...chooseSubset({ entry, entries, agents: near, perGroup: nearPerGroup, coverage }),
+      ...chooseSubset({ entry, entries, agents: far, perGroup: farPerGroup, coverage: 0 })
+    ])
+    total += chosen.size
+    for (const name of chosen) held.set(name, (held.get(name) ?? 0) + 1)
+  }
+  const counts = [...held.values()]
+  return { perEntry: total / entries.length, perAgent: total / agents.length, fewestPerAgent: Math.min(...counts) }
+}
+
+function connectionsMeasure (name: string, pick: (connections: Connections) => number): Measure {
+  async function run (): Promise<Point[]> {
+    return [1175, 2350, 3525, 4700].map((x) => {
+      const connections = counted.get(x) ?? countConnections(x)
+      counted.set(x, connections)
+      return { x, y: pick(connections) }
+    })
+  }
+  return { name, per: 'agent of the fleet', unit: '', run }
+}
+
+const hostListBytes: Measure = {
+  name: 'bytes of the host list',
+  per: 'host',
+  unit: 'B',
+  run: async () => hostCounts.map((x) => ({ x, y: hostListBody(x).length }))
+}
+
+const hostListRead: Measure = {
+  name: 'cpu to read and check the host list',
+  per: 'host',
+  unit: 'us',
+  async run (rig: Rig) {
+    const points: Point[] = []
+    for (const x of hostCounts) {
+      const port = await rig.order({ op: 'serve', hosts: x })
+      const hostList = createHostListHttp({ url: `http://127.0.0.1:${port}` })
+      for (let round = 0; round <= rounds; round++) {
+        const micros = await cpuMicros(async () => {
+          for (let i = 0; i < reads; i++) (await hostList.read()).unwrap()
+        })
+        if (round > 0) points.push({ x, y: micros / reads })
+      }
+      await hostList.close()
+    }
+    return points
+  }
+}
+
+/** Lists the slopes of the deployment. */
+export function fleetSlopes (): Measure[] {
+  return [
+    hostListBytes,
+    hostListRead,
+    connectionsMeasure('connections of an entry to agents, mean', ({ perEntry }) => perEntry),
+    connectionsMeasure('connections of an agent to entries, mean', ({ perAgent }) => perAgent),
+    connectionsMeasure('connections of an agent to entries, fewest', ({ fewestPerAgent }) => fewestPerAgent)
+  ]
+}
--- a/bench/slopes/_samples.ts
+++ b/bench/slopes/_samples.ts
@@ -51,6 +51,8 @@
     offset: 0,
     tokens: Array.from({ length: size }, (_, i) => ` word${i % 10}`)
   }),
+  report: (): MessageOf<MessageKind.PeerReport> =>
+    ({ kind: MessageKind.PeerReport, name: 'backend-1234', incarnation: 1_790_000_000_000, state: 'suspect' }),
   reserve: (_size: number, n: number): MessageOf<MessageKind.Reserve> => ({
     kind: MessageKind.Reserve,
     requestId: `entry-123-kz8f1q-${100000 + n}`,
@@ -96,3 +98,16 @@
   const value = { schema: 1, tier: 'payant', keyHash: 'ab'.repeat(32), requestsPerS: 150, tokensPerS: 50000, concurrency: 1500 }
   return { key: `caller/caller-${index}`, revision, value: JSON.stringify(value) }
 }
+
+/** Builds the answer of the platform's host list. */
+export function hostListBody (count: number): string {
+  const hosts = Array.from({ length: count }, (_, i) => ({
+    name: `host-${i}`,
+    kind: i % 11 === 0 ? 'entry' : 'agent',
+    address: `10.20.${i >> 8}.${i & 255}:7000`,
+    availability_zone: `zone-${i % 13}`,
+    region: `region-${i % 13 % 5}`,
+    state: 'live'
+  }))
+  return JSON.stringify({ hosts })
+}
--- a/bench/slopes/_wire_slopes.ts
+++ b/bench/slopes/_wire_slopes.ts
@@ -164,6 +164,7 @@
     bytesMeasure('digest', 'nothing (constant)', [1, 2, 3]),
     bytesMeasure('records', 'nothing (constant)', [1, 2, 3]),
     bytesMeasure('reserve', 'nothing (constant)', [1, 2, 3]),
+    bytesMeasure('report', 'nothing (constant)', [1, 2, 3]),
     receiveMeasure('heartbeat, 0 live', 'heartbeat', 0, takeHeartbeat),
     receiveMeasure('heartbeat, 40 live', 'heartbeat', 40, takeHeartbeat),
     receiveMeasure('load, 0 prefixes', 'load', 0, takeLoad),
--- a/bench/slopes/main.ts
+++ b/bench/slopes/main.ts
@@ -6,6 +6,7 @@
 import { performance } from 'node:perf_hooks'
 import { fitLine, medians } from './_fit.ts'
 import type { Fit } from './_fit.ts'
+import { fleetSlopes } from './_fleet_slopes.ts'
 import { connectionSlopes, requestSlopes } from './_request_slopes.ts'
 import { createRig } from './_rig.ts'
 import { processSlopes } from './_process_slopes.ts'
@@ -37,7 +38,7 @@
   const only = process.argv[2] ?? ''
   const rig = await createRig()
   const measures: Measure[] = [
-    ...connectionSlopes(), ...wireSlopes(rig), ...requestSlopes(), ...stateSlopes(), ...processSlopes(), ...relaySlopes()
+    ...connectionSlopes(), ...wireSlopes(rig), ...requestSlopes(), ...stateSlopes(), ...processSlopes(), ...relaySlopes(), ...fleetSlopes()
   ]
   const rows: Row[] = []
   console.log('| slope | per | slope ± standard error | intercept | x | medians | R² |')
--- a/bench/slopes/source_main.ts
+++ b/bench/slopes/source_main.ts
@@ -1,10 +1,12 @@
 /**
  * The other side of the measured process: opens connections, sends samples at an even pace and plays agents.
  */
+import { createServer } from 'node:http'
+import type { AddressInfo } from 'node:net'
 import { createSystemTimer } from '../../timer/mod.ts'
 import { connect, MessageKind } from '../../wire/mod.ts'
 import type { Connection, Message } from '../../wire/mod.ts'
-import { sample } from './_samples.ts'
+import { hostListBody, sample } from './_samples.ts'
 import type { SampleName } from './_samples.ts'
 
 /** What the measured process asks of this one. */
@@ -12,6 +14,7 @@
   | { op: 'connect', address: string, count: number }
   | { op: 'send', name: SampleName, size: number, count: number }
   | { op: 'play', tokens: number, batch: number }
+  | { op: 'serve', hosts: number }
   | { op: 'close' }
 
 const roundMs = 4
@@ -77,10 +80,24 @@
   }
 }
 
+/** Serves a host list and answers with the port in place of the count. */
+function serve (hosts: number): Promise<void> {
+  const body = hostListBody(hosts)
+  const server = createServer((_req, res) => { res.end(body) })
+  server.unref()
+  return new Promise((resolve) => {
+    server.listen(0, '127.0.0.1', () => {
+      received = (server.address() as AddressInfo).port
+      resolve()
+    })
+  })
+}
+
 const orders: { [O in SourceOrder['op']]: (order: Extract<SourceOrder, { op: O }>) => Promise<void> } = {
   connect: ({ address, count }) => open(address, count),
   send: ({ name, size, count }) => send(name, size, count),
   play: async ({ tokens, batch }) => { play = { tokens, batch } },
+  serve: ({ hosts }) => serve(hosts),
   close: async () => {
     for (const connection of connections.splice(0)) connection.close()
   }
--- a/core/subset/choose_subset.ts
+++ b/core/subset/choose_subset.ts
@@ -2,6 +2,7 @@
  * Chooses the agents that an entry keeps connections to.
  */
 import type { Place } from '../types/mod.ts'
+import { rankNames } from './choose_readers.ts'
 import { hashPair, hashText } from './rendezvous_score.ts'
 
 /** Describes a process on the host list. */
@@ -60,19 +61,20 @@
 }
 
 function spreadOverZones (entry: SubsetMember, agents: SubsetAgent[], perGroup: number): SubsetAgent[] {
-  const zones = [...groupBy(agents, (agent) => agent.availabilityZone).values()]
-  const perZone = Math.ceil(perGroup / zones.length)
+  const byZone = groupBy(agents, (agent) => agent.availabilityZone)
+  const zones = rankNames([...byZone.keys()], `${entry.name}/${agents[0]?.group}`)
+  const perZone = Math.floor(perGroup / zones.length)
   const entryHash = hashText(entry.name)
   const chosen: SubsetAgent[] = []
   const rest: SubsetAgent[] = []
-  for (const zone of zones) {
-    const ranked = rank(zone, entryHash)
-    chosen.push(...ranked.slice(0, perZone))
-    rest.push(...ranked.slice(perZone))
-  }
+  zones.forEach((zone, index) => {
+    const quota = perZone + Number(index < perGroup % zones.length)
+    const ranked = rank(byZone.get(zone) ?? [], entryHash)
+    chosen.push(...ranked.slice(0, quota))
+    rest.push(...ranked.slice(quota))
+  })
   // Zones with few agents leave room that the others fill.
-  const missing = Math.max(0, perGroup - chosen.length)
-  return [...chosen, ...rank(rest, entryHash).slice(0, missing)]
+  return [...chosen, ...rank(rest, entryHash).slice(0, perGroup - chosen.length)]
 }
 
 function rank<M extends SubsetMember> (members: M[], hash: number): M[] {
@@ -93,6 +95,7 @@
 
 function isAmongHighest (agent: number, own: number, others: number[], coverage: number): boolean {
   const score = hashPair(agent, own)
+  if (coverage <= 0) return false
   let higher = 0
   for (const other of others) {
     if (hashPair(agent, other) > score && ++higher >= coverage) return false
--- a/core/subset/subset.feature
+++ b/core/subset/subset.feature
@@ -24,3 +24,13 @@
   Scenario: The loss of a reader changes one reader of its zone
     Given a subset deployment of 30 entries and 365 agents in 3 availability zones with 18 groups
     Then the subset readers are 3 in each zone and change by one when a reader is lost
+
+  Scenario: A subset of a group that spans more zones than it takes agents stays bounded
+    Given a subset deployment of 4 entries and 130 agents in 13 availability zones with 1 groups
+    When every entry chooses its subset of 2 agents of each group with a coverage of 0
+    Then each subset has exactly 2 agents
+
+  Scenario: A subset of a group loses only what a lost host held although it spans many zones
+    Given a subset deployment of 26 entries and 390 agents in 13 availability zones with 3 groups
+    When every entry chooses its subset of 5 agents of each group with a coverage of 0
+    Then without agent 17 the subsets lose only that agent and gain at most as many agents as lost it
--- a/core/subset/subset_test.ts
+++ b/core/subset/subset_test.ts
@@ -130,3 +130,7 @@
     const after = chooseReaders({ members: all.filter(({ name }) => name !== before[0]), perZone })
     assert.equal(after.filter((name) => !before.includes(name)).length, 1)
   })
+
+Then('each subset has exactly {int} agents', function (this: World, size: number) {
+  for (const subset of this.subsets.values()) assert.equal(subset.length, size)
+})
