--- a/core/request/create_request.ts
+++ b/core/request/create_request.ts
@@ -4,7 +4,7 @@
 import { MessageKind } from '../../wire/mod.ts'
 import { onReply } from './_replies.ts'
 import { reservePolicies } from './_reserve_policies.ts'
-import { dropLegs, enter, fail, ref, reserve, wake } from './_state.ts'
+import { dropLegs, enter, fail, lateByMs, ref, reserve, wake } from './_state.ts'
 import { abandon, lose } from './_recovery.ts'
 import { createTokenAssembler } from '../stream/mod.ts'
 import { RefusalCode } from '../types/mod.ts'
@@ -17,6 +17,7 @@
 const defaultResumeMs = 300
 const defaultBindLeadMs = 40
 const defaultMaxAttempts = 4
+const defaultMaxReplacements = 4
 
 type Handler<K extends RequestEventKind> = (state: State, event: Extract<RequestEvent, { kind: K }>, nowMs: number) => void
 
@@ -26,7 +27,9 @@
     state.attempt = 1
     wake(state, RequestTimer.Deadline, state.options.deadlineMs)
     enter(state, RequestPhase.Preparing, nowMs)
-    reservePolicies[state.options.policy].begin(state, nowMs)
+    const lateMs = lateByMs(state)
+    if (lateMs > 0) fail(state, RefusalCode.TargetMissed, lateMs)
+    else reservePolicies[state.options.policy].begin(state, nowMs)
   },
   [RequestEventKind.Reply]: onReply,
   [RequestEventKind.AgentLost]: (state, event, nowMs) => lose(state, event.agent, nowMs),
@@ -107,6 +110,7 @@
       resumeMs: defaultResumeMs,
       bindLeadMs: defaultBindLeadMs,
       maxAttempts: defaultMaxAttempts,
+      maxReplacements: defaultMaxReplacements,
       ...options
     },
     phase: RequestPhase.Waiting,
@@ -115,8 +119,10 @@
     prefill: undefined,
     decode: undefined,
     prefilled: undefined,
+    handoffMs: undefined,
     exclude: new Set(),
     answer: createTokenAssembler(),
+    replacements: 0,
     sentPrefills: 0,
     patienceMs: 0,
     startedMs: 0,
