Keep paused streams alive, age the handoff estimate, accept work at idle engines

Change: the handoff estimate is kept by tier and halves for each second without a sample; an idle prefill engine takes any work; an agent says every heartbeat with an empty tokens message that it still holds a paused stream, and the request counts that as progress.

--- a/agent/_engine_task.ts
+++ b/agent/_engine_task.ts
@@ -152,6 +152,7 @@
     canceller.retry()
     queue.pump()
   })
+  const beats = timer.every(options.heartbeatMs, stream.keepAlive)
   const pauses = timer.onPause(options.leaseMs, () => {
     // The entries gave up on this agent during the pause, so nothing that was admitted before it is still awaited.
     for (const owner of leases.expireAll()) releaseOwner(owner)
@@ -194,6 +195,7 @@
     }),
     async close () {
       ticks.cancel()
+      beats.cancel()
       pauses.cancel()
       load.close()
       await engine.close()
--- a/agent/_prefill_task.ts
+++ b/agent/_prefill_task.ts
@@ -109,7 +109,8 @@
       const tokens = msg.prompt.match(wordPattern)?.length ?? 0
       const ref = { requestId: msg.requestId, attempt: msg.attempt }
       const waitMs = load.prefillMs(tokensBefore(msg.tierClass) + tokens)
-      if (waitMs > msg.budgetMs) {
+      // An idle engine takes any work: refusing it would leave the learned speed as it is.
+      if (running.size > 0 && waitMs > msg.budgetMs) {
         refuse(owner, ref, RefusalCode.TargetMissed, waitMs - msg.budgetMs)
         return
       }
--- a/agent/_stream_task.ts
+++ b/agent/_stream_task.ts
@@ -34,6 +34,8 @@
   drop (ref: AttemptRef): void
   setPaused (ref: AttemptRef, paused: boolean): void
   running (): RunningItem[]
+  /** Tells the entries that paused streams are still held. */
+  keepAlive (): void
 }
 
 interface Stream {
@@ -175,6 +177,11 @@
       const stream = streams.get(attemptKey(ref))
       if (stream !== undefined) stream.paused = paused
     },
+    keepAlive () {
+      for (const { ref, owner, answer, paused } of streams.values()) {
+        if (paused) ports.send(owner, { kind: MessageKind.Tokens, ...ref, offset: answer.next(), tokens: [] })
+      }
+    },
     running () {
       const active = [...streams.values()].filter((stream) => stream.end === undefined)
       return active.map(({ ref, tierClass, pieces, paused }) => ({ ref, tierClass, pieces, paused, started: true }))
--- a/core/request/_replies.ts
+++ b/core/request/_replies.ts
@@ -62,6 +62,8 @@
   [MessageKind.Tokens]: (state: State, agent: string, msg: Tokens, nowMs: number) => {
     if (state.phase !== RequestPhase.Streaming || state.decode?.agent !== agent) return
     state.progressMs = nowMs
+    // An agent sends no tokens to say that a stream is paused and still held.
+    if (msg.tokens.length === 0) return
     if (state.handoffMs !== undefined) state.ports.observeHandoff(nowMs - state.handoffMs)
     state.handoffMs = undefined
     releasePrefill(state)
--- a/core/request/request.feature
+++ b/core/request/request.feature
@@ -28,7 +28,28 @@
       | reserve_first | start, d1 reserved, p1 prefilled, d1 tokens 0 2, d1 lost, wake resume, d2 reserved, p1 prefilled, d1 tokens 2 1, d2 tokens 2 1, d2 finished 3 | reserve d1/1, prefill p1/1, decode d1/1, cancel p1/1, emit 0 2, cancel d1/1, reserve d2/2, prefill p1/2, decode d2/2, cancel p1/2, emit 2 1, end 3 |
       | reserve_first | start, d1 reserved, p1 prefilled, d1 tokens 0 2, wait 2000, wake stall, d1 tokens 2 1 | reserve d1/1, prefill p1/1, decode d1/1, cancel p1/1, emit 0 2, cancel d1/1, reserve d2/2 |
 
+    Examples: an agent that paused the stream and says so
+      | policy        | events                                                                 | effects |
+      | reserve_first | start, d1 reserved, p1 prefilled, wait 1400, d1 tokens 0 0, wait 1400, wake stall, d1 tokens 0 2 | reserve d1/1, prefill p1/1, decode d1/1, cancel p1/1, emit 0 2 |
+
+    Examples: a refusal after the target has passed
+      | policy        | events                      | effects |
+      | reserve_first | start, d1 late, d2 reserved | reserve d1/1, cancel d1/1, reserve d2/1, prefill p1/1 |
+      | reserve_first | start, wait 1200, d1 late   | reserve d1/1, cancel d1/1, refuse not_run |
+
     Examples: a caller that is gone
       | policy        | events                                            | effects |
       | reserve_first | start, d1 reserved, gone, p1 prefilled             | reserve d1/1, prefill p1/1, cancel p1/1, cancel d1/1 |
       | reserve_first | start, d1 reserved, p1 prefilled, d1 tokens 0 2, gone, d1 tokens 2 1 | reserve d1/1, prefill p1/1, decode d1/1, cancel p1/1, emit 0 2, cancel d1/1 |
+
+  Scenario Outline: A request spends no prefill on what can't be in time or finds no decode room
+    Given a request with the policy "<policy>", a prefill of <prefill> ms and a reservation that waits <wait> ms
+    When the request gets "<events>"
+    Then the request did "<effects>"
+
+    Examples:
+      | policy        | prefill | wait | events             | effects                   |
+      | prefill_first | 1201    | 0    | start              | refuse not_run            |
+      | reserve_first | 1200    | 0    | start              | reserve d1/1              |
+      | predicted     | 100     | 0    | start              | prefill p1/1              |
+      | predicted     | 100     | 1    | start, d1 reserved | reserve d1/1, prefill p1/1 |
--- a/core/request/request_test.ts
+++ b/core/request/request_test.ts
@@ -28,7 +28,7 @@
   maxTokens: 8
 }
 
-function ports (): RequestPorts {
+function ports (prefillMs = 100, reserveMs = 0): RequestPorts {
   let retries = 2
   return {
     choose (role, _tokens, exclude) {
@@ -37,8 +37,8 @@
       return backend === undefined ? Err(RefusalCode.NoBackend) : Ok({ backend, runnersUp: [] })
     },
     takeRetry: () => retries-- > 0,
-    estimatePrefillMs: () => 100,
-    estimateReserveMs: () => 0,
+    estimatePrefillMs: () => prefillMs,
+    estimateReserveMs: () => reserveMs,
     estimateHandoffMs: () => 0,
     observeHandoff: () => {}
   }
@@ -47,6 +47,7 @@
 const replies: { [word: string]: (attempt: number, args: string[]) => AgentReply } = {
   reserved: (attempt) => ({ kind: MessageKind.Reserved, requestId: 'r1', attempt, pieces: 1 }),
   refused: (attempt) => ({ kind: MessageKind.Refused, requestId: 'r1', attempt, code: RefusalCode.NoCapacity, retryAfterMs: 0 }),
+  late: (attempt) => ({ kind: MessageKind.Refused, requestId: 'r1', attempt, code: RefusalCode.TargetMissed, retryAfterMs: 0 }),
   prefilled: (attempt) => ({
     kind: MessageKind.Prefilled, requestId: 'r1', attempt, handle: 'h', kvAddress: '127.0.0.1:1', promptTokens: 3, cachedTokens: 0, keepsMs: 800
   }),
@@ -91,13 +92,22 @@
   if (describe !== undefined) world.did.push(describe(effect))
 }
 
+function begin (world: World, policy: string, requestPorts: RequestPorts): void {
+  world.request = createRequest(spec, requestPorts, { policy: policy as ReservePolicy, firstTokenMs: 1200 })
+  world.epochs = new Map()
+  world.nowMs = 0
+  world.did = []
+}
+
 Given('a request with the policy {string}', function (this: World, policy: string) {
-  this.request = createRequest(spec, ports(), { policy: policy as ReservePolicy, firstTokenMs: 1200 })
-  this.epochs = new Map()
-  this.nowMs = 0
-  this.did = []
+  begin(this, policy, ports())
 })
 
+Given('a request with the policy {string}, a prefill of {int} ms and a reservation that waits {int} ms',
+  function (this: World, policy: string, prefillMs: number, reserveMs: number) {
+    begin(this, policy, ports(prefillMs, reserveMs))
+  })
+
 When('the request gets {string}', function (this: World, events: string) {
   for (const text of events.split(', ')) {
     if (text.startsWith('wait ')) {
--- a/core/routing/_estimates.ts
+++ b/core/routing/_estimates.ts
@@ -32,6 +32,11 @@
   return hasPieces && hasSeat ? 0 : Math.max(leastWaitMs, report.waitMs)
 }
 
+/** Tells whether a prefill backend server would begin work at once. */
+export function isIdle (view: BackendView): boolean {
+  return (view.report?.queuedTokens ?? 0) === 0 && view.tokens <= view.tokensAtReport
+}
+
 /** Estimates the time in milliseconds until a prefill of `tokens` tokens sent now has finished. */
 export function prefillMs (view: BackendView, tokens: number, tierClass: TierClass, ctx: EstimateContext): number {
   const { report } = view
--- a/core/routing/_types.ts
+++ b/core/routing/_types.ts
@@ -160,7 +160,10 @@
    * that is ready first; 0 when one has room now.
    */
   estimateReserveMs (wanted: Choose, tierClass: TierClass, nowMs: number): number
-  /** Estimates the time in milliseconds until a prefill sent now to the prefill backend server that is ready first ends. */
+  /**
+   * Estimates the time in milliseconds until a prefill sent now to the prefill backend server that is ready first ends;
+   * 0 when one is idle, because no wait can be avoided there and only new work corrects the learned speed.
+   */
   estimateBestPrefillMs (wanted: Choose, tierClass: TierClass, nowMs: number): number
   /** Estimates the time in milliseconds until a prefill of `promptTokens` tokens sent now has finished. */
   estimateFirstTokenMs (backend: string, promptTokens: number, tierClass: TierClass, nowMs: number): number
--- a/core/routing/create_router.ts
+++ b/core/routing/create_router.ts
@@ -6,7 +6,7 @@
 import { RefusalCode, Role } from '../types/mod.ts'
 import { choicePolicies } from './_choice_policies.ts'
 import { eligible } from './_eligible.ts'
-import { prefillMs, reserveWaitMs } from './_estimates.ts'
+import { isIdle, prefillMs, reserveWaitMs } from './_estimates.ts'
 import { scoreAll } from './_score.ts'
 import { LossReason } from './_types.ts'
 import { createViews } from './_views.ts'
@@ -157,7 +157,8 @@
     estimateReserveMs: (wanted, tierClass, nowMs) =>
       leastOver(wanted, nowMs, (view, ctx) => reserveWaitMs(view, wanted.promptTokens, tierClass, ctx)),
     estimateBestPrefillMs: (wanted, tierClass, nowMs) =>
-      leastOver(wanted, nowMs, (view, ctx) => prefillMs(view, wanted.promptTokens, tierClass, ctx)),
+      leastOver(wanted, nowMs, (view, ctx) =>
+        isIdle(view) ? 0 : prefillMs(view, wanted.promptTokens, tierClass, ctx)),
     estimateFirstTokenMs,
     views: () => [...views.all()]
   }
--- a/core/routing/routing.feature
+++ b/core/routing/routing.feature
@@ -59,3 +59,11 @@
       | paid | 20    | 2000   | 50      | yes   |
       | paid | 10    | 3995   | 0       | yes   |
       | free | 10    | 3700   | 0       | yes   |
+
+  Scenario: A router forgets a handoff delay that brings no samples
+    Then the router halves a handoff delay of 4000 ms in each second without a sample
+
+  Scenario: A router expects no wait at an idle prefill backend, however slow it was
+    Given a router for prefill with 1000 queued tokens, 400 of them paid, and 9.5 ms for each token
+    When the router hears that nothing is queued any more
+    Then the router expects 0 ms for a prefill of 100 tokens
--- a/core/routing/routing_test.ts
+++ b/core/routing/routing_test.ts
@@ -9,7 +9,7 @@
 import { ChoicePolicy } from '../records/mod.ts'
 import { Role } from '../types/mod.ts'
 import { MessageKind } from '../../wire/mod.ts'
-import { BackendHealth, createRouter } from './mod.ts'
+import { BackendHealth, createDelayEstimate, createRouter } from './mod.ts'
 import type { TierClass } from '../types/mod.ts'
 import type { LoadReport } from '../../wire/mod.ts'
 import type { Choose, Router, RouterOptions } from './mod.ts'
@@ -198,3 +198,18 @@
     const expected = router.estimateReserveMs(wanted, tier as TierClass, 0)
     assert.equal(expected > 0 ? 'yes' : 'no', waits)
   })
+
+Then('the router halves a handoff delay of {int} ms in each second without a sample', function (ms: number) {
+  const delay = createDelayEstimate()
+  delay.observe(ms, 0)
+  assert.deepEqual([0, 1000, 2000].map(delay.ms), [ms, ms / 2, ms / 4])
+})
+
+When('the router hears that nothing is queued any more', function (this: World) {
+  this.router.onLoad(report('p1', { role: Role.Prefill, seq: 2 }), 0)
+})
+
+Then('the router expects {int} ms for a prefill of {int} tokens', function (this: World, ms: number, promptTokens: number) {
+  const prefill = { ...wanted, role: Role.Prefill, promptTokens }
+  assert.equal(this.router.estimateBestPrefillMs(prefill, 'paid' as TierClass, 0), ms)
+})
--- a/entry/start_entry.ts
+++ b/entry/start_entry.ts
@@ -7,7 +7,7 @@
 import { createRetryBudget } from '../core/retry/mod.ts'
 import { Err, Ok } from '../core/results/mod.ts'
 import { createDelayEstimate, createRouter } from '../core/routing/mod.ts'
-import { Role } from '../core/types/mod.ts'
+import { Role, TierClass } from '../core/types/mod.ts'
 import { createBase } from '../daemon/mod.ts'
 import { createDecisionRing, DecisionKind } from '../log/mod.ts'
 import { MessageKind } from '../wire/mod.ts'
@@ -87,7 +87,8 @@
 
   const policy = (): Omit<PolicyRecord, 'kind' | 'name'> => config.get(RecordKind.Policy, 'default') ?? defaultPolicy
   const router = createRouter({ policy: policy(), place, random: Math.random })
-  const handoff = createDelayEstimate()
+  // Free streams are paused at times, which says nothing about paid ones.
+  const handoffs = { [TierClass.Paid]: createDelayEstimate(), [TierClass.Free]: createDelayEstimate() }
   const retries = createRetryBudget({ ratio: policy().retryBudget, minPerS: minRetriesPerS })
   const stats = createEntryStats(metrics, retries.succeeded)
   const limits = createLimits({
@@ -172,8 +173,8 @@
       estimatePrefillMs: (backend, tokens) => backend === undefined
         ? router.estimateBestPrefillMs(wanted(Role.Prefill, tokens, []), tierClass, timer.now())
         : router.estimateFirstTokenMs(backend, tokens, tierClass, timer.now()),
-      estimateHandoffMs: handoff.ms,
-      observeHandoff: handoff.observe,
+      estimateHandoffMs: () => handoffs[tierClass].ms(timer.now()),
+      observeHandoff: (ms) => handoffs[tierClass].observe(ms, timer.now()),
       estimateReserveMs: (tokens) => router.estimateReserveMs(wanted(Role.Decode, tokens, []), tierClass, timer.now())
     }
   }
--- a/wire/messages.ts
+++ b/wire/messages.ts
@@ -131,7 +131,7 @@
   offset: number
 }
 
-/** Carries tokens of an answer. */
+/** Carries tokens of an answer; without any it says that the agent still holds a stream that it paused. */
 export interface Tokens extends AttemptRef {
   kind: MessageKind.Tokens
   offset: number
