--- a/agent/_engine_task.ts
+++ b/agent/_engine_task.ts
@@ -167,6 +167,7 @@
     canceller.retry()
     queue.pump()
   })
+  const beats = timer.every(options.heartbeatMs, stream.keepAlive)
   const pauses = timer.onPause(options.leaseMs, () => {
     // The entries gave up on this agent during the pause, so nothing that was admitted before it is still awaited.
     for (const owner of leases.expireAll()) releaseOwner(owner)
@@ -212,6 +213,7 @@
     }),
     async close () {
       ticks.cancel()
+      beats.cancel()
       pauses.cancel()
       load.close()
       placement.close()
