Say on reservations and the order sequencer what their users must repeat

Cause: the model checker's variants CANCEL_EARLY, ADMIT_FIRST, ADOPT_ONCE and RECHECK fail when the user of a part leaves a call out; the doc comments did not say so.

--- a/core/fence/create_order_sequencer.ts
+++ b/core/fence/create_order_sequencer.ts
@@ -33,7 +33,11 @@
 
 /** Gives orders to one engine. */
 export interface OrderSequencer {
-  /** Sets what the engine is to serve; a later target replaces an earlier one that is not in force yet. */
+  /**
+   * Sets what the engine is to serve; a later target replaces an earlier one that is not in force yet.
+   *
+   * The target in force is to be submitted again periodically: an order of an earlier incarnation may arrive late.
+   */
   submit (target: OrderTarget): OrderEffect[]
   /** Takes the state that the read `readId` gave; an answer to an older read is dropped. */
   onState (readId: number, state: EngineState): OrderEffect[]
--- a/core/reservation/_types.ts
+++ b/core/reservation/_types.ts
@@ -87,7 +87,12 @@
   start (ref: AttemptRef): Result<StartEffect, RefusalCode>
   /** Ends an attempt; one that is not known is remembered as ended, so that a late message for it is refused. */
   release (ref: AttemptRef): ReleaseEffect
-  /** Frees what the engine confirmed to hold no longer; answers false when the attempt was not being cancelled. */
+  /**
+   * Frees what the engine confirmed to hold no longer; answers false when the attempt was not being cancelled.
+   *
+   * A cancel counts as confirmed only when the engine had taken or refused the start call before the cancel was sent: a start
+   * call that is still on its way makes the engine hold memory after it answered the cancel.
+   */
   confirmed (ref: AttemptRef): boolean
   /** Frees an attempt that the engine brought to its end; answers false when the engine did not hold it. */
   finished (ref: AttemptRef): boolean
@@ -95,7 +100,11 @@
   releaseOwner (owner: string): OwnerRelease[]
   /** Gives an adopted attempt to an entry; refuses with `Stale` what is unknown, ending or owned by another entry. */
   claim (ref: AttemptRef, owner: string): Result<void, RefusalCode>
-  /** Accounts for what the engine holds and the table does not know; an attempt that has ended goes to be cancelled. */
+  /**
+   * Accounts for what the engine holds and the table does not know; an attempt that has ended goes to be cancelled.
+   *
+   * It is to be called before the first reservation and then periodically, because a start call may outlive the agent that sent it.
+   */
   adopt (held: HeldAttempt[]): void
   /** Lists adopted attempts that no entry has claimed. */
   unclaimed (): AttemptRef[]
