Space load reports by the number of listeners, and order nothing from configuration of before a pause

And spec/orders.pml (variant CONFIG) shows that an agent that wakes late may order from a target of before the pause. Ruled out: fewer connections, which would cost choice; a constant longer period, which would make small deployments route on older hints for nothing. Before: one report in 100 ms to each of 19 listeners at the target size.

--- a/agent/_engine_task.ts
+++ b/agent/_engine_task.ts
@@ -52,6 +52,7 @@
   const load = createLoadTask(ports, {
     ...options,
     table,
+    listeners: () => options.base.peers.list().length,
     queued: () => queue.length(),
     tokensBefore: (tierClass) => prefill.tokensBefore(tierClass),
     reserveWaitMs: () => queue.waitMs()
--- a/agent/_load_task.ts
+++ b/agent/_load_task.ts
@@ -23,6 +23,8 @@
   /** Estimated time in milliseconds that a new reservation of paid work waits. */
   reserveWaitMs: () => number
   publish: (report: LoadReport) => void
+  /** Number of processes that get each report. */
+  listeners: () => number
 }
 
 /** Knows the load of the engine. */
@@ -43,6 +45,12 @@
 }
 
 const pollMs = 100
+
+/** Reports that one agent sends each second to all that listen, as long as its role and readiness stay the same. */
+const reportsPerS = 20
+
+/** Heartbeats between two reports at most, so that silence still tells of a lost agent. */
+const maxSpacingHeartbeats = 2
 const statePeriodMs = 500
 const defaultTokensPerPiece = 16
 const defaultMsPerToken = 0.05
@@ -97,12 +105,18 @@
     options.publish(report())
   }
 
-  /** Publishes when the shape of the load changed, and otherwise once a heartbeat. */
+  /**
+   * Publishes when the shape of the load changed, and otherwise once a heartbeat. The more entries listen, the rarer are
+   * reports about load alone, so that their cost does not grow with the fleet.
+   */
   function publishIfDue (): void {
     const { seatsUsed, piecesUsed, queuedTokens, model, role, draining } = report()
     const shape = `${seatsUsed} ${Math.round(piecesUsed / 64)} ${Math.round(queuedTokens / 256)} ${model} ${role} ${draining} ${state === undefined}`
-    const isDue = ports.timer.now() - publishedMs >= options.heartbeatMs
-    if (!isDue && shape === lastShape) return
+    const sinceMs = ports.timer.now() - publishedMs
+    const longestMs = maxSpacingHeartbeats * options.heartbeatMs
+    const spacingMs = Math.min(longestMs, Math.max(pollMs, options.listeners() * 1000 / reportsPerS))
+    const isDue = sinceMs >= Math.max(options.heartbeatMs, spacingMs)
+    if (!isDue && (shape === lastShape || sinceMs < spacingMs)) return
     lastShape = shape
     publish()
   }
--- a/agent/_placement_task.ts
+++ b/agent/_placement_task.ts
@@ -43,6 +43,9 @@
 const decideMs = 1000
 const readLaterMs = 500
 
+/** Time in milliseconds after a pause within which peers bring the configuration up to date. */
+const freshMs = 3000
+
 /** Agents of the same availability zone whose reports an agent wants to hear. */
 const neighbours = 6
 
@@ -58,6 +61,7 @@
   const reports = new Map<string, EngineReport>()
   let lastReason = ''
   let isMoving = false
+  let freshFromMs = 0
   let ordered: Assignment | undefined
 
   /** What the record of this backend server asks for. */
@@ -121,7 +125,7 @@
   function decide (): void {
     const state = options.state()
     const own = config.get(RecordKind.Backend, self)
-    if (state === undefined || own === undefined || sequencer.isBusy()) return
+    if (state === undefined || own === undefined) return
     const policy = config.get(RecordKind.Policy, 'default')?.placement ?? PlacementPolicy.Records
     const current = { role: state.role, model: state.model, version: state.version, adapter: state.adapter } as Assignment
     const decision = deciders[policy](own, current)
@@ -151,6 +155,11 @@
     [OrderEffectKind.ReadState]: ({ readId }) => { readState(readId) },
     [OrderEffectKind.ReadStateLater]: ({ readId }) => { timer.after(readLaterMs, () => { readState(readId) }) },
     [OrderEffectKind.SendOrder]: async ({ order }) => {
+      // The target may come from configuration of before a pause; peers bring what has changed since.
+      if (timer.now() < freshFromMs) {
+        timer.after(readLaterMs, () => perform(sequencer.onOrderAnswered()))
+        return
+      }
       const answered = await engine.order(order)
       const result = answered.ok ? 'answered' : answered.val.kind
       metrics.count(Metric.Orders, 1, { result })
@@ -172,7 +181,10 @@
   }
 
   const decisions = timer.every(decideMs, decide)
-  const pauses = timer.onPause(options.leaseMs, () => perform(sequencer.onPause()))
+  const pauses = timer.onPause(options.leaseMs, () => {
+    freshFromMs = timer.now() + freshMs
+    perform(sequencer.onPause())
+  })
 
   return {
     onLoad (peer, { backend, role, model, version, draining }) {
