--- a/testing/matrix/_run_cell.ts
+++ b/testing/matrix/_run_cell.ts
@@ -63,9 +63,10 @@
 function drain (cell: Cell, fault: Fault): void {
   const name = entryFaults.has(fault) ? 'entry/entry-1' : `agent/${cell.target}`
   const item = cell.deployment.process(name)
+  const ended = item.ended()
   item.signal('SIGTERM')
   cell.heals.push(async () => {
-    const end = await bounded(cell, `the end of ${name}`, item.ended())
+    const end = await bounded(cell, `the end of ${name}`, ended)
     if (!hardFaults.has(fault)) assert.equal(end, '0', `process "${name}" ended with ${end} after SIGTERM`)
     await ensureRunning(cell, name)
   })
