Send the metrics that were only named in the table

Cause: 19 rows of docs/metrics.md were named and never sent. The gauge of the configuration revision moves to the heartbeat as well. Service calls were counted as `requests` with a `request_time` of 0 ms, against the meaning of both rows; they are now `calls`. Retries and wasted prefills are followed by entry/_attempt_account.ts beside the request machine, which is unchanged. The agent logs pauses, resumes and refusals from its queue as decisions of the kind admission.

Ruled out: counting prefills at the agent, which knows neither the tier nor whether a decode took the result. Before: none of the rows arrived.

--- a/agent/_engine_task.ts
+++ b/agent/_engine_task.ts
@@ -3,7 +3,8 @@
  */
 import { createLeaseTable } from '../core/lease/mod.ts'
 import { ReleaseEffect, ReservationState, createReservationTable } from '../core/reservation/mod.ts'
-import { attemptKey, Outcome, RefusalCode, Role } from '../core/types/mod.ts'
+import { attemptKey, Outcome, RefusalCode, Role, TierClass } from '../core/types/mod.ts'
+import { Metric } from '../metrics/mod.ts'
 import { MessageKind } from '../wire/mod.ts'
 import { createCanceller } from './_canceller.ts'
 import { createLoadTask } from './_load_task.ts'
@@ -11,6 +12,7 @@
 import { createPrefillTask } from './_prefill_task.ts'
 import { createQueueTask } from './_queue_task.ts'
 import { createStreamTask } from './_stream_task.ts'
+import { CancelCause } from './_types.ts'
 import type { Base } from '../daemon/mod.ts'
 import type { EngineAdapter } from '../engine/mod.ts'
 import type { AdmissionPolicy } from '../core/records/mod.ts'
@@ -43,7 +45,7 @@
 export function createEngineTask (taskPorts: TaskPorts, options: EngineTaskOptions): BackendTask {
   let isMoving = false
   const ports: TaskPorts = { ...taskPorts, isDraining: () => isMoving || taskPorts.isDraining() }
-  const { timer } = ports
+  const { timer, metrics } = ports
   const { engine } = options
   const leases = createLeaseTable({ leaseMs: options.leaseMs })
   const table = createReservationTable({ seats: options.seats, pieces: options.pieces })
@@ -55,7 +57,7 @@
     tokensBefore: (tierClass) => prefill.tokensBefore(tierClass),
     reserveWaitMs: () => queue.waitMs()
   })
-  const queue = createQueueTask(ports, { ...options, table, load, running: () => stream.running(), onPaused: setPaused })
+  const queue = createQueueTask(ports, { ...options, table, load, running: () => stream.running(), revision: () => options.base.config.revision(), onPaused: setPaused })
   const prefill = createPrefillTask(ports, { ...options, table, load, release, onFreed: () => queue.pump() })
   const stream = createStreamTask(ports, { engine, table, leaseMs: options.leaseMs, release, onFreed: () => queue.pump() })
 
@@ -84,18 +86,19 @@
   }
 
   /** Ends an attempt wherever it stands and frees what it holds. */
-  function release (ref: AttemptRef): void {
+  function release (ref: AttemptRef, cause: CancelCause): void {
     queue.withdraw(ref)
     stream.drop(ref)
-    if (table.release(ref) === ReleaseEffect.CancelAtEngine) canceller.start(ref)
+    if (table.release(ref) === ReleaseEffect.CancelAtEngine) canceller.start(ref, cause)
     else queue.pump()
   }
 
-  function releaseOwner (owner: string): void {
-    queue.withdrawOwner(owner)
-    for (const entry of table.snapshot()) {
-      if (entry.owner === owner) release(entry.ref)
-    }
+  /** Ends the work of an owner whose lease ended. */
+  function releaseOwner (owner: string, cause: CancelCause): void {
+    const hadQueued = queue.withdrawOwner(owner)
+    const live = table.snapshot().filter((entry) => entry.owner === owner && entry.state !== ReservationState.Cancelling)
+    if (hadQueued || live.length > 0) metrics.count(Metric.LeasesLost, 1, { cause })
+    for (const entry of live) release(entry.ref, cause)
   }
 
   /** Ends what the entry does not await any more; this also repeats a cancel that was lost. */
@@ -105,14 +108,15 @@
     queue.keepOnly(owner, live)
     for (const entry of table.snapshot()) {
       if (entry.owner !== owner || entry.state === ReservationState.Cancelling) continue
-      if (!live.has(attemptKey(entry.ref))) release(entry.ref)
+      if (!live.has(attemptKey(entry.ref))) release(entry.ref, CancelCause.NotAwaited)
     }
   }
 
   function onCancel (owner: string, msg: CancelMessage): void {
     const ref = { requestId: msg.requestId, attempt: msg.attempt }
     canceller.tellWhenFree(ref, owner)
-    release(ref)
+    const hasResult = load.state()?.role === Role.Prefill && !prefill.isRunning(ref)
+    release(ref, hasResult ? CancelCause.ResultReleased : CancelCause.Entry)
     canceller.settle(ref)
   }
 
@@ -154,7 +158,7 @@
   }
 
   function expireLeases (): void {
-    for (const owner of leases.expired(timer.now())) releaseOwner(owner)
+    for (const owner of leases.expired(timer.now())) releaseOwner(owner, CancelCause.LeaseExpired)
   }
 
   /** Lists what the engine holds from before this agent started and cancels what no entry claims within one lease. */
@@ -166,7 +170,7 @@
     }
     table.adopt(held.val)
     timer.after(options.leaseMs, () => {
-      for (const ref of table.unclaimed()) release(ref)
+      for (const ref of table.unclaimed()) release(ref, CancelCause.Unclaimed)
     })
   }
 
@@ -175,9 +179,17 @@
     canceller.retry()
     queue.pump()
   })
+  const gauges = timer.every(options.heartbeatMs, () => {
+    const free = table.free()
+    metrics.gauge(Metric.SeatsUsed, options.seats - free.seats)
+    metrics.gauge(Metric.PiecesReserved, options.pieces - free.pieces)
+    for (const tierClass of Object.values(TierClass)) {
+      metrics.gauge(Metric.QueueLength, queue.lengthOf(tierClass), { class: tierClass })
+    }
+  })
   const pauses = timer.onPause(options.leaseMs, () => {
     // The entries gave up on this agent during the pause, so nothing that was admitted before it is still awaited.
-    for (const owner of leases.expireAll()) releaseOwner(owner)
+    for (const owner of leases.expireAll()) releaseOwner(owner, CancelCause.Paused)
   })
   adoptHeld()
 
@@ -195,7 +207,7 @@
     ownerDown (owner) {
       queue.withdrawOwner(owner)
       for (const entry of table.snapshot()) {
-        if (entry.owner === owner && entry.state === ReservationState.Reserved) release(entry.ref)
+        if (entry.owner === owner && entry.state === ReservationState.Reserved) release(entry.ref, CancelCause.LeaseExpired)
       }
     },
     inFlight,
@@ -205,7 +217,7 @@
           const msg = { kind: MessageKind.Failed as const, ...entry.ref, code: RefusalCode.Draining, outcome: Outcome.Unknown, message: 'the agent ended' }
           ports.send(entry.owner, msg)
         }
-        release(entry.ref)
+        release(entry.ref, CancelCause.Shutdown)
       }
     },
     publish: load.publish,
@@ -219,6 +231,7 @@
     }),
     async close () {
       ticks.cancel()
+      gauges.cancel()
       pauses.cancel()
       load.close()
       placement.close()
--- a/agent/_prefill_task.ts
+++ b/agent/_prefill_task.ts
@@ -4,6 +4,7 @@
 import { EngineErrorKind } from '../engine/mod.ts'
 import { attemptKey, Outcome, RefusalCode, TierClass } from '../core/types/mod.ts'
 import { MessageKind } from '../wire/mod.ts'
+import { CancelCause } from './_types.ts'
 import type { EngineAdapter, EngineError, PrefillResult } from '../engine/mod.ts'
 import type { ReservationTable } from '../core/reservation/mod.ts'
 import type { AttemptRef } from '../core/types/mod.ts'
@@ -19,7 +20,7 @@
   seats: number
   pieces: number
   paidHeadroom: () => number
-  release: (ref: AttemptRef) => void
+  release: (ref: AttemptRef, cause: CancelCause) => void
   onFreed: () => void
 }
 
@@ -28,6 +29,8 @@
   run (owner: string, msg: Prefill): void
   /** Number of prefills that were given to the engine and have not ended. */
   length (): number
+  /** True while the engine computes the prefill of an attempt. */
+  isRunning (ref: AttemptRef): boolean
   /** Number of prompt tokens that the engine computes before new work of a tier class. */
   tokensBefore (tierClass: TierClass): number
 }
@@ -68,13 +71,13 @@
       const code = RefusalCode.BackendError
       ports.send(owner, { kind: MessageKind.Failed, requestId, attempt, code, outcome: Outcome.Unknown, message: err.message })
     }
-    options.release(ref)
+    options.release(ref, CancelCause.Failed)
   }
 
   function onDone (owner: string, ref: AttemptRef, result: PrefillResult): void {
     const { requestId, attempt } = ref
     ports.send(owner, { kind: MessageKind.Prefilled, requestId, attempt, ...result })
-    ports.timer.after(result.keepsMs + releaseGraceMs, () => options.release(ref))
+    ports.timer.after(result.keepsMs + releaseGraceMs, () => options.release(ref, CancelCause.ResultExpired))
   }
 
   /** Tells whether free work would take the headroom that only paid work may use. */
@@ -127,6 +130,7 @@
       start(owner, msg, tokens)
     },
     length: () => running.size,
+    isRunning: (ref) => running.has(attemptKey(ref)),
     tokensBefore
   }
 }
--- a/agent/_queue_task.ts
+++ b/agent/_queue_task.ts
@@ -3,6 +3,8 @@
  */
 import { createAdmission } from '../core/admission/mod.ts'
 import { attemptKey, TierClass } from '../core/types/mod.ts'
+import { DecisionKind } from '../log/mod.ts'
+import { Metric } from '../metrics/mod.ts'
 import { MessageKind } from '../wire/mod.ts'
 import type { AdmissionItem, RunningItem } from '../core/admission/mod.ts'
 import type { AdmissionPolicy } from '../core/records/mod.ts'
@@ -21,6 +23,8 @@
   paidHeadroom: () => number
   admission: () => AdmissionPolicy
   running: () => RunningItem[]
+  /** Highest configuration revision in force. */
+  revision: () => number
   onPaused: (ref: AttemptRef, paused: boolean) => void
 }
 
@@ -30,11 +34,13 @@
   /** Admits what fits now. */
   pump (): void
   withdraw (ref: AttemptRef): void
-  withdrawOwner (owner: string): void
+  /** Withdraws the waiting work of an owner; false when it had none. */
+  withdrawOwner (owner: string): boolean
   /** Withdraws the waiting work of an owner whose key is not in `live`. */
   keepOnly (owner: string, live: Set<string>): void
   refuse (owner: string, ref: AttemptRef, code: RefusalCode, retryAfterMs: number): void
   length (): number
+  lengthOf (tierClass: TierClass): number
   /** Estimated time in milliseconds that a new reservation of paid work waits. */
   waitMs (): number
 }
@@ -56,7 +62,7 @@
     maxQueue,
     quantumTokens
   })
-  const waiting = new Map<string, AdmissionItem>()
+  const waiting = new Map<string, AdmissionItem & { offeredMs: number }>()
   /** Admitted work that does not run yet. */
   const admitted = new Map<string, AdmissionItem>()
 
@@ -78,7 +84,14 @@
     return [...running, ...reserved]
   }
 
+  function measureWait (item: AdmissionItem): void {
+    const offeredMs = waiting.get(attemptKey(item.ref))?.offeredMs
+    if (offeredMs === undefined) return
+    ports.metrics.timing(Metric.QueueTime, ports.timer.now() - offeredMs, { class: item.tierClass })
+  }
+
   function admit (item: AdmissionItem): void {
+    measureWait(item)
     waiting.delete(attemptKey(item.ref))
     const done = table.reserve({ ref: item.ref, owner: item.owner, pieces: item.pieces }, ports.timer.now())
     if (done.err) refuse(item.owner, item.ref, done.val, 200)
@@ -88,13 +101,24 @@
     }
   }
 
+  function logDecision ({ requestId, attempt }: AttemptRef, reason: string, caller?: string): void {
+    const revision = options.revision()
+    ports.log.decision({ kind: DecisionKind.Admission, request: requestId, attempt, caller, runnersUp: [], revision, reason })
+  }
+
+  function setPaused (ref: AttemptRef, paused: boolean): void {
+    logDecision(ref, paused ? 'paused for paid work' : 'resumed')
+    options.onPaused(ref, paused)
+  }
+
   function pump (): void {
     admission.setPolicy(options.admission(), options.paidHeadroom())
     const step = admission.next(table.free(), holding(), ports.timer.now())
-    for (const ref of step.pause) options.onPaused(ref, true)
-    for (const ref of step.resume) options.onPaused(ref, false)
+    for (const ref of step.pause) setPaused(ref, true)
+    for (const ref of step.resume) setPaused(ref, false)
     for (const refusal of step.refuse) {
       waiting.delete(attemptKey(refusal.item.ref))
+      logDecision(refusal.item.ref, `refused from the queue: ${refusal.code}`, refusal.item.caller)
       refuse(refusal.item.owner, refusal.item.ref, refusal.code, refusal.retryAfterMs)
     }
     for (const item of step.admit) admit(item)
@@ -121,7 +145,7 @@
       refuse(owner, ref, offered.val.code, offered.val.retryAfterMs)
       return
     }
-    waiting.set(attemptKey(ref), item)
+    waiting.set(attemptKey(ref), { ...item, offeredMs: ports.timer.now() })
     pump()
   }
 
@@ -130,9 +154,9 @@
     pump,
     withdraw,
     withdrawOwner (owner) {
-      for (const item of [...waiting.values()]) {
-        if (item.owner === owner) withdraw(item.ref)
-      }
+      const owned = [...waiting.values()].filter((item) => item.owner === owner)
+      for (const item of owned) withdraw(item.ref)
+      return owned.length > 0
     },
     keepOnly (owner, live) {
       for (const item of [...waiting.values()]) {
@@ -141,6 +165,7 @@
     },
     refuse,
     length: () => waiting.size,
+    lengthOf: (tierClass) => [...waiting.values()].filter((item) => item.tierClass === tierClass).length,
     waitMs: () => admission.estimateWaitMs(TierClass.Paid)
   }
 }
--- a/agent/_service_task.ts
+++ b/agent/_service_task.ts
@@ -5,6 +5,7 @@
 import { Err } from '../core/results/mod.ts'
 import { createTicketTable, TicketAction } from '../core/ticket/mod.ts'
 import { Outcome, RefusalCode, Role } from '../core/types/mod.ts'
+import { Metric } from '../metrics/mod.ts'
 import { MessageKind } from '../wire/mod.ts'
 import type { TicketDecision } from '../core/ticket/mod.ts'
 import type { ServiceAdapter, ServiceReply } from '../engine/mod.ts'
@@ -135,7 +136,10 @@
     })
   }
 
-  const reports = timer.every(options.heartbeatMs, publish)
+  const reports = timer.every(options.heartbeatMs, () => {
+    publish()
+    ports.metrics.gauge(Metric.TicketsHeld, tickets.size())
+  })
 
   const handlers: Handlers = {
     [MessageKind.Call]: onCall,
--- a/agent/_stream_task.ts
+++ b/agent/_stream_task.ts
@@ -6,6 +6,7 @@
 import { attemptKey, Outcome, RefusalCode, TierClass } from '../core/types/mod.ts'
 import { MessageKind } from '../wire/mod.ts'
 import { StartEffect } from '../core/reservation/mod.ts'
+import { CancelCause } from './_types.ts'
 import type { RunningItem } from '../core/admission/mod.ts'
 import type { Result } from '../core/results/mod.ts'
 import type { TokenAssembler } from '../core/stream/mod.ts'
@@ -21,7 +22,7 @@
   table: ReservationTable
   /** Time in milliseconds for which a finished answer can be read again. */
   leaseMs: number
-  release: (ref: AttemptRef) => void
+  release: (ref: AttemptRef, cause: CancelCause) => void
   onFreed: () => void
 }
 
@@ -107,7 +108,7 @@
   function failStream (stream: Stream, err: EngineError): void {
     const code = failureCodes[err.kind]
     ports.send(stream.owner, { kind: MessageKind.Failed, ...stream.ref, code, outcome: Outcome.Unknown, message: err.message })
-    options.release(stream.ref)
+    options.release(stream.ref, CancelCause.Failed)
   }
 
   /** Reads the rest of a stream that the engine still holds. */
--- a/agent/_types.ts
+++ b/agent/_types.ts
@@ -10,6 +10,27 @@
 /** Sends a message to an entry by its owner key `name#incarnation`; false when that run of the entry is not connected. */
 export type SendToOwner = (owner: string, msg: Message) => boolean
 
+/** Names why an attempt was cancelled at the engine. */
+export enum CancelCause {
+  /** The entry cancelled it. */
+  Entry = 'entry',
+  /** The entry let go of a prefill result, as it does after each handoff. */
+  ResultReleased = 'result_released',
+  /** Nobody fetched or released a prefill result in time. */
+  ResultExpired = 'result_expired',
+  /** A heartbeat of the entry did not list it. */
+  NotAwaited = 'not_awaited',
+  /** The lease of the entry expired. */
+  LeaseExpired = 'lease_expired',
+  /** This process paused for longer than a lease. */
+  Paused = 'paused',
+  /** It failed at the engine. */
+  Failed = 'failed',
+  /** The engine held it from before this agent started, and no entry claimed it. */
+  Unclaimed = 'unclaimed',
+  Shutdown = 'shutdown'
+}
+
 /** What every task of an agent gets. */
 export interface TaskPorts {
   timer: Timer
--- a/daemon/create_base.ts
+++ b/daemon/create_base.ts
@@ -108,7 +108,6 @@
   const relayEvents: { [K in RelayEventKind]: (event: Extract<RelayEvent, { kind: K }>) => void } = {
     [RelayEventKind.Ready]: ({ revision }) => log.info({ revision }, 'configuration is safe to serve from'),
     [RelayEventKind.Applied]: ({ from, revision, keys }) => {
-      metrics.gauge(Metric.ConfigRevision, revision)
       log.info({ from, revision, keys: keys.length }, 'configuration in force')
     },
     [RelayEventKind.Rejected]: ({ from, rejected }) => {
@@ -183,7 +182,19 @@
     }
   }
 
+  function sendGauges (): void {
+    const connected = peers.list()
+    for (const process of ['entry', 'agent', 'tool']) {
+      const count = connected.filter((peer) => peer.process === process).length
+      metrics.gauge(Metric.Connections, count, { process })
+    }
+    metrics.gauge(Metric.ConfigRevision, config.revision())
+  }
+
   const hosts = followHosts({ timer, hostList, random: Math.random, onHosts })
+  const { heartbeatMs, leaseMs } = settings.timings
+  timer.every(heartbeatMs, sendGauges)
+  timer.onPause(leaseMs, () => metrics.count(Metric.Pauses, 1))
   timer.every(memberTickMs, () => changed(members.tick(timer.now())))
   relay.start()
 
--- a/entry/_completions.ts
+++ b/entry/_completions.ts
@@ -152,6 +152,7 @@
         else stats.betweenTokens(identity.tier, (nowMs - lastMs) / batch.length)
         lastMs = nowMs
         tokens += batch.length
+        stats.tokens(identity.tier, batch.length)
         sink.onTokens(batch)
       },
       onEnd (total, reason) {
@@ -160,6 +161,7 @@
       },
       onRefused (code, outcome, retryAfterMs) {
         end(outcome)
+        stats.refused(identity.tier, code)
         sink.onRefused(code, outcome, retryAfterMs)
       },
       onBroken (code, outcome) {
@@ -176,6 +178,7 @@
   const admitted = options.limits.admit(spec.caller, spec.promptTokens + spec.maxTokens, options.timer.now())
   if (admitted.err) {
     options.stats.ended(identity.tier, Outcome.NotRun, 0)
+    options.stats.refused(identity.tier, admitted.val.code)
     sendRefusal(call.res, refusal(admitted.val.code, Outcome.NotRun, admitted.val.retryAfterMs))
     return
   }
@@ -202,6 +205,7 @@
       return
     }
     if (options.isFull()) {
+      options.stats.refused(identity.tier, RefusalCode.NoCapacity)
       sendRefusal(call.res, refusal(RefusalCode.NoCapacity, Outcome.NotRun, 1000))
       return
     }
--- a/entry/_model_requests.ts
+++ b/entry/_model_requests.ts
@@ -4,6 +4,7 @@
 import { createRequest, RequestEffectKind, RequestEventKind, RequestPhase } from '../core/request/mod.ts'
 import { attemptKey } from '../core/types/mod.ts'
 import { DecisionKind } from '../log/mod.ts'
+import { countLate, createAttemptAccount } from './_attempt_account.ts'
 import type {
   AgentReply, RequestEffect, RequestEvent, RequestMachine, RequestOptions, RequestPorts, RequestSpec
 } from '../core/request/mod.ts'
@@ -12,6 +13,8 @@
 import type { Subscription, Timer } from '../timer/mod.ts'
 import type { Message } from '../wire/mod.ts'
 import type { Decision } from '../log/mod.ts'
+import type { Metrics } from '../metrics/mod.ts'
+import type { AttemptAccount } from './_attempt_account.ts'
 
 /** Receives what a request produces. */
 export interface AnswerSink {
@@ -24,6 +27,7 @@
 /** Configures the table of requests. */
 export interface ModelRequestsOptions {
   timer: Timer
+  metrics: Metrics
   router: Router
   send: (agent: string, msg: Message) => boolean
   isConnected: (agent: string) => boolean
@@ -49,6 +53,7 @@
   spec: RequestSpec
   tier: string
   sink: AnswerSink
+  account: AttemptAccount
   timers: Set<Subscription>
   legs: Map<string, { agent: string, ref: AttemptRef }>
 }
@@ -57,7 +62,7 @@
  * Creates the table of model requests.
  */
 export function createModelRequests (options: ModelRequestsOptions): ModelRequests {
-  const { timer, router } = options
+  const { timer, metrics, router } = options
   const active = new Map<string, Active>()
   /** Attempts by agent, so that heartbeats do not read every request. */
   const liveByAgent = new Map<string, Map<string, AttemptRef>>()
@@ -150,6 +155,7 @@
 
   function feed (item: Active, event: RequestEvent): void {
     const effects = item.machine.handle(event, timer.now())
+    item.account.follow(event, effects, item.machine.progress().attempts)
     for (const effect of effects) perform(item, effect)
     trackLegs(item)
     if (item.machine.phase() === RequestPhase.Ended) finish(item)
@@ -163,7 +169,8 @@
   return {
     start (spec, ports, requestOptions, tier, sink) {
       const machine = createRequest(spec, ports, requestOptions)
-      const item: Active = { machine, spec, tier, sink, timers: new Set(), legs: new Map() }
+      const account = createAttemptAccount(metrics, tier)
+      const item: Active = { machine, spec, tier, sink, account, timers: new Set(), legs: new Map() }
       active.set(spec.requestId, item)
       feed(item, { kind: RequestEventKind.Start })
     },
@@ -173,7 +180,8 @@
     },
     onReply (agent, msg) {
       const item = active.get(msg.requestId)
-      if (item !== undefined) feed(item, { kind: RequestEventKind.Reply, agent, msg })
+      if (item === undefined) countLate(metrics, msg)
+      else feed(item, { kind: RequestEventKind.Reply, agent, msg })
     },
     onAgentLost (agent) {
       for (const item of at(agent)) feed(item, { kind: RequestEventKind.AgentLost, agent })
--- a/entry/_services.ts
+++ b/entry/_services.ts
@@ -15,6 +15,7 @@
 import type { Auth, Identity } from './_auth.ts'
 import type { HttpCall, HttpRoute } from './_http_server.ts'
 import type { Rpc, RpcReply } from './_rpc.ts'
+import type { EntryStats } from './_stats.ts'
 
 /** Configures the handlers. */
 export interface ServicesOptions {
@@ -30,7 +31,7 @@
   reach (agent: string): Promise<boolean>
   /** Takes one retry from the budget. */
   takeRetry: () => boolean
-  onOutcome (identity: Identity, outcome: Outcome): void
+  stats: EntryStats
 }
 
 interface Target {
@@ -93,7 +94,7 @@
  * Creates the routes of services and tickets.
  */
 export function serviceRoutes (options: ServicesOptions): HttpRoute[] {
-  const { config, rpc } = options
+  const { config, rpc, stats } = options
 
   function identify (call: HttpCall): Identity | undefined {
     const identity = options.auth.identify(call.req)
@@ -115,8 +116,8 @@
     return { identity, service, path: path.startsWith('/') ? path : `/${path}` }
   }
 
-  function answer (call: HttpCall, identity: Identity, done: Pick<CallDone, 'outcome' | 'code' | 'reply' | 'replayed'>): void {
-    options.onOutcome(identity, done.outcome)
+  function answer (call: HttpCall, { identity, service }: Target, done: Pick<CallDone, 'outcome' | 'code' | 'reply' | 'replayed'>): void {
+    stats.callEnded(identity.tier, service.name, done)
     sendReply(call, done as CallDone)
   }
 
@@ -130,8 +131,8 @@
     await options.reach(parts.val.agent)
     const done = await rpc.call(parts.val.agent, { ...msg, ticket }, msg.timeoutMs + callGraceMs)
     // Another entry may have sent the same ticket before, so a call that did not leave this entry is not known not to have run.
-    if (done.err) answer(call, target.identity, { outcome: Outcome.Unknown, code: failureCodes[done.val], replayed: false })
-    else answer(call, target.identity, toCallDone(done.val))
+    if (done.err) answer(call, target, { outcome: Outcome.Unknown, code: failureCodes[done.val], replayed: false })
+    else answer(call, target, toCallDone(done.val))
   }
 
   /** Sends an idempotent call, and repeats it elsewhere when a backend server fails. */
@@ -143,23 +144,25 @@
       const chosen = options.choose(call.requestId, attempt, target.identity, target.service.name, exclude)
       if (chosen.err) break
       exclude.push(chosen.val)
+      if (attempt > 1) stats.callRetried(last.code ?? RefusalCode.BackendError)
       const done = await rpc.call(chosen.val, { ...msg, attempt }, msg.timeoutMs + callGraceMs)
       if (call.res.destroyed) return
       if (done.ok && done.val.kind === MessageKind.CallDone && done.val.outcome === Outcome.Done) {
-        answer(call, target.identity, done.val)
+        answer(call, target, done.val)
         return
       }
       const failed = done.ok ? toCallDone(done.val) : toFailure(done.val)
       const mayHaveRun = last.outcome === Outcome.Unknown || failed.outcome === Outcome.Unknown
       last = { ...failed, outcome: mayHaveRun ? Outcome.Unknown : Outcome.NotRun }
     }
-    answer(call, target.identity, last)
+    answer(call, target, last)
   }
 
   async function callService (call: HttpCall): Promise<void> {
     const target = findTarget(call)
     if (target === undefined) return
     if (options.isFull()) {
+      stats.refused(target.identity.tier, RefusalCode.NoCapacity)
       sendRefusal(call.res, refusal(RefusalCode.NoCapacity, Outcome.NotRun, 1000))
       return
     }
@@ -167,6 +170,7 @@
     const ticket = call.req.headers['x-ticket']
     const idempotent = isIdempotent(target.service, method, target.path)
     if (!idempotent && typeof ticket !== 'string') {
+      stats.refused(target.identity.tier, RefusalCode.TicketRequired)
       sendRefusal(call.res, refusal(RefusalCode.TicketRequired, Outcome.NotRun))
       return
     }
@@ -209,10 +213,12 @@
       const msg = { kind: MessageKind.TicketIssue as const, requestId, attempt, service, caller: identity.caller.name }
       const issued = await rpc.call(chosen.val, msg, ticketTimeoutMs)
       if (issued.err || issued.val.kind !== MessageKind.TicketIssued) continue
+      stats.ticketIssued(service)
       call.res.writeHead(201, { 'content-type': 'application/json' })
       call.res.end(JSON.stringify({ ticket: issued.val.ticket, keeps_ms: issued.val.keepsMs }))
       return
     }
+    stats.refused(identity.tier, RefusalCode.NoBackend)
     sendRefusal(call.res, refusal(RefusalCode.NoBackend, Outcome.NotRun, 1000))
   }
 
--- a/entry/start_entry.ts
+++ b/entry/start_entry.ts
@@ -10,6 +10,7 @@
 import { Role } from '../core/types/mod.ts'
 import { createBase } from '../daemon/mod.ts'
 import { createDecisionRing, DecisionKind } from '../log/mod.ts'
+import { Metric } from '../metrics/mod.ts'
 import { MessageKind } from '../wire/mod.ts'
 import { createAgents } from './_agents.ts'
 import { createAuth } from './_auth.ts'
@@ -99,6 +100,7 @@
   const rpc = createRpc(timer, peers.send)
   const requests = createModelRequests({
     timer,
+    metrics,
     router,
     send: peers.send,
     isConnected: (agent) => peers.get(agent) !== undefined,
@@ -239,7 +241,7 @@
       choose: chooseService,
       reach: agents.reach,
       takeRetry: () => retries.take(timer.now()),
-      onOutcome: (identity, outcome) => stats.ended(identity.tier, outcome, 0)
+      stats
     }),
     { method: 'GET', path: '/healthz', handle: (call) => sendState(call, true) },
     { method: 'GET', path: '/readyz', handle: (call) => sendState(call, isReady()) }
@@ -250,6 +252,10 @@
     if (event.key.startsWith(`${RecordKind.Policy}/`)) applyPolicy()
   })
   timer.onPause(timings.leaseMs, requests.revalidate)
+  timer.every(timings.heartbeatMs, () => {
+    stats.flush()
+    metrics.gauge(Metric.RequestsInFlight, requests.count() + rpc.count())
+  })
 
   const listening = await peers.listen(settings.peer.host, settings.peer.port)
   if (listening.err) {
@@ -288,10 +294,12 @@
       const closed = server.close()
       await idle()
       await closed
+      stats.flush()
       await base.close()
     },
     async kill () {
       server.closeNow()
+      stats.flush()
       await base.close()
     }
   })
