--- a/agent/_engine_task.ts
+++ b/agent/_engine_task.ts
@@ -9,6 +9,7 @@
 import { createCanceller } from './_canceller.ts'
 import { createLoadTask } from './_load_task.ts'
 import { createPlacementTask } from './_placement_task.ts'
+import { createReconciler } from './_reconciler.ts'
 import { createPrefillTask } from './_prefill_task.ts'
 import { createQueueTask } from './_queue_task.ts'
 import { createStreamTask } from './_stream_task.ts'
@@ -42,7 +43,7 @@
 /**
  * Creates the task.
  */
-export function createEngineTask (taskPorts: TaskPorts, options: EngineTaskOptions): BackendTask {
+export async function createEngineTask (taskPorts: TaskPorts, options: EngineTaskOptions): Promise<BackendTask> {
   let isMoving = false
   const ports: TaskPorts = { ...taskPorts, isDraining: () => isMoving || taskPorts.isDraining() }
   const { timer, metrics } = ports
@@ -161,37 +162,38 @@
     for (const owner of leases.expired(timer.now())) releaseOwner(owner, CancelCause.LeaseExpired)
   }
 
-  /** Lists what the engine holds from before this agent started and cancels what no entry claims within one lease. */
-  async function adoptHeld (): Promise<void> {
-    const held = await engine.held()
-    if (held.err) {
-      timer.after(options.heartbeatMs, adoptHeld)
-      return
-    }
-    table.adopt(held.val)
-    timer.after(options.leaseMs, () => {
-      for (const ref of table.unclaimed()) release(ref, CancelCause.Unclaimed)
-    })
-  }
+  const reconciler = createReconciler(ports, {
+    engine,
+    table,
+    periodMs: options.leaseMs / 2,
+    claimMs: options.leaseMs,
+    release: (ref) => release(ref, CancelCause.Unclaimed)
+  })
 
   const ticks = timer.every(tickMs, () => {
     expireLeases()
     canceller.retry()
     queue.pump()
   })
-  const gauges = timer.every(options.heartbeatMs, () => {
+  function sendGauges (): void {
     const free = table.free()
     metrics.gauge(Metric.SeatsUsed, options.seats - free.seats)
     metrics.gauge(Metric.PiecesReserved, options.pieces - free.pieces)
     for (const tierClass of Object.values(TierClass)) {
       metrics.gauge(Metric.QueueLength, queue.lengthOf(tierClass), { class: tierClass })
     }
+  }
+
+  const beats = timer.every(options.heartbeatMs, () => {
+    stream.keepAlive()
+    sendGauges()
   })
   const pauses = timer.onPause(options.leaseMs, () => {
     // The entries gave up on this agent during the pause, so nothing that was admitted before it is still awaited.
     for (const owner of leases.expireAll()) releaseOwner(owner, CancelCause.Paused)
   })
-  adoptHeld()
+  // Admission starts only after the engine told what it holds from before.
+  await reconciler.first()
 
   return {
     handle (owner: string, msg: Message) {
@@ -231,10 +233,11 @@
     }),
     async close () {
       ticks.cancel()
-      gauges.cancel()
+      beats.cancel()
       pauses.cancel()
       load.close()
       placement.close()
+      reconciler.close()
       await engine.close()
     }
   }
--- a/agent/_types.ts
+++ b/agent/_types.ts
@@ -26,7 +26,7 @@
   Paused = 'paused',
   /** It failed at the engine. */
   Failed = 'failed',
-  /** The engine held it from before this agent started, and no entry claimed it. */
+  /** The engine held it without this agent, and no entry claimed it. */
   Unclaimed = 'unclaimed',
   Shutdown = 'shutdown'
 }
