--- a/agent/_engine_task.ts
+++ b/agent/_engine_task.ts
@@ -3,7 +3,8 @@
  */
 import { createLeaseTable } from '../core/lease/mod.ts'
 import { ReleaseEffect, ReservationState, createReservationTable } from '../core/reservation/mod.ts'
-import { attemptKey, Outcome, RefusalCode, Role } from '../core/types/mod.ts'
+import { attemptKey, Outcome, RefusalCode, Role, TierClass } from '../core/types/mod.ts'
+import { Metric } from '../metrics/mod.ts'
 import { MessageKind } from '../wire/mod.ts'
 import { createCanceller } from './_canceller.ts'
 import { createLoadTask } from './_load_task.ts'
@@ -12,6 +13,7 @@
 import { createPrefillTask } from './_prefill_task.ts'
 import { createQueueTask } from './_queue_task.ts'
 import { createStreamTask } from './_stream_task.ts'
+import { CancelCause } from './_types.ts'
 import type { Base } from '../daemon/mod.ts'
 import type { EngineAdapter } from '../engine/mod.ts'
 import type { AdmissionPolicy } from '../core/records/mod.ts'
@@ -44,7 +46,7 @@
 export async function createEngineTask (taskPorts: TaskPorts, options: EngineTaskOptions): Promise<BackendTask> {
   let isMoving = false
   const ports: TaskPorts = { ...taskPorts, isDraining: () => isMoving || taskPorts.isDraining() }
-  const { timer } = ports
+  const { timer, metrics } = ports
   const { engine } = options
   const leases = createLeaseTable({ leaseMs: options.leaseMs })
   const table = createReservationTable({ seats: options.seats, pieces: options.pieces })
@@ -57,7 +59,7 @@
     tokensBefore: (tierClass) => prefill.tokensBefore(tierClass),
     reserveWaitMs: () => queue.waitMs()
   })
-  const queue = createQueueTask(ports, { ...options, table, load, running: () => stream.running(), onPaused: setPaused })
+  const queue = createQueueTask(ports, { ...options, table, load, running: () => stream.running(), revision: () => options.base.config.revision(), onPaused: setPaused })
   const prefill = createPrefillTask(ports, { ...options, table, load, release, onFreed: () => queue.pump() })
   const stream = createStreamTask(ports, { engine, table, leaseMs: options.leaseMs, release, onFreed: () => queue.pump() })
 
@@ -86,18 +88,19 @@
   }
 
   /** Ends an attempt wherever it stands and frees what it holds. */
-  function release (ref: AttemptRef): void {
+  function release (ref: AttemptRef, cause: CancelCause): void {
     queue.withdraw(ref)
     stream.drop(ref)
-    if (table.release(ref) === ReleaseEffect.CancelAtEngine) canceller.start(ref)
+    if (table.release(ref) === ReleaseEffect.CancelAtEngine) canceller.start(ref, cause)
     else queue.pump()
   }
 
-  function releaseOwner (owner: string): void {
-    queue.withdrawOwner(owner)
-    for (const entry of table.snapshot()) {
-      if (entry.owner === owner) release(entry.ref)
-    }
+  /** Ends the work of an owner whose lease ended. */
+  function releaseOwner (owner: string, cause: CancelCause): void {
+    const hadQueued = queue.withdrawOwner(owner)
+    const live = table.snapshot().filter((entry) => entry.owner === owner && entry.state !== ReservationState.Cancelling)
+    if (hadQueued || live.length > 0) metrics.count(Metric.LeasesLost, 1, { cause })
+    for (const entry of live) release(entry.ref, cause)
   }
 
   /** Ends what the entry does not await any more; this also repeats a cancel that was lost. */
@@ -107,14 +110,15 @@
     queue.keepOnly(owner, live)
     for (const entry of table.snapshot()) {
       if (entry.owner !== owner || entry.state === ReservationState.Cancelling) continue
-      if (!live.has(attemptKey(entry.ref))) release(entry.ref)
+      if (!live.has(attemptKey(entry.ref))) release(entry.ref, CancelCause.NotAwaited)
     }
   }
 
   function onCancel (owner: string, msg: CancelMessage): void {
     const ref = { requestId: msg.requestId, attempt: msg.attempt }
     canceller.tellWhenFree(ref, owner)
-    release(ref)
+    const hasResult = load.state()?.role === Role.Prefill && !prefill.isRunning(ref)
+    release(ref, hasResult ? CancelCause.ResultReleased : CancelCause.Entry)
     canceller.settle(ref)
   }
 
@@ -156,11 +160,15 @@
   }
 
   function expireLeases (): void {
-    for (const owner of leases.expired(timer.now())) releaseOwner(owner)
+    for (const owner of leases.expired(timer.now())) releaseOwner(owner, CancelCause.LeaseExpired)
   }
 
   const reconciler = createReconciler(ports, {
-    engine, table, periodMs: options.leaseMs / 2, claimMs: options.leaseMs, release
+    engine,
+    table,
+    periodMs: options.leaseMs / 2,
+    claimMs: options.leaseMs,
+    release: (ref) => release(ref, CancelCause.Unclaimed)
   })
 
   const ticks = timer.every(tickMs, () => {
@@ -168,10 +176,22 @@
     canceller.retry()
     queue.pump()
   })
-  const beats = timer.every(options.heartbeatMs, stream.keepAlive)
+  function sendGauges (): void {
+    const free = table.free()
+    metrics.gauge(Metric.SeatsUsed, options.seats - free.seats)
+    metrics.gauge(Metric.PiecesReserved, options.pieces - free.pieces)
+    for (const tierClass of Object.values(TierClass)) {
+      metrics.gauge(Metric.QueueLength, queue.lengthOf(tierClass), { class: tierClass })
+    }
+  }
+
+  const beats = timer.every(options.heartbeatMs, () => {
+    stream.keepAlive()
+    sendGauges()
+  })
   const pauses = timer.onPause(options.leaseMs, () => {
     // The entries gave up on this agent during the pause, so nothing that was admitted before it is still awaited.
-    for (const owner of leases.expireAll()) releaseOwner(owner)
+    for (const owner of leases.expireAll()) releaseOwner(owner, CancelCause.Paused)
   })
   // Admission starts only after the engine told what it holds from before.
   await reconciler.first()
@@ -190,7 +210,7 @@
     ownerDown (owner) {
       queue.withdrawOwner(owner)
       for (const entry of table.snapshot()) {
-        if (entry.owner === owner && entry.state === ReservationState.Reserved) release(entry.ref)
+        if (entry.owner === owner && entry.state === ReservationState.Reserved) release(entry.ref, CancelCause.LeaseExpired)
       }
     },
     inFlight,
@@ -200,7 +220,7 @@
           const msg = { kind: MessageKind.Failed as const, ...entry.ref, code: RefusalCode.Draining, outcome: Outcome.Unknown, message: 'the agent ended' }
           ports.send(entry.owner, msg)
         }
-        release(entry.ref)
+        release(entry.ref, CancelCause.Shutdown)
       }
     },
     publish: load.publish,
