Ask a peer again as soon as it is ready

Cause: at a cold start a process asks its parent, which is not ready and answers with a digest; the question stayed open for 1 s, so each level of the tree waited. The answer now closes the question, and the digest that the parent sends when it is ready leads to the next one.

--- a/relay/_fleet_test.ts
+++ b/relay/_fleet_test.ts
@@ -23,6 +23,8 @@
   relay: ConfigRelay
   /** Revision of the record that was in force when the relay first said that it is ready. */
   readyAt?: number
+  /** When the relay said so, in milliseconds. */
+  readyMs?: number
 }
 
 export interface Fleet {
@@ -98,7 +100,9 @@
       service: createService(name),
       self: member,
       random,
-      onEvent: ({ kind }) => { if (kind === 'ready') node.readyAt = recordAt(config) },
+      onEvent ({ kind }) {
+        if (kind === 'ready') Object.assign(node, { readyAt: recordAt(config), readyMs: timer.now() })
+      },
       send (peer, msg) {
         if (random() < fleet.lossShare) return
         timer.after(delayMs, () => {
--- a/relay/create_config_relay.ts
+++ b/relay/create_config_relay.ts
@@ -143,6 +143,8 @@
     if (page !== undefined && (msg.wants || isSmall(page))) sendPage(name, page)
     else if (wantsAnswer) send(name, digest(false, true))
     if (msg.revision > config.revision()) ask(name)
+    // A peer that is not ready answers with a digest; once it is ready, it may be asked again without waiting.
+    if (msg.reply === true && asked?.peer === name) asked = undefined
   }
 
   function takeRecords (name: string, msg: ConfigRecords): void {
--- a/relay/relay.feature
+++ b/relay/relay.feature
@@ -2,6 +2,9 @@
   Background:
     Given 60 relays in 3 availability zones with a configuration at revision 1
 
+  Scenario: Relays that all start at once are ready soon after the readers have waited for peers
+    Then every relay was ready within 3200 ms of the start of the fleet
+
   Scenario: A relayed change is pushed down the trees within 1 s and only readers read
     When the relays get a change of the service
     Then within 1 s the change is in force at every relay
--- a/relay/relay_test.ts
+++ b/relay/relay_test.ts
@@ -98,3 +98,8 @@
   const reads = this.fleet.reads - this.fromReads
   assert.ok(reads <= most * readers(this).length, `${reads} reads`)
 })
+
+Then('every relay was ready within {int} ms of the start of the fleet', function (this: World, limitMs: number) {
+  const late = [...this.fleet.nodes.values()].filter(({ readyMs = Infinity }) => readyMs > limitMs)
+  assert.deepEqual(late.map(({ member, readyMs }) => `${member.name} ${readyMs}`), [])
+})
