--- a/bench/main.ts
+++ b/bench/main.ts
@@ -3,6 +3,8 @@
  */
 import sade from 'sade'
 import { compare } from './_compare.ts'
+import { measureOverhead } from './_overhead.ts'
+import { compareTiers } from './_tiers.ts'
 
 interface Flags {
   scenario: string
@@ -12,19 +14,28 @@
   warmup: number
   seed: number
   only: string
+  overhead: boolean
+  tiers: boolean
 }
 
 const msPerS = 1000
+const overheadRequests = 120
 
 async function main (flags: Flags): Promise<void> {
+  const durationMs = Number(flags.seconds) * msPerS
+  const warmupMs = Number(flags.warmup) * msPerS
+  const rounds = Number(flags.rounds)
+  const seed = Number(flags.seed)
+  if (flags.overhead) return await measureOverhead(flags.scenario, overheadRequests, seed)
+  if (flags.tiers) return await compareTiers(flags.scenario, rounds, durationMs, warmupMs, seed)
   const only = flags.only.split(',').filter((name) => name !== '')
   await compare({
     scenario: flags.scenario,
     loads: String(flags.loads).split(',').map(Number),
-    rounds: Number(flags.rounds),
-    durationMs: Number(flags.seconds) * msPerS,
-    warmupMs: Number(flags.warmup) * msPerS,
-    seed: Number(flags.seed),
+    rounds,
+    durationMs,
+    warmupMs,
+    seed,
     only
   })
 }
@@ -37,6 +48,8 @@
   .option('--warmup', 'Time in seconds of load before it', 0.7)
   .option('--seed', 'Seed of the load', 1)
   .option('--only', 'Policies to compare, separated by commas; all by default', '')
+  .option('--overhead', 'Measures what entry and agents add to the first token', false)
+  .option('--tiers', 'Compares paid goodput alone and beside free load', false)
   .action((flags: Flags) => {
     main(flags).then(() => process.exit(0), (err) => {
       console.error(err)
