Serve the platform's requests through a gateway: translator, directory, exchanges and forwarding

The product spoke only its own interface. platform/ now translates the platform's wire; its former content, the adapters of the product's own configuration service and host list, moves to source/. core/route and core/fleet hold rules and workers, directory/ follows the store, exchange/ carries requests over undici and checks the framing that its parser takes on trust, gateway/ forwards.

--- a/bench/slopes/_fleet_slopes.ts
+++ b/bench/slopes/_fleet_slopes.ts
@@ -3,7 +3,7 @@
  */
 import { chooseSubset } from '../../core/subset/mod.ts'
 import type { SubsetAgent, SubsetMember } from '../../core/subset/mod.ts'
-import { createHostListHttp } from '../../platform/mod.ts'
+import { createHostListHttp } from '../../source/mod.ts'
 import type { Point } from './_fit.ts'
 import { cpuMicros } from './_rig.ts'
 import type { Rig } from './_rig.ts'
--- a/bench/slopes/_samples.ts
+++ b/bench/slopes/_samples.ts
@@ -2,7 +2,7 @@
  * Messages and records of the sizes that a deployment has.
  */
 import { Role, TierClass } from '../../core/types/mod.ts'
-import type { ConfigChange } from '../../platform/mod.ts'
+import type { ConfigChange } from '../../source/mod.ts'
 import { MessageKind } from '../../wire/mod.ts'
 import type { Message, MessageOf } from '../../wire/mod.ts'
 
--- a/core/configuration/_types.ts
+++ b/core/configuration/_types.ts
@@ -1,7 +1,7 @@
 /**
  * Types of the configuration store.
  */
-import type { ConfigChange } from '../../platform/mod.ts'
+import type { ConfigChange } from '../../source/mod.ts'
 import type { ConfigRecord, RecordError, RecordKind, RecordOf } from '../records/mod.ts'
 
 /** Carries records and says what range of revisions they cover. */
--- a/core/configuration/configuration_test.ts
+++ b/core/configuration/configuration_test.ts
@@ -4,7 +4,7 @@
 import assert from 'node:assert/strict'
 import { Given, Then, When } from '@cucumber/cucumber'
 import fc from 'fast-check'
-import type { ConfigChange } from '../../platform/mod.ts'
+import type { ConfigChange } from '../../source/mod.ts'
 import { RecordKind } from '../records/mod.ts'
 import { createConfiguration } from './mod.ts'
 import type { Configuration, ConfigurationPage } from './mod.ts'
--- a/core/configuration/create_configuration.ts
+++ b/core/configuration/create_configuration.ts
@@ -1,7 +1,7 @@
 /**
  * A store of configuration records that only moves forward.
  */
-import type { ConfigChange } from '../../platform/mod.ts'
+import type { ConfigChange } from '../../source/mod.ts'
 import { decodeRecord } from '../records/mod.ts'
 import type { ConfigRecord, RecordError, RecordKind, RecordOf } from '../records/mod.ts'
 import type {
--- /dev/null
+++ b/core/fleet/_types.ts
@@ -0,0 +1,70 @@
+/**
+ * Types of the view of the workers.
+ */
+
+/** Names the states that a worker publishes. */
+export enum WorkerState {
+  Ready = 'ready',
+  /** Leaves soon and takes no new work. */
+  Draining = 'draining'
+}
+
+/** Names the halves of a generation that an engine may serve. */
+export enum Stage {
+  Prefill = 'prefill',
+  Decode = 'decode'
+}
+
+/** What a worker publishes of itself. */
+export interface WorkerEntry {
+  /** Identity of this incarnation. */
+  id: string
+  service: string
+  /** Address `ip:port`. */
+  address: string
+  zone: string
+  /** Number of requests that it runs at once. */
+  slots: number
+  state: WorkerState
+  /** Set when the worker is an engine. */
+  stage?: Stage
+  /** Unix time in milliseconds of its start; differs between two incarnations with one identity. */
+  bornMs: number
+}
+
+/** What an engine says of its load. */
+export interface EngineLoad {
+  stage: Stage
+  /** True while it carries out an order. */
+  busy: boolean
+  /** Number of orders that it has accepted since its start. */
+  orders: number
+  waiting: number
+  running: number
+  /** Tokens in memory that cannot yield. */
+  usedTokens: number
+  /** Tokens that reservations hold. */
+  heldTokens: number
+  totalTokens: number
+}
+
+/** The view of one worker. */
+export interface Worker {
+  entry: WorkerEntry
+  /** Time in milliseconds since which it is known to leave. */
+  leavingSinceMs?: number
+  /** Requests of this process that it works on. */
+  inFlight: number
+  /** Tokens that requests of this process reserved or use there. */
+  ownTokens: number
+  /** Prompt tokens of this process that wait to be read there. */
+  ownPrompt: number
+  /** Share of recent requests that failed, from 0 to 1. */
+  failures: number
+  /** Smoothed latency in milliseconds. */
+  latencyMs: number
+  /** Time in milliseconds until which other workers go first. */
+  suspectUntilMs: number
+  /** Newest report of its load, and the time in milliseconds when it was made. */
+  load?: { report: EngineLoad, atMs: number }
+}
--- /dev/null
+++ b/core/fleet/create_fleet.ts
@@ -0,0 +1,78 @@
+/**
+ * The view of the workers that a process routes to.
+ */
+import { WorkerState } from './_types.ts'
+import type { EngineLoad, Worker, WorkerEntry } from './_types.ts'
+
+/** Holds the view of all workers. */
+export interface Fleet {
+  /** Takes what a worker published. */
+  publish (entry: WorkerEntry, nowMs: number): void
+  /** Takes the news that a worker is gone. */
+  remove (id: string): void
+  get (id: string): Worker | undefined
+  /** Returns every worker, also those that leave. */
+  all (): Worker[]
+  /** Returns the workers of a service that take new work. */
+  serving (service: string): Worker[]
+  /** Takes the load report of a worker. */
+  report (id: string, load: EngineLoad, nowMs: number): void
+  /** Counts a request that ended: how long it took, and whether the worker failed it. */
+  ended (worker: Worker, result: { latencyMs?: number, failed: boolean }): void
+  /** Notes that a worker could not be reached or fell silent. */
+  suspect (worker: Worker, nowMs: number): void
+}
+
+/** Weight of the newest sample in smoothed values; a worker that changes shows within about five requests. */
+const newestShare = 0.2
+/** Time in milliseconds for which an unreachable worker comes last; about one heartbeat interval of a worker. */
+const suspectMs = 1_000
+
+/**
+ * Creates an empty view.
+ *
+ * @returns the view
+ *
+ * @example
+ * ```ts
+ * import { createFleet } from 'briarloom/core/fleet'
+ *
+ * console.assert(createFleet().serving('registre').length === 0)
+ * ```
+ */
+export function createFleet (): Fleet {
+  const workers = new Map<string, Worker>()
+
+  function fresh (entry: WorkerEntry): Worker {
+    return { entry, inFlight: 0, ownTokens: 0, ownPrompt: 0, failures: 0, latencyMs: 0, suspectUntilMs: 0 }
+  }
+
+  function smooth (before: number, sample: number): number {
+    return before + newestShare * (sample - before)
+  }
+
+  return {
+    publish (entry, nowMs) {
+      const known = workers.get(entry.id)
+      const worker = known?.entry.bornMs === entry.bornMs ? known : fresh(entry)
+      worker.entry = entry
+      if (entry.state === WorkerState.Draining) worker.leavingSinceMs ??= nowMs
+      else delete worker.leavingSinceMs
+      workers.set(entry.id, worker)
+    },
+    remove: (id) => { workers.delete(id) },
+    get: (id) => workers.get(id),
+    all: () => [...workers.values()],
+    serving: (service) => [...workers.values()].filter(({ entry }) =>
+      entry.service === service && entry.state === WorkerState.Ready),
+    report (id, load, nowMs) {
+      const worker = workers.get(id)
+      if (worker) worker.load = { report: load, atMs: nowMs }
+    },
+    ended (worker, { latencyMs, failed }) {
+      worker.failures = smooth(worker.failures, failed ? 1 : 0)
+      if (latencyMs !== undefined) worker.latencyMs = worker.latencyMs === 0 ? latencyMs : smooth(worker.latencyMs, latencyMs)
+    },
+    suspect (worker, nowMs) { worker.suspectUntilMs = nowMs + suspectMs }
+  }
+}
--- /dev/null
+++ b/core/fleet/mod.ts
@@ -0,0 +1,9 @@
+/**
+ * The view of the workers: what they publish, what this process sent them, and the choice among them.
+ */
+export { chooseWorker } from './choose_worker.ts'
+export { createFleet } from './create_fleet.ts'
+export { Stage, WorkerState } from './_types.ts'
+export type { ChooseWorkerOptions } from './choose_worker.ts'
+export type { Fleet } from './create_fleet.ts'
+export type { EngineLoad, Worker, WorkerEntry } from './_types.ts'
--- a/core/membership/_judge.ts
+++ b/core/membership/_judge.ts
@@ -1,7 +1,7 @@
 /**
  * Works out the state of a member from the evidence about it.
  */
-import { HostState } from '../../platform/mod.ts'
+import { HostState } from '../../source/mod.ts'
 import { MemberReason, MemberState } from './_types.ts'
 
 /** Holds what is known about one incarnation of a member; times are monotonic milliseconds. */
--- a/core/membership/_types.ts
+++ b/core/membership/_types.ts
@@ -1,7 +1,7 @@
 /**
  * Types of the membership view.
  */
-import type { HostEntry } from '../../platform/mod.ts'
+import type { HostEntry } from '../../source/mod.ts'
 import type { Place } from '../types/mod.ts'
 
 /** Names what a process believes about a member; only a hint, never a promise. */
--- a/core/membership/create_membership.ts
+++ b/core/membership/create_membership.ts
@@ -2,7 +2,7 @@
  * The view that one process has of the others, from the host list, its own connections and its peers' reports.
  */
 
-import type { HostEntry } from '../../platform/mod.ts'
+import type { HostEntry } from '../../source/mod.ts'
 import { judge } from './_judge.ts'
 import type { Evidence, Thresholds } from './_judge.ts'
 import { MemberReason, MemberState } from './_types.ts'
--- a/core/membership/membership_test.ts
+++ b/core/membership/membership_test.ts
@@ -3,8 +3,8 @@
  */
 import assert from 'node:assert/strict'
 import { Given, Then, When } from '@cucumber/cucumber'
-import { HostState } from '../../platform/mod.ts'
-import type { HostEntry } from '../../platform/mod.ts'
+import { HostState } from '../../source/mod.ts'
+import type { HostEntry } from '../../source/mod.ts'
 import { createMembership } from './mod.ts'
 import type { MemberChange, Membership } from './mod.ts'
 
--- a/daemon/_follow_hosts.ts
+++ b/daemon/_follow_hosts.ts
@@ -1,7 +1,7 @@
 /**
  * Reads the platform's host list at a pace that the whole fleet can afford.
  */
-import type { HostEntry, HostList } from '../platform/mod.ts'
+import type { HostEntry, HostList } from '../source/mod.ts'
 import type { Timer } from '../timer/mod.ts'
 
 /** Configures the reader. */
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import neostandard from 'neostandard'
 
 export default [
-  ...neostandard({ ts: true, noJsx: true, ignores: ['dist/**', 'node_modules/**', 'spec/**/*.c'] }),
+  ...neostandard({ ts: true, noJsx: true, ignores: ['dist/**', 'target/**', 'node_modules/**', 'spec/**/*.c'] }),
   {
     files: ['**/*.ts'],
     rules: {
--- /dev/null
+++ b/gateway/_front.ts
@@ -0,0 +1,156 @@
+/**
+ * Accepts the requests of clients, within the operator's limits.
+ */
+import { createServer } from 'node:http'
+import { chooseTarget } from '../core/route/mod.ts'
+import { decodeRequestHead } from '../platform/mod.ts'
+import { createReply } from './_reply.ts'
+import { serveGeneration } from './_serve_generation.ts'
+import { servePlain } from './_serve_plain.ts'
+import { StopReason } from './_types.ts'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
+import type { ClientLimits } from '../core/route/mod.ts'
+import type { Ended, Job, Shared } from './_types.ts'
+
+/** Accepts the requests of clients. */
+export interface Front {
+  readonly server: Server
+  /** Number of requests that have no complete answer yet. */
+  inFlight (): number
+  /** Sets the limits that the operator's rules name. */
+  limit (limits: ClientLimits): void
+  /** Lets every answer from now on close its connection. */
+  drain (): void
+}
+
+type Serve = (shared: Shared, job: Job) => Promise<Ended>
+
+/** Ways to serve by the kind of the service's workers. */
+const ways: { readonly [K in 'plain' | 'engine']: Serve } = { plain: servePlain, engine: serveGeneration }
+
+/** Time in milliseconds before a client's own deadline at which its final answer leaves, so that it arrives in time. */
+const answerTripMs = 20
+/** Time in milliseconds after which a client is asked to come back while the rules are not known yet. */
+const notReadyRetryMs = 500
+
+const clientErrors: { readonly [code: string]: number } = { HPE_HEADER_OVERFLOW: 431, ERR_HTTP_REQUEST_TIMEOUT: 408 }
+const statusTexts: { readonly [status: number]: string } = {
+  400: 'Bad Request', 408: 'Request Timeout', 431: 'Request Header Fields Too Large'
+}
+
+/** Creates the front of a gateway; it listens when told to. */
+export function createFront (shared: Shared): Front {
+  const { timer, log, directory } = shared
+  let inFlight = 0
+  let draining = false
+  const server = createServer({ keepAlive: true, noDelay: true, connectionsCheckingInterval: 500 }, onRequest)
+  server.requestTimeout = 0
+  server.on('clientError', onClientError)
+
+  function onClientError (err: NodeJS.ErrnoException, socket: Socket): void {
+    if (err.code === 'ECONNRESET' || !socket.writable) {
+      socket.destroy()
+      return
+    }
+    const status = clientErrors[err.code ?? ''] ?? 400
+    log.info({ status, reason: err.code }, 'bad request')
+    socket.end(`HTTP/1.1 ${status} ${statusTexts[status]}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
+  }
+
+  function onRequest (req: IncomingMessage, res: ServerResponse): void {
+    const startedMs = timer.now()
+    inFlight++
+    res.once('close', () => { inFlight-- })
+    if (draining) res.shouldKeepAlive = false
+    const head = decodeRequestHead(req.rawHeaders)
+    const reply = createReply(res, head.requestId)
+    const answer = (status: number, reason: string, retryAfterMs?: number): void => {
+      req.resume()
+      if (!req.complete) res.shouldKeepAlive = false
+      reply.own(retryAfterMs === undefined ? { status, reason } : { status, reason, retryAfterMs })
+      log.info({ request: head.requestId, status, reason }, 'refused')
+    }
+    const table = directory.table()
+    if (table === undefined) return answer(503, 'not_ready', notReadyRetryMs)
+    if (head.requestId === undefined) return answer(400, 'no_request_id')
+    const route = table.match(req.headers.host ?? '', req.url ?? '/')
+    if (route === undefined) return answer(404, 'no_route')
+    const service = table.service(chooseTarget(route, shared.random()) ?? '')
+    if (service === undefined) return answer(503, 'no_service', notReadyRetryMs)
+    if (Number(req.headers['content-length'] ?? 0) > table.limits.maxBodyBytes) return answer(413, 'body_too_large')
+
+    const waitMs = Math.min(route.timeoutMs, (head.deadlineMs ?? Infinity) - answerTripMs)
+    const deadlineMs = startedMs + Math.max(1, waitMs)
+    let stopped: StopReason | undefined
+    const stops: Array<(reason: StopReason) => void> = []
+    const stop = (reason: StopReason): void => {
+      if (stopped !== undefined) return
+      stopped = reason
+      for (const fn of stops.splice(0)) fn(reason)
+    }
+    const timeUp = timer.after(deadlineMs - timer.now(), () => stop(StopReason.TimeUp))
+    res.once('close', () => {
+      timeUp.cancel()
+      if (!res.writableFinished) stop(StopReason.ClientLeft)
+    })
+    const onStop = (fn: (reason: StopReason) => void): void => {
+      if (stopped === undefined) stops.push(fn)
+      else fn(stopped)
+    }
+    let reading = true
+    onStop((reason) => { if (reading && reason === StopReason.TimeUp) answer(408, 'body_too_slow') })
+    readBody(req, table.limits.maxBodyBytes, (body) => {
+      reading = false
+      if (stopped !== undefined) return
+      if (body === undefined) return answer(413, 'body_too_large')
+      const job: Job = {
+        requestId: head.requestId as string,
+        method: req.method ?? 'GET',
+        path: req.url ?? '/',
+        head,
+        body,
+        route,
+        service,
+        reply,
+        startedMs,
+        deadlineMs,
+        onStop,
+        stopped: () => stopped
+      }
+      shared.budget(service.name).succeeded()
+      void serve(job)
+    })
+  }
+
+  async function serve (job: Job): Promise<void> {
+    const ended = await (job.service.engine === undefined ? ways.plain : ways.engine)(shared, job)
+    const tookMs = Math.round(timer.now() - job.startedMs)
+    log.info({ request: job.requestId, route: job.route.name, service: job.service.name, tookMs, ...ended }, 'ended')
+  }
+
+  return {
+    server,
+    inFlight: () => inFlight,
+    limit (limits) {
+      server.headersTimeout = limits.headerTimeoutMs
+      server.keepAliveTimeout = limits.idleTimeoutMs
+      // Node reads the bound for each new connection, but its types know it only as an option of the constructor.
+      Object.assign(server, { maxHeaderSize: limits.maxHeaderBytes })
+    },
+    drain () { draining = true }
+  }
+}
+
+/** Reads a body whole; answers undefined once it is longer than allowed. */
+function readBody (req: IncomingMessage, maxBytes: number, done: (body: Buffer | undefined) => void): void {
+  const chunks: Buffer[] = []
+  let bytes = 0
+  req.on('data', (chunk: Buffer) => {
+    bytes += chunk.length
+    if (bytes <= maxBytes) chunks.push(chunk)
+    else if (bytes - chunk.length <= maxBytes) done(undefined)
+  })
+  req.on('end', () => { if (bytes <= maxBytes) done(Buffer.concat(chunks, bytes)) })
+  req.on('error', () => {}) // The response closes with the request, and that ends the job.
+}
--- /dev/null
+++ b/gateway/_types.ts
@@ -0,0 +1,61 @@
+/**
+ * Types that the parts of a gateway share.
+ */
+import type { Directory } from '../directory/mod.ts'
+import type { ExchangePool } from '../exchange/mod.ts'
+import type { Log } from '../log/mod.ts'
+import type { NodeSettings, RequestHead } from '../platform/mod.ts'
+import type { RetryBudget } from '../core/retry/mod.ts'
+import type { RouteRule, ServiceRule } from '../core/route/mod.ts'
+import type { Timer } from '../timer/mod.ts'
+import type { Reply } from './_reply.ts'
+
+/** What the parts of a gateway share. */
+export interface Shared {
+  settings: NodeSettings
+  timer: Timer
+  log: Log
+  directory: Directory
+  /** Connections that carry requests. */
+  pool: ExchangePool
+  /** Connections that carry calls about requests: reservations, releases. */
+  controlPool: ExchangePool
+  random: () => number
+  /** Returns the budget for repeated sends to a service. */
+  budget (service: string): RetryBudget
+  roundTripMs (zone: string): number
+}
+
+/** One request of a client, read whole. */
+export interface Job {
+  requestId: string
+  method: string
+  path: string
+  head: RequestHead
+  body: Buffer
+  route: RouteRule
+  service: ServiceRule
+  reply: Reply
+  /** Times in milliseconds on the steady clock. */
+  startedMs: number
+  deadlineMs: number
+  /** Calls `fn` when the client leaves or the time is up, at once if that has happened. */
+  onStop (fn: (reason: StopReason) => void): void
+  /** Set once the client has left or the time is up. */
+  stopped (): StopReason | undefined
+}
+
+/** Names why a request is given up. */
+export enum StopReason {
+  ClientLeft = 'client_left',
+  TimeUp = 'time_up'
+}
+
+/** Describes how a request ended, for the log. */
+export interface Ended {
+  status: number
+  reason: string
+  worker?: string
+  attempts: number
+  [field: string]: unknown
+}
--- /dev/null
+++ b/gateway/start_gateway.ts
@@ -0,0 +1,140 @@
+/**
+ * Starts the process that stands between clients and workers on the platform.
+ */
+import { createServer } from 'node:http'
+import { createRetryBudget } from '../core/retry/mod.ts'
+import { createDirectory } from '../directory/mod.ts'
+import { createExchangePool } from '../exchange/mod.ts'
+import { readyPath } from '../platform/mod.ts'
+import { parseAddress } from '../wire/mod.ts'
+import { createFront } from './_front.ts'
+import type { Server } from 'node:http'
+import type { RetryBudget } from '../core/retry/mod.ts'
+import type { Log } from '../log/mod.ts'
+import type { NodeSettings } from '../platform/mod.ts'
+import type { Timer } from '../timer/mod.ts'
+import type { Shared } from './_types.ts'
+
+/** Configures a gateway. */
+export interface GatewayOptions {
+  settings: NodeSettings
+  timer: Timer
+  log: Log
+  random: () => number
+}
+
+/** A running gateway. */
+export interface Gateway {
+  /** Finishes what is in flight while the balancer takes the process out; resolves when it may exit. */
+  stop (): Promise<void>
+  close (): Promise<void>
+}
+
+/** Round trips in milliseconds within a zone, a region, and between regions: first guesses, before any is measured. */
+const zoneTripMs = 1
+const regionTripMs = 4
+const farTripMs = 42
+/** Number of entries among which the shared bound on repeated sends is divided when nothing is known of the others. */
+const assumedEntries = 8
+/** Share of the bound on repeated sends that is used; the rest covers requests that are counted in other windows. */
+const budgetShare = 0.8
+/** Time in milliseconds for which the balancer may still send connections: two checks a second apart, and a margin. */
+const balancerMs = 3_000
+/** Time in milliseconds before the end of the grace period at which the process ends. */
+const exitMarginMs = 400
+const drainCheckMs = 50
+
+/**
+ * Starts a gateway.
+ *
+ * @param options settings, timer, log and a source of randomness
+ * @returns the gateway, which listens
+ *
+ * @example
+ * ```ts
+ * import { startGateway } from 'briarloom/gateway'
+ *
+ * console.assert(typeof startGateway === 'function')
+ * ```
+ */
+export async function startGateway (options: GatewayOptions): Promise<Gateway> {
+  const { settings, timer, log, random } = options
+  const budgets = new Map<string, RetryBudget>()
+  let stopping = false
+  const directory = createDirectory({
+    storeAddress: settings.storeAddress, timer, log, random, onRules: (table) => front.limit(table.limits)
+  })
+  const shared: Shared = {
+    settings,
+    timer,
+    log,
+    directory,
+    pool: createExchangePool(),
+    controlPool: createExchangePool(),
+    random,
+    budget (service) {
+      const found = budgets.get(service)
+      if (found !== undefined) return found
+      const slack = budgetShare * settings.retrySlack / assumedEntries
+      // Half of the slack may be saved up, the other half comes evenly over the window.
+      const minPerS = slack / 2 / (settings.retryWindowMs / 1000)
+      const made = createRetryBudget({ ratio: budgetShare * settings.retryRatio, minPerS, maxSaved: slack / 2 })
+      budgets.set(service, made)
+      return made
+    },
+    roundTripMs (zone) {
+      if (zone === settings.zone) return zoneTripMs
+      return settings.regions[zone] === settings.regions[settings.zone] ? regionTripMs : farTripMs
+    }
+  }
+  const front = createFront(shared)
+
+  function isReady (): boolean {
+    if (stopping) return false
+    const table = directory.table()
+    return table !== undefined && table.services().some((service) => directory.fleet.serving(service.name).length > 0)
+  }
+
+  const ready = createServer((req, res) => {
+    const status = req.url !== readyPath ? 404 : isReady() ? 200 : 503
+    res.writeHead(status, { 'Content-Length': 0 })
+    res.end()
+  })
+  await listen(front.server, settings.clientAddress)
+  await listen(ready, settings.readyAddress)
+  log.info({ address: settings.clientAddress, zone: settings.zone }, 'listening')
+
+  return {
+    async stop () {
+      stopping = true
+      front.drain()
+      log.info({ inFlight: front.inFlight() }, 'stopping')
+      const startedMs = timer.now()
+      const untilMs = startedMs + settings.graceMs - exitMarginMs
+      while (timer.now() < untilMs) {
+        if (front.inFlight() === 0 && timer.now() - startedMs > balancerMs) break
+        await new Promise<void>((resolve) => { timer.after(drainCheckMs, resolve) })
+      }
+      log.info({ inFlight: front.inFlight() }, 'stopped')
+    },
+    async close () {
+      front.server.close()
+      front.server.closeAllConnections()
+      ready.close()
+      ready.closeAllConnections()
+      await directory.close()
+      await shared.pool.close()
+      await shared.controlPool.close()
+    }
+  }
+}
+
+async function listen (server: Server, address: string | undefined): Promise<void> {
+  if (address === undefined) return
+  const target = parseAddress(address)
+  if (target.err) throw new Error(target.val.message)
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(target.val.port, target.val.host, resolve)
+  })
+}
--- a/relay/_options.ts
+++ b/relay/_options.ts
@@ -3,7 +3,7 @@
  */
 import type { Configuration } from '../core/configuration/mod.ts'
 import type { SubsetMember } from '../core/subset/mod.ts'
-import type { ConfigService } from '../platform/mod.ts'
+import type { ConfigService } from '../source/mod.ts'
 import type { Timer } from '../timer/mod.ts'
 import type { ReadBounds } from './_reader.ts'
 import type { RelayEvent, RelayMessage } from './_types.ts'
--- a/relay/_pages.ts
+++ b/relay/_pages.ts
@@ -2,7 +2,7 @@
  * Splits pages of configuration over frames and joins them again.
  */
 import type { ConfigurationPage } from '../core/configuration/mod.ts'
-import type { ConfigChange } from '../platform/mod.ts'
+import type { ConfigChange } from '../source/mod.ts'
 import { MessageKind } from '../wire/mod.ts'
 import type { ConfigRecords } from '../wire/mod.ts'
 
--- a/relay/_reader.ts
+++ b/relay/_reader.ts
@@ -2,7 +2,7 @@
  * The part of a relay that reads the configuration service, within its share of the read budget.
  */
 import type { ConfigurationPage } from '../core/configuration/mod.ts'
-import type { ConfigService, PlatformError } from '../platform/mod.ts'
+import type { ConfigService, PlatformError } from '../source/mod.ts'
 import type { Subscription, Timer } from '../timer/mod.ts'
 
 /** Bounds on reads; times in milliseconds. */
--- a/relay/create_config_relay.ts
+++ b/relay/create_config_relay.ts
@@ -30,7 +30,7 @@
  * @example
  * ```ts
  * import { createConfiguration } from 'briarloom/core/configuration'
- * import { createConfigHttp } from 'briarloom/platform'
+ * import { createConfigHttp } from 'briarloom/source'
  * import { createConfigRelay } from 'briarloom/relay'
  * import { createSystemTimer } from 'briarloom/timer'
  *
--- a/platform/adapters.ts
+++ b/source/adapters.ts
@@ -16,7 +16,7 @@
  *
  * @example
  * ```ts
- * import { configAdapters } from 'briarloom/platform'
+ * import { configAdapters } from 'briarloom/source'
  *
  * const service = configAdapters.config_http?.({ url: 'http://127.0.0.1:8500' })
  * await service?.close()
@@ -31,7 +31,7 @@
  *
  * @example
  * ```ts
- * import { hostListAdapters } from 'briarloom/platform'
+ * import { hostListAdapters } from 'briarloom/source'
  *
  * const hosts = hostListAdapters.hosts_http?.({ url: 'http://127.0.0.1:8501' })
  * await hosts?.close()
--- a/platform/create_config_http.ts
+++ b/source/create_config_http.ts
@@ -32,7 +32,7 @@
  *
  * @example
  * ```ts
- * import { createConfigHttp } from 'briarloom/platform'
+ * import { createConfigHttp } from 'briarloom/source'
  *
  * const service = createConfigHttp({ url: 'http://127.0.0.1:8500' })
  * const page = await service.readAll()
--- a/platform/create_host_list_http.ts
+++ b/source/create_host_list_http.ts
@@ -35,7 +35,7 @@
  *
  * @example
  * ```ts
- * import { createHostListHttp } from 'briarloom/platform'
+ * import { createHostListHttp } from 'briarloom/source'
  *
  * const hosts = createHostListHttp({ url: 'http://127.0.0.1:8501' })
  * const result = await hosts.read()
--- a/wire/_message_checks.ts
+++ b/wire/_message_checks.ts
@@ -6,7 +6,7 @@
   isAmount, isBytes, isCount, isFlag, isMap, isName, isText, isTextMap, listOf, nullable, oneOf, optional, shape
 } from './_checks.ts'
 import type { AttemptRef } from '../core/types/mod.ts'
-import type { ConfigChange } from '../platform/mod.ts'
+import type { ConfigChange } from '../source/mod.ts'
 import type { Check } from './_checks.ts'
 import { MessageKind } from './messages.ts'
 import type { CallDone, MessageOf, UsageShare } from './messages.ts'
--- a/wire/messages.ts
+++ b/wire/messages.ts
@@ -2,7 +2,7 @@
  * The typed messages that entries and agents exchange over TCP, each one cbor-x frame.
  */
 import type { AttemptRef, Outcome, Place, RefusalCode, Role, TierClass } from '../core/types/mod.ts'
-import type { ConfigChange } from '../platform/mod.ts'
+import type { ConfigChange } from '../source/mod.ts'
 
 /** Names the kinds of messages. */
 export enum MessageKind {
