--- a/gateway/_front.ts
+++ b/gateway/_front.ts
@@ -126,7 +126,7 @@
   async function serve (job: Job): Promise<void> {
     const ended = await (job.service.engine === undefined ? ways.plain : ways.engine)(shared, job)
     const tookMs = Math.round(timer.now() - job.startedMs)
-    log.info({ request: job.requestId, route: job.route.name, service: job.service.name, tookMs, ...ended }, 'ended')
+    log.info({ request: job.requestId, route: job.route.name, service: job.service.name, tookMs, promptTokens: job.head.promptTokens, maxOutputTokens: job.head.maxOutputTokens, hint: job.head.likelyOutputTokens, ...ended }, 'ended')
   }
 
   return {
--- a/sidecar/start_sidecar.ts
+++ b/sidecar/start_sidecar.ts
@@ -1,6 +1,12 @@
 /**
  * Starts the process beside an engine: it watches the engine and gives it orders.
  */
+import { StagePolicy } from '../core/balance/mod.ts'
+import { createDirectory } from '../directory/mod.ts'
+import { callJson, createExchangePool } from '../exchange/mod.ts'
+import { decodeEngineReport, reportCall } from '../platform/mod.ts'
+import { createStageTask } from './_stage_task.ts'
+import type { WorkerEntry } from '../core/fleet/mod.ts'
 import type { Log } from '../log/mod.ts'
 import type { NodeSettings } from '../platform/mod.ts'
 import type { Timer } from '../timer/mod.ts'
@@ -19,8 +25,53 @@
   close (): Promise<void>
 }
 
-/** Starts a sidecar. */
+/** Time in milliseconds between two reads of the engine's report, which are free on its own machine. */
+const reportPeriodMs = 200
+const reportTimeoutMs = 500
+
+/**
+ * Starts a sidecar.
+ *
+ * @param options settings, timer, log and a source of randomness
+ * @returns the sidecar
+ *
+ * @example
+ * ```ts
+ * import { startSidecar } from 'briarloom/sidecar'
+ *
+ * console.assert(typeof startSidecar === 'function')
+ * ```
+ */
 export async function startSidecar (options: SidecarOptions): Promise<Sidecar> {
-  options.log.info({ worker: options.settings.workerAddress }, 'listening')
-  return { stop: async () => {}, close: async () => {} }
+  const { settings, timer, log, random } = options
+  const pool = createExchangePool()
+  const directory = createDirectory({ storeAddress: settings.storeAddress, timer, log, random })
+  const balance = { policy: (process.env.STAGE_POLICY as StagePolicy) ?? StagePolicy.Share, prefillShare: 0.2 }
+  const stages = createStageTask({ machine: settings.machine, directory, pool, timer, log, balance })
+  let reading = false
+
+  function ownEntry (): WorkerEntry | undefined {
+    return directory.fleet.all().find(({ entry }) => entry.address === settings.workerAddress)?.entry
+  }
+
+  async function readReport (): Promise<void> {
+    const address = settings.workerAddress
+    const entry = ownEntry()
+    if (address === undefined || entry === undefined || reading) return
+    reading = true
+    const answer = await callJson(address, reportCall(), { pool, timer, timeoutMs: reportTimeoutMs })
+    const report = answer.err ? undefined : decodeEngineReport(answer.val.body)
+    if (report !== undefined && directory.isRead()) await stages.onReport(entry, report)
+    reading = false
+  }
+
+  timer.every(reportPeriodMs, () => { void readReport() })
+  log.info({ worker: settings.workerAddress }, 'watching')
+  return {
+    stop: async () => {},
+    async close () {
+      await directory.close()
+      await pool.close()
+    }
+  }
 }
