Pack streams by what is known of their growth, and let an engine that generates read a prompt when the queue is long

Cause: a reservation of prompt and maximum output books 14,300 tokens for a stream that ends near 9,700, so a third of the memory stood empty while streams were refused. core/packing predicts the peak of streams that grow together (client's estimate and typical output, geometric mean); the sidecar admits by it, with a reservation of the prompt only, and tells the gateways its free memory.

--- a/core/fleet/_types.ts
+++ b/core/fleet/_types.ts
@@ -48,6 +48,18 @@
   totalTokens: number
 }
 
+/** What the process beside an engine says of it. */
+export interface EngineRoomView {
+  /** Time in milliseconds when this was heard. */
+  atMs: number
+  /** Tokens that are free for streams. */
+  roomTokens: number
+  /** Requests that wait to run or to be read. */
+  waiting: number
+  /** Number of processes that send requests to the engine. */
+  senders: number
+}
+
 /** The view of one worker. */
 export interface Worker {
   entry: WorkerEntry
@@ -59,12 +71,14 @@
   ownTokens: number
   /** Prompt tokens of this process that wait to be read there. */
   ownPrompt: number
+  /** Smoothed time in milliseconds in which it reads one prompt token. */
+  readTokenMs?: number
   /** Share of recent requests that failed, from 0 to 1. */
   failures: number
   /** Smoothed latency in milliseconds. */
   latencyMs: number
   /** Time in milliseconds until which other workers go first. */
   suspectUntilMs: number
-  /** Newest report of its load, and the time in milliseconds when it was made. */
-  load?: { report: EngineLoad, atMs: number }
+  /** Newest word from the process beside it; absent when that process is not connected. */
+  room?: EngineRoomView
 }
--- a/core/fleet/create_fleet.ts
+++ b/core/fleet/create_fleet.ts
@@ -2,7 +2,7 @@
  * The view of the workers that a process routes to.
  */
 import { WorkerState } from './_types.ts'
-import type { EngineLoad, Worker, WorkerEntry } from './_types.ts'
+import type { Worker, WorkerEntry } from './_types.ts'
 
 /** Holds the view of all workers. */
 export interface Fleet {
@@ -15,8 +15,6 @@
   all (): Worker[]
   /** Returns the workers of a service that take new work. */
   serving (service: string): Worker[]
-  /** Takes the load report of a worker. */
-  report (id: string, load: EngineLoad, nowMs: number): void
   /** Counts a request that ended: how long it took, and whether the worker failed it. */
   ended (worker: Worker, result: { latencyMs?: number, failed: boolean }): void
   /** Notes that a worker could not be reached or fell silent. */
@@ -65,10 +63,6 @@
     all: () => [...workers.values()],
     serving: (service) => [...workers.values()].filter(({ entry }) =>
       entry.service === service && entry.state === WorkerState.Ready),
-    report (id, load, nowMs) {
-      const worker = workers.get(id)
-      if (worker) worker.load = { report: load, atMs: nowMs }
-    },
     ended (worker, { latencyMs, failed }) {
       worker.failures = smooth(worker.failures, failed ? 1 : 0)
       if (latencyMs !== undefined) worker.latencyMs = worker.latencyMs === 0 ? latencyMs : smooth(worker.latencyMs, latencyMs)
--- /dev/null
+++ b/core/packing/create_packer.ts
@@ -0,0 +1,146 @@
+/**
+ * The admission of streams to the memory of one engine.
+ */
+import { PackPolicy } from './_types.ts'
+import { predictPeak } from './predict_peak.ts'
+import type { Growth, PackAsk, PackRun } from './_types.ts'
+
+/** Configures a packer. */
+export interface PackerOptions {
+  policy: PackPolicy
+  /** Share of the memory that stays free for streams that grow more than predicted. */
+  marginShare: number
+  /** Factor on the predicted output. */
+  caution: number
+  /** Time in milliseconds for which an admitted stream may take to begin. */
+  startMs: number
+}
+
+/** Admits streams to one engine. */
+export interface Packer {
+  /** Takes the memory of the engine and the most tokens that one event carries. */
+  size (memoryTokens: number, tokensPerEvent: number): void
+  /** Takes the runs that the engine reports. */
+  observe (runs: readonly PackRun[], nowMs: number): void
+  /** Admits a stream when the predicted peak fits; an admitted one counts until it has run or is dropped. */
+  admit (ask: PackAsk, nowMs: number): boolean
+  drop (requestId: string): void
+  /** Returns the memory in tokens that the predicted peak leaves free. */
+  room (nowMs: number): number
+}
+
+interface Booking extends PackAsk {
+  predictedTokens: number
+  /** Time in milliseconds at which it is forgotten unless it runs; undefined once it runs. */
+  expiresMs?: number
+  run?: PackRun
+}
+
+/** Weight of the newest finished stream in the typical output; some twenty streams shape it. */
+const newestShare = 0.05
+/** Share of the predicted output that a stream which has outgrown it is still expected to grow. */
+const outgrownShare = 0.25
+
+type Predict = (ask: PackAsk, typicalTokens: number | undefined) => number
+
+const predictions: { readonly [K in PackPolicy]: Predict } = {
+  [PackPolicy.Full]: (ask) => ask.maxTokens,
+  [PackPolicy.Likely]: (ask, typicalTokens) => {
+    const { likelyTokens, maxTokens } = ask
+    // An estimate that is off by a factor and a typical size that is: their geometric mean is off by less than either.
+    if (likelyTokens !== undefined && typicalTokens !== undefined) return Math.sqrt(likelyTokens * typicalTokens)
+    return likelyTokens ?? typicalTokens ?? maxTokens
+  }
+}
+
+/**
+ * Creates the packer of an engine without memory; it admits nothing before `size` is called.
+ *
+ * @param options policy, margin and times in milliseconds
+ * @returns the packer
+ *
+ * @example
+ * ```ts
+ * import { createPacker, PackPolicy } from 'briarloom/core/packing'
+ *
+ * const packer = createPacker({ policy: PackPolicy.Full, marginShare: 0, caution: 1, startMs: 2000 })
+ * packer.size(1000, 10)
+ * console.assert(packer.admit({ requestId: 'a', promptTokens: 500, maxTokens: 400 }, 0))
+ * console.assert(!packer.admit({ requestId: 'b', promptTokens: 500, maxTokens: 400 }, 0))
+ * ```
+ */
+export function createPacker (options: PackerOptions): Packer {
+  const { policy, marginShare, caution, startMs } = options
+  const bookings = new Map<string, Booking>()
+  let memoryTokens = 0
+  let tokensPerEvent = 1
+  let typicalTokens: number | undefined
+
+  function predict (ask: PackAsk): number {
+    const tokens = caution * predictions[policy](ask, typicalTokens)
+    return Math.min(ask.maxTokens, Math.max(tokensPerEvent, tokens))
+  }
+
+  function growth (booking: Booking): Growth {
+    const { promptTokens, predictedTokens, maxTokens, run } = booking
+    if (run === undefined) return { usedTokens: promptTokens, leftTokens: predictedTokens }
+    const made = run.events * tokensPerEvent
+    const left = Math.max(predictedTokens - made, outgrownShare * predictedTokens)
+    return { usedTokens: Math.max(run.tokensInMemory, promptTokens), leftTokens: Math.max(0, Math.min(left, maxTokens - made)) }
+  }
+
+  function expire (nowMs: number): void {
+    for (const [id, booking] of bookings) {
+      if (booking.expiresMs !== undefined && booking.expiresMs <= nowMs) bookings.delete(id)
+    }
+  }
+
+  function learn (run: PackRun): void {
+    const made = Math.log(Math.max(1, run.events) * tokensPerEvent)
+    typicalTokens = typicalTokens === undefined
+      ? Math.exp(made)
+      : Math.exp(Math.log(typicalTokens) + newestShare * (made - Math.log(typicalTokens)))
+  }
+
+  function capacity (): number { return memoryTokens * (1 - marginShare) }
+
+  return {
+    size (memory, perEvent) {
+      memoryTokens = memory
+      tokensPerEvent = perEvent
+    },
+    observe (runs, nowMs) {
+      expire(nowMs)
+      const seen = new Set<string>()
+      for (const run of runs) {
+        seen.add(run.requestId)
+        const known = bookings.get(run.requestId)
+        const made = run.events * tokensPerEvent
+        const unknown = { requestId: run.requestId, promptTokens: Math.max(0, run.tokensInMemory - made), maxTokens: Infinity }
+        const ask = known ?? { ...unknown, predictedTokens: typicalTokens ?? 0 }
+        const { expiresMs: _started, ...booking } = ask as Booking
+        bookings.set(run.requestId, { ...booking, run })
+      }
+      for (const [id, booking] of bookings) {
+        if (booking.run === undefined || seen.has(id)) continue
+        bookings.delete(id)
+        learn(booking.run)
+      }
+    },
+    admit (ask, nowMs) {
+      expire(nowMs)
+      const booking = { ...ask, predictedTokens: predict(ask), expiresMs: nowMs + startMs }
+      const others = [...bookings.values()].filter((other) => other.requestId !== ask.requestId)
+      if (predictPeak([...others, booking].map(growth)) > capacity()) return false
+      bookings.set(ask.requestId, booking)
+      return true
+    },
+    drop (requestId) {
+      if (bookings.get(requestId)?.run === undefined) bookings.delete(requestId)
+    },
+    room (nowMs) {
+      expire(nowMs)
+      return capacity() - predictPeak([...bookings.values()].map(growth))
+    }
+  }
+}
--- a/gateway/_serve_generation.ts
+++ b/gateway/_serve_generation.ts
@@ -2,6 +2,7 @@
  * Serves generations: memory at a decode engine is reserved first, then the prompt is read, then the stream is forwarded.
  */
 import { Stage } from '../core/fleet/mod.ts'
+import { RefusalCode } from '../core/types/mod.ts'
 import { callJson } from '../exchange/mod.ts'
 import { decodeHandle, decodeHold, dropHoldCall, freeHandleCall, holdCall } from '../platform/mod.ts'
 import { sendJob } from './_send.ts'
@@ -36,7 +37,7 @@
   const read = await prefill(shared, job)
   const readMs = timer.now()
   if (job.stopped() !== undefined) {
-    release(shared, hold)
+    release(shared, hold, job.requestId)
     if (read !== undefined) free(shared, read.worker, read.handle)
     return refuse(job, job.stopped() as string, {})
   }
@@ -55,22 +56,26 @@
   return Math.ceil((promptTokens + maxOutputTokens) / blockTokens) * blockTokens + blockTokens
 }
 
-function freeTokens (worker: Worker, memoryTokens: number): number {
-  return memoryTokens - worker.ownTokens
+/** Cost of a distant engine in tokens of free memory for each millisecond of the way there and back. */
+const tokensPerTripMs = 100
+
+function freeTokens (shared: Shared, worker: Worker, memoryTokens: number): number {
+  const free = worker.room === undefined ? memoryTokens - worker.ownTokens : worker.room.roomTokens
+  return free - tokensPerTripMs * shared.roundTripMs(worker.entry.zone)
 }
 
 async function reserve (shared: Shared, job: Job): Promise<Hold | undefined> {
   const { timer, directory } = shared
   const untilMs = job.startedMs + waitShare * job.route.targetLatencyMs
-  const tokens = tokensOf(job)
   const memoryTokens = job.service.engine?.memoryTokens ?? 0
   for (;;) {
     const engines = directory.fleet.serving(job.service.name)
       .filter((worker) => worker.entry.stage !== Stage.Prefill && worker.suspectUntilMs <= timer.now())
-      .sort((a, b) => freeTokens(b, memoryTokens) - freeTokens(a, memoryTokens))
+      .sort((a, b) => freeTokens(shared, b, memoryTokens) - freeTokens(shared, a, memoryTokens))
     for (const worker of engines) {
       if (job.stopped() !== undefined) return undefined
-      const hold = await takeHold(shared, job, worker, tokens)
+      if (worker.room !== undefined && worker.room.roomTokens < job.head.promptTokens) continue
+      const hold = await askOrTake(shared, job, worker)
       if (hold !== undefined) return hold
       if (timer.now() > untilMs) return undefined
     }
@@ -79,6 +84,23 @@
   }
 }
 
+/** Asks the process beside the engine; without it, reserves the most that the request may need at the engine itself. */
+async function askOrTake (shared: Shared, job: Job, worker: Worker): Promise<Hold | undefined> {
+  if (!shared.engines.isLinked(worker)) return await takeHold(shared, job, worker, tokensOf(job))
+  const { promptTokens, maxOutputTokens: maxTokens, likelyOutputTokens } = job.head
+  const ask = { requestId: job.requestId, promptTokens, maxTokens }
+  const answer = await shared.engines.ask(worker, likelyOutputTokens === undefined ? ask : { ...ask, likelyTokens: likelyOutputTokens })
+  if (answer.err) {
+    if (answer.val === RefusalCode.NoCapacity && worker.room) worker.room.roomTokens = Math.min(worker.room.roomTokens, promptTokens)
+    return undefined
+  }
+  if (worker.room) worker.room.roomTokens = Math.max(0, worker.room.roomTokens - tokensOf(job))
+  const hold = { worker, name: answer.val, tokens: tokensOf(job) }
+  if (job.stopped() === undefined) return hold
+  release(shared, hold, job.requestId)
+  return undefined
+}
+
 async function takeHold (shared: Shared, job: Job, worker: Worker, tokens: number): Promise<Hold | undefined> {
   const { timer, controlPool: pool, directory } = shared
   const call = holdCall(worker.entry.id, tokens, job.service.engine?.holdMs ?? 0)
@@ -91,12 +113,13 @@
   if (name === undefined) return undefined
   const hold = { worker, name, tokens }
   if (job.stopped() === undefined) return hold
-  release(shared, hold)
+  release(shared, hold, job.requestId)
   return undefined
 }
 
-function release (shared: Shared, hold: Hold): void {
+function release (shared: Shared, hold: Hold, requestId: string): void {
   const { timer, controlPool: pool } = shared
+  shared.engines.drop(hold.worker, requestId)
   void callJson(hold.worker.entry.address, dropHoldCall(hold.name), { pool, timer, timeoutMs: holdTimeoutMs })
 }
 
@@ -105,15 +128,42 @@
   void callJson(worker.entry.address, freeHandleCall(handle), { pool, timer, timeoutMs: holdTimeoutMs })
 }
 
+/** Time in milliseconds that one prompt token takes at an engine that only reads, before any was measured. */
+const firstTokenMs = 0.02
+/** Factor by which an engine that also generates reads slower. */
+const ownReadFactor = 2
+/** Time in milliseconds from the end of the prompt to the first event: the transfer, and the tokens of one event. */
+const firstEventMs = 80
+/** Share of the longest pause that reading a prompt may take from the streams of an engine that generates. */
+const pauseShare = 0.85
+/** Share of the target latency that reading a prompt may take before another engine is considered. */
+const readShare = 0.45
+
+/** Estimates the time in milliseconds until an engine has read a prompt. */
+function readMs (shared: Shared, job: Job, worker: Worker): number {
+  const perTokenMs = worker.readTokenMs ?? firstTokenMs
+  const queued = Math.max(worker.ownPrompt, (worker.room?.waiting ?? 0) * job.head.promptTokens)
+  return (queued + job.head.promptTokens) * perTokenMs + shared.roundTripMs(worker.entry.zone)
+}
+
+/** Chooses the engine that reads the prompt; undefined when the one that generates is to read it itself. */
 function choosePrefill (shared: Shared, job: Job): Worker | undefined {
+  const nowMs = shared.timer.now()
   const engines = shared.directory.fleet.serving(job.service.name)
-    .filter((worker) => worker.entry.stage === Stage.Prefill && worker.suspectUntilMs <= shared.timer.now())
-  return engines.sort((a, b) => a.ownPrompt - b.ownPrompt)[0]
+    .filter((worker) => worker.entry.stage === Stage.Prefill && worker.suspectUntilMs <= nowMs)
+  const best = engines.sort((a, b) => readMs(shared, job, a) - readMs(shared, job, b))[0]
+  if (best === undefined) return undefined
+  const apartMs = readMs(shared, job, best)
+  const ownMs = job.head.promptTokens * (best.readTokenMs ?? firstTokenMs) * ownReadFactor
+  const leftMs = job.startedMs + job.route.targetLatencyMs - nowMs - firstEventMs
+  return apartMs > Math.min(leftMs, readShare * job.route.targetLatencyMs) && ownMs < apartMs && ownMs < pauseShare * job.route.longestPauseMs ? undefined : best
 }
 
 function prefill (shared: Shared, job: Job): Promise<{ worker: Worker, handle: string } | undefined> {
   const worker = choosePrefill(shared, job)
   if (worker === undefined) return Promise.resolve(undefined)
+  const isAlone = worker.ownPrompt === 0 && (worker.room?.waiting ?? 0) === 0
+  const startedMs = shared.timer.now()
   worker.ownPrompt += job.head.promptTokens
   return new Promise((resolve) => {
     const chunks: Buffer[] = []
@@ -130,7 +180,11 @@
     const exchange = sendJob(shared, job, worker, { prefill: true }, {
       onHead (head) { status = head.status },
       onData (chunk) { chunks.push(chunk) },
-      onEnd () { settle(status === 200 ? decodeHandle(parse(Buffer.concat(chunks))) : undefined) },
+      onEnd () {
+        const tookMs = shared.timer.now() - startedMs - shared.roundTripMs(worker.entry.zone)
+        if (isAlone && status === 200 && job.head.promptTokens > 0) learnReadTime(worker, tookMs / job.head.promptTokens)
+        settle(status === 200 ? decodeHandle(parse(Buffer.concat(chunks))) : undefined)
+      },
       onRefused () { settle(undefined) },
       onLost () { settle(undefined) }
     })
@@ -142,6 +196,13 @@
   })
 }
 
+/** Weight of the newest measurement of an engine's reading speed. */
+const newestShare = 0.2
+
+function learnReadTime (worker: Worker, perTokenMs: number): void {
+  worker.readTokenMs = worker.readTokenMs === undefined ? perTokenMs : worker.readTokenMs + newestShare * (perTokenMs - worker.readTokenMs)
+}
+
 function parse (body: Buffer): unknown {
   try {
     return JSON.parse(body.toString('utf8'))
@@ -157,12 +218,15 @@
     let over = false
     let status = 0
     let bytes = 0
+    let firstMs: number | undefined
+    let lastMs = 0
+    let pauseMs = 0
 
     function settle (ended: { status: number, reason: string, detail?: string }): void {
       if (over) return
       over = true
       worker.ownTokens -= hold.tokens
-      resolve({ ...ended, worker: worker.entry.id, attempts: 1, bytes })
+      resolve({ ...ended, worker: worker.entry.id, attempts: 1, bytes, firstMs, pauseMs: Math.round(pauseMs) })
     }
 
     const added = kvSource === undefined ? { hold: hold.name } : { hold: hold.name, kvSource }
@@ -174,6 +238,10 @@
       },
       onData (chunk) {
         bytes += chunk.length
+        const nowMs = shared.timer.now()
+        if (firstMs === undefined) firstMs = Math.round(nowMs - job.startedMs)
+        else pauseMs = Math.max(pauseMs, nowMs - lastMs)
+        lastMs = nowMs
         if (job.reply.write(chunk)) return
         exchange.pause()
         job.reply.onDrain(() => exchange.resume())
--- a/gateway/_types.ts
+++ b/gateway/_types.ts
@@ -8,6 +8,7 @@
 import type { RetryBudget } from '../core/retry/mod.ts'
 import type { RouteRule, ServiceRule } from '../core/route/mod.ts'
 import type { Timer } from '../timer/mod.ts'
+import type { EngineLinks } from './_engine_links.ts'
 import type { Reply } from './_reply.ts'
 
 /** What the parts of a gateway share. */
@@ -20,6 +21,7 @@
   pool: ExchangePool
   /** Connections that carry calls about requests: reservations, releases. */
   controlPool: ExchangePool
+  engines: EngineLinks
   random: () => number
   /** Returns the budget for repeated sends to a service. */
   budget (service: string): RetryBudget
--- a/gateway/start_gateway.ts
+++ b/gateway/start_gateway.ts
@@ -7,6 +7,7 @@
 import { createExchangePool } from '../exchange/mod.ts'
 import { readyPath } from '../platform/mod.ts'
 import { parseAddress } from '../wire/mod.ts'
+import { createEngineLinks } from './_engine_links.ts'
 import { createFront } from './_front.ts'
 import type { Server } from 'node:http'
 import type { RetryBudget } from '../core/retry/mod.ts'
@@ -71,6 +72,7 @@
     directory,
     pool: createExchangePool(),
     controlPool: createExchangePool(),
+    engines: createEngineLinks({ port: settings.internalPort, directory, timer, log }),
     random,
     budget (service) {
       const found = budgets.get(service)
@@ -122,6 +124,7 @@
       front.server.closeAllConnections()
       ready.close()
       ready.closeAllConnections()
+      shared.engines.close()
       await directory.close()
       await shared.pool.close()
       await shared.controlPool.close()
--- /dev/null
+++ b/sidecar/_admission_task.ts
@@ -0,0 +1,113 @@
+/**
+ * Admits streams to the memory of the engine on this machine, for the gateways that are connected.
+ */
+import { Stage } from '../core/fleet/mod.ts'
+import { createPacker } from '../core/packing/mod.ts'
+import { RefusalCode } from '../core/types/mod.ts'
+import { callJson } from '../exchange/mod.ts'
+import { decodeHold, dropHoldCall, holdCall } from '../platform/mod.ts'
+import { MessageKind } from '../wire/mod.ts'
+import type { WorkerEntry } from '../core/fleet/mod.ts'
+import type { PackerOptions } from '../core/packing/mod.ts'
+import type { Directory } from '../directory/mod.ts'
+import type { ExchangePool } from '../exchange/mod.ts'
+import type { EngineReport } from '../platform/mod.ts'
+import type { Timer } from '../timer/mod.ts'
+import type { Connection, Message, MessageOf, Pack } from '../wire/mod.ts'
+
+/** Configures the task. */
+export interface AdmissionTaskOptions {
+  directory: Directory
+  pool: ExchangePool
+  timer: Timer
+  packing: PackerOptions
+}
+
+/** Admits streams to one engine. */
+export interface AdmissionTask {
+  /** Serves a gateway that has connected. */
+  attach (connection: Connection): void
+  /** Takes a fresh report of the engine and tells the gateways what has changed. */
+  onReport (entry: WorkerEntry, report: EngineReport): void
+}
+
+const holdTimeoutMs = 200
+/** Time in milliseconds after which gateways hear of the engine again although nothing has changed. */
+const refreshMs = 500
+/** Change of the free memory that gateways hear of at once, as a share of all. */
+const noticeShare = 0.02
+
+/** Creates the task of one engine. */
+export function createAdmissionTask (options: AdmissionTaskOptions): AdmissionTask {
+  const { directory, pool, timer, packing } = options
+  const packer = createPacker(packing)
+  const gateways = new Set<Connection>()
+  let entry: WorkerEntry | undefined
+  let report: EngineReport | undefined
+  let told: { roomTokens: number, waiting: number, senders: number, atMs: number } | undefined
+
+  async function admit (connection: Connection, msg: Pack): Promise<void> {
+    const { requestId, attempt, promptTokens, likelyTokens, maxTokens } = msg
+    const refuse = (code: RefusalCode): void => {
+      connection.send({ kind: MessageKind.Refused, requestId, attempt, code, retryAfterMs: 0 })
+    }
+    if (entry === undefined || entry.id !== msg.workerId) return refuse(RefusalCode.Stale)
+    const ask = { requestId, promptTokens, maxTokens }
+    if (!packer.admit(likelyTokens === undefined ? ask : { ...ask, likelyTokens }, timer.now())) return refuse(RefusalCode.NoCapacity)
+    const call = holdCall(entry.id, promptTokens + tokensPerEvent(), packing.startMs)
+    const answer = await callJson(entry.address, call, { pool, timer, timeoutMs: holdTimeoutMs })
+    const hold = answer.ok && answer.val.status === 200 ? decodeHold(answer.val.body) : undefined
+    if (hold === undefined) {
+      packer.drop(requestId)
+      return refuse(RefusalCode.NoCapacity)
+    }
+    if (!connection.send({ kind: MessageKind.Packed, requestId, attempt, hold })) giveBack(requestId, hold)
+    tell()
+  }
+
+  function giveBack (requestId: string, hold: string): void {
+    packer.drop(requestId)
+    if (entry === undefined) return
+    void callJson(entry.address, dropHoldCall(hold), { pool, timer, timeoutMs: holdTimeoutMs })
+  }
+
+  function tokensPerEvent (): number {
+    return directory.table()?.service(entry?.service ?? '')?.engine?.tokensPerEvent ?? 1
+  }
+
+  function tell (): void {
+    if (entry === undefined || report === undefined) return
+    const waiting = report.waiting + (report.stage === Stage.Prefill ? report.running : 0)
+    const now = { roomTokens: Math.max(0, Math.floor(packer.room(timer.now()))), waiting, senders: gateways.size, atMs: timer.now() }
+    const changed = told === undefined || told.waiting !== now.waiting || told.senders !== now.senders ||
+      Math.abs(told.roomTokens - now.roomTokens) >= noticeShare * report.totalTokens
+    if (!changed && now.atMs - (told?.atMs ?? 0) < refreshMs) return
+    told = now
+    const { atMs: _atMs, ...room } = now
+    for (const gateway of gateways) gateway.send({ kind: MessageKind.EngineRoom, workerId: entry.id, ...room })
+  }
+
+  const handlers: { [K in MessageKind]?: (connection: Connection, msg: MessageOf<K>) => void } = {
+    [MessageKind.Pack]: (connection, msg) => { void admit(connection, msg) },
+    [MessageKind.Cancel]: (_connection, msg) => { packer.drop(msg.requestId) }
+  }
+
+  return {
+    attach (connection) {
+      gateways.add(connection)
+      told = undefined
+      connection.onClose(() => { gateways.delete(connection) })
+      connection.onMessage((msg) => {
+        const handle = handlers[msg.kind] as ((connection: Connection, msg: Message) => void) | undefined
+        handle?.(connection, msg)
+      })
+    },
+    onReport (own, fresh) {
+      entry = own
+      report = fresh
+      packer.size(fresh.totalTokens, tokensPerEvent())
+      packer.observe(fresh.runs, timer.now())
+      tell()
+    }
+  }
+}
--- a/sidecar/start_sidecar.ts
+++ b/sidecar/start_sidecar.ts
@@ -5,6 +5,9 @@
 import { createDirectory } from '../directory/mod.ts'
 import { callJson, createExchangePool } from '../exchange/mod.ts'
 import { decodeEngineReport, reportCall } from '../platform/mod.ts'
+import { PackPolicy } from '../core/packing/mod.ts'
+import { listen } from '../wire/mod.ts'
+import { createAdmissionTask } from './_admission_task.ts'
 import { createStageTask } from './_stage_task.ts'
 import type { WorkerEntry } from '../core/fleet/mod.ts'
 import type { Log } from '../log/mod.ts'
@@ -26,7 +29,7 @@
 }
 
 /** Time in milliseconds between two reads of the engine's report, which are free on its own machine. */
-const reportPeriodMs = 200
+const reportPeriodMs = 50
 const reportTimeoutMs = 500
 
 /**
@@ -46,8 +49,19 @@
   const { settings, timer, log, random } = options
   const pool = createExchangePool()
   const directory = createDirectory({ storeAddress: settings.storeAddress, timer, log, random })
-  const balance = { policy: (process.env.STAGE_POLICY as StagePolicy) ?? StagePolicy.Share, prefillShare: 0.2 }
+  const balance = { policy: StagePolicy.Share, prefillShare: 0.2 }
   const stages = createStageTask({ machine: settings.machine, directory, pool, timer, log, balance })
+  const packing = {
+    policy: PackPolicy.Likely,
+    marginShare: 0.05,
+    caution: 1.1,
+    startMs: 2000
+  }
+  const admission = createAdmissionTask({ directory, pool, timer, packing })
+  const listener = await listen({
+    host: settings.ip, port: settings.internalPort, firstMessageTimeoutMs: 0, onConnection: (connection) => admission.attach(connection)
+  })
+  if (listener.err) log.error({ reason: listener.val.message }, 'not listening')
   let reading = false
 
   function ownEntry (): WorkerEntry | undefined {
@@ -61,6 +75,7 @@
     reading = true
     const answer = await callJson(address, reportCall(), { pool, timer, timeoutMs: reportTimeoutMs })
     const report = answer.err ? undefined : decodeEngineReport(answer.val.body)
+    if (report !== undefined) admission.onReport(entry, report)
     if (report !== undefined && directory.isRead()) await stages.onReport(entry, report)
     reading = false
   }
@@ -70,6 +85,7 @@
   return {
     stop: async () => {},
     async close () {
+      if (listener.ok) await listener.val.close()
       await directory.close()
       await pool.close()
     }
--- a/wire/messages.ts
+++ b/wire/messages.ts
@@ -27,6 +27,9 @@
   TicketVoid = 'ticket_void',
   TicketVoided = 'ticket_voided',
   Load = 'load',
+  Pack = 'pack',
+  Packed = 'packed',
+  EngineRoom = 'engine_room',
   ConfigDigest = 'config_digest',
   ConfigRecords = 'config_records',
   PeerReport = 'peer_report',
@@ -291,6 +294,38 @@
   usage: Array<{ caller: string, requests: number, tokens: number, concurrency: number, waiting: number }>
 }
 
+/** Asks the process beside an engine to admit a stream to the engine's memory. */
+export interface Pack extends AttemptRef {
+  kind: MessageKind.Pack
+  /** Identity of the engine that is meant. */
+  workerId: string
+  promptTokens: number
+  /** The client's estimate of the output in tokens. */
+  likelyTokens?: number
+  /** Most tokens that the output may have. */
+  maxTokens: number
+}
+
+/** Admits a stream; answers `Pack`. */
+export interface Packed extends AttemptRef {
+  kind: MessageKind.Packed
+  /** Name of the reservation at the engine. */
+  hold: string
+}
+
+/** Says how much memory of an engine is left for streams, on change. */
+export interface EngineRoom {
+  kind: MessageKind.EngineRoom
+  /** Identity of the engine. */
+  workerId: string
+  /** Tokens that the predicted peak leaves free. */
+  roomTokens: number
+  /** Requests that wait to run or to be read. */
+  waiting: number
+  /** Number of processes that send requests to the engine. */
+  senders: number
+}
+
 /** Asks a process for its own view. */
 export interface StatusRequest {
   kind: MessageKind.Status
@@ -320,7 +355,7 @@
   | Hello | Heartbeat | Reserve | Reserved | Refused | Prefill | Prefilled | DecodeMessage | Resume | Tokens | Finished
   | Failed | CancelMessage | Cancelled | CallMessage | CallDone | TicketIssue | TicketIssued | TicketVoid | TicketVoided
   | LoadReport | ConfigDigest | ConfigRecords | PeerReport | UsageShare | StatusRequest | StatusReply | Explain
-  | ExplainReply
+  | ExplainReply | Pack | Packed | EngineRoom
 
 /** The message of one kind. */
 export type MessageOf<K extends MessageKind> = Extract<Message, { kind: K }>
--- a/wire/wire_fuzz_test.ts
+++ b/wire/wire_fuzz_test.ts
@@ -53,6 +53,9 @@
     startOffset: 0,
     tierClass: TierClass.Paid
   },
+  [MessageKind.Pack]: { kind: MessageKind.Pack, ...ref, workerId: 'i-1', promptTokens: 400, likelyTokens: 90.5, maxTokens: 200 },
+  [MessageKind.Packed]: { kind: MessageKind.Packed, ...ref, hold: 'h' },
+  [MessageKind.EngineRoom]: { kind: MessageKind.EngineRoom, workerId: 'i-1', roomTokens: 9000, waiting: 2, senders: 4 },
   [MessageKind.Resume]: { kind: MessageKind.Resume, ...ref, offset: 4 },
   [MessageKind.Tokens]: { kind: MessageKind.Tokens, ...ref, offset: 4, tokens: [' été'] },
   [MessageKind.Finished]: { kind: MessageKind.Finished, ...ref, tokens: 16, reason: 'stop' },
