Forward an answer without a length as it came, without one

A worker that crashes may close such a connection in order, so the cut answer looked complete. Ruled out: a reset taken for an end; the log of each such answer shows resets seen as failures and orderly ends with too few bytes. Decoding the worker's seal is not an option: it is opaque. Conclusion: the gateway vouches for no end that the worker did not mark.

--- a/gateway/_reply.ts
+++ b/gateway/_reply.ts
@@ -39,6 +39,11 @@
 
   function head (answer: AnswerHead): void {
     res.sendDate = false
+    // Whoever gives a length to an answer that has none vouches for an end that only the connection marks.
+    if (answer.unframed) {
+      res.useChunkedEncodingByDefault = false
+      res.shouldKeepAlive = false
+    }
     res.writeHead(answer.status, answer.forwarded)
   }
 
@@ -55,9 +60,7 @@
     whole (answer, body) {
       if (over) return
       over = true
-      res.sendDate = false
-      const sized = answer.unframed ? [...answer.forwarded, 'Content-Length', String(body.length)] : answer.forwarded
-      res.writeHead(answer.status, sized)
+      head(answer)
       res.end(body)
     },
     begin (answer) {
