Test the gateway against stand-ins of store and workers; learn rules and workers from other gateways

Found by the tests: a new gateway could repeat no request, because its retry budget began empty; it now begins with its saved half. A gateway or sidecar that starts while the store cannot be read asks the seeds' peer addresses for the records behind their view.

--- a/core/retry/create_retry_budget.ts
+++ b/core/retry/create_retry_budget.ts
@@ -10,6 +10,8 @@
   minPerS: number
   /** Highest number of retries that may be saved up; 10 by default. */
   maxSaved?: number
+  /** Retries that are saved up at the start; those of one second by default. */
+  startSaved?: number
 }
 
 /** Bounds retries. */
@@ -25,7 +27,7 @@
 }
 
 /**
- * Creates a retry budget that starts with the constant rate of one second.
+ * Creates a retry budget.
  *
  * Over `t` seconds with `s` successes it lets through at most `ratio * s + minPerS * (t + 1)` retries, so load grows by
  * the factor `1 + ratio` at most, beside the constant rate.
@@ -49,7 +51,7 @@
   const { minPerS } = options
   const maxSaved = options.maxSaved ?? 10
   let { ratio } = options
-  let saved = Math.min(maxSaved, minPerS)
+  let saved = Math.min(maxSaved, options.startSaved ?? minPerS)
   let lastMs: number | undefined
 
   function accrue (nowMs: number): void {
--- /dev/null
+++ b/gateway/gateway.feature
@@ -0,0 +1,172 @@
+Feature: The gateway forwards requests of clients to workers
+
+  Background:
+    Given a gateway site with the plain workers "w1, w2"
+
+  Scenario: The gateway forwards method, path, query, body and headers, and sets its own
+    When a gateway client sends "POST /unsafe/x?q=%20a" with the body "hello" and the headers
+      | X-Request-Id          | r-1          |
+      | X-Model               | m            |
+      | X-Prompt-Prefix       | 5c:10        |
+      | X-Request-Deadline-Ms | 5000         |
+      | X-Expect-Instance     | forged       |
+      | X-Kv-Hold             | forged       |
+      | X-Pin-Ms              | 10           |
+      | X-Stage               | prefill      |
+      | Connection            | X-Hop, close |
+      | X-Hop                 | 1            |
+    Then the gateway client gets 200 with the body "signed" and a seal
+    And the gateway worker saw "POST /unsafe/x?q=%20a" with the body "hello"
+    And the gateway worker saw the header "x-model" with "m"
+    And the gateway worker saw the header "x-prompt-prefix" with "5c:10"
+    And the gateway worker saw the header "x-request-id" with "r-1"
+    And the gateway worker saw its own identity and at most 700 ms
+    And the gateway worker saw none of the headers "x-kv-hold, x-pin-ms, x-stage, x-hop"
+
+  Scenario: The gateway reads a body that comes in chunks
+    When a gateway client sends "POST /unsafe/x" in the chunks "he, llo"
+    Then the gateway client gets 200 with the body "signed" and a seal
+    And the gateway worker saw "POST /unsafe/x" with the body "hello"
+
+  Scenario Outline: A request that runs at most once ends in <status> when its worker is <mode>
+    Given gateway workers that are "<mode>"
+    When a gateway client sends "POST /unsafe/x"
+    Then the gateway client gets <status>
+    And the gateway answer says when to come back: <again>
+    And the gateway workers saw <runs> requests
+
+    Examples:
+      | mode           | status | again | runs |
+      | full           | 503    | yes   | 1    |
+      | error          | 500    | no    | 1    |
+      | reset          | 502    | no    | 1    |
+      | hang           | 504    | no    | 1    |
+      | short          | 502    | no    | 1    |
+      | cut_chunks     | 502    | no    | 1    |
+      | unframed_reset | 502    | no    | 1    |
+      | encoded        | 502    | no    | 1    |
+      | extra          | 502    | no    | 1    |
+
+  Scenario Outline: An idempotent request is sent once more when its worker is <mode>
+    Given gateway workers that are "<mode>" to their first request
+    When a gateway client sends "GET /safe/x"
+    Then the gateway client gets 200
+    And the gateway workers saw 2 requests
+
+    Examples:
+      | mode           |
+      | error          |
+      | reset          |
+      | short          |
+      | cut_chunks     |
+      | unframed_reset |
+      | encoded        |
+      | extra          |
+
+  Scenario: An idempotent request goes to no more workers than its route allows
+    Given gateway workers that are "error"
+    When a gateway client sends "GET /safe/x"
+    Then the gateway client gets 500
+    And the gateway workers saw 2 requests
+
+  Scenario: An answer without a length goes on without one
+    Given gateway workers that are "unframed"
+    When a gateway client sends "POST /unsafe/x"
+    Then the gateway client gets 200 with the body "signed" and a seal
+    And the gateway answer has no length and closes its connection
+
+  Scenario: A worker that cannot be reached is no attempt
+    Given a gateway worker "w1" that is gone without a word
+    When a gateway client sends "POST /unsafe/x" 5 times
+    Then the gateway client gets 200 each time
+
+  Scenario: The gateway lets a worker go when the client leaves
+    Given gateway workers that are "hang"
+    When a gateway client sends "GET /safe/x" and leaves after 100 ms
+    Then the gateway worker is let go within 400 ms
+    And the gateway workers saw 1 requests
+
+  Scenario Outline: The gateway refuses <what> with <status>
+    When a gateway client writes <what>
+    Then the gateway client gets <status>
+    And the gateway workers saw 0 requests
+
+    Examples:
+      | what              | status |
+      | an unknown path   | 404    |
+      | no request id     | 400    |
+      | a large body      | 413    |
+      | large chunks      | 413    |
+      | a large header    | 431    |
+      | a slow header     | 408    |
+      | two lengths       | 400    |
+      | length and chunks | 400    |
+      | no protocol       | 400    |
+
+  Scenario: A smuggled request is not run
+    When a gateway client writes a body that looks like a request
+    Then the gateway client gets 200
+    And the gateway workers saw 1 requests
+
+  Scenario: A new version of the rules comes into force and an older one does not
+    When the gateway operator removes the route "safe" in version 5
+    Then the gateway answers "GET /safe/x" with 404 within 500 ms
+    When the gateway operator writes version 4 with every route
+    And 300 ms pass at the gateway
+    Then the gateway answers "GET /safe/x" with 404 within 100 ms
+
+  Scenario Outline: The last view stays in force while the store is <mode>
+    When the gateway store is "<mode>"
+    And 300 ms pass at the gateway
+    Then the gateway answers "GET /safe/x" with 200 within 100 ms
+    When the gateway store is "up"
+    And the gateway operator removes the route "safe" in version 9
+    Then the gateway answers "GET /safe/x" with 404 within 2400 ms
+
+    Examples:
+      | mode   |
+      | busy   |
+      | many   |
+      | silent |
+      | reset  |
+
+  Scenario: The gateway reads anew when the history of the store is gone
+    When the gateway operator removes the route "safe" in version 7 while the store forgets its history
+    Then the gateway answers "GET /safe/x" with 404 within 1500 ms
+
+  Scenario Outline: The gateway uses no worker whose entry is <what>
+    When the gateway entry of "w1" is <what>
+    And 200 ms pass at the gateway
+    And a gateway client sends "POST /unsafe/x" 6 times
+    Then the gateway worker "w1" saw 0 requests
+
+    Examples:
+      | what               |
+      | draining           |
+      | no JSON            |
+      | of a strange state |
+      | without an address |
+      | without a version  |
+      | born in text       |
+
+  Scenario: Entries that lapsed while the store was down are kept until they can be back
+    When the gateway store is "silent"
+    And the gateway entry of "w1" lapses
+    And the gateway entry of "w2" lapses
+    And the gateway store is "up"
+    And 600 ms pass at the gateway
+    Then the gateway answers "GET /safe/x" with 200 within 100 ms
+
+  Scenario: The gateway is ready once it has rules and workers, and finishes what is in flight
+    Then the gateway is ready
+    Given gateway workers that are "hang"
+    When a gateway client sends "GET /safe/x" without waiting
+    And the gateway is stopped
+    Then the gateway is not ready
+    And the gateway client gets 504
+
+  Scenario: A gateway that starts while the store is down learns from another one
+    When the gateway store is "silent"
+    And another gateway starts
+    Then the other gateway is ready within 2000 ms
+    And the other gateway answers "GET /safe/x" with 200
--- /dev/null
+++ b/gateway/gateway_test.ts
@@ -0,0 +1,320 @@
+/**
+ * Steps for the gateway, against stand-ins of the store and of workers.
+ */
+import assert from 'node:assert/strict'
+import { once } from 'node:events'
+import { request as httpRequest } from 'node:http'
+import { connect } from 'node:net'
+import { After, Given, Then, When } from '@cucumber/cucumber'
+import { startSite, StoreMode, WorkerMode } from '../testing/fleuve/mod.ts'
+import type { DataTable } from '@cucumber/cucumber'
+import type { IncomingHttpHeaders } from 'node:http'
+import type { FakeWorker, FakeWorkerOptions, SeenRequest, Site } from '../testing/fleuve/mod.ts'
+
+interface Answer {
+  status: number
+  headers: IncomingHttpHeaders
+  body: string
+  /** True when the body ended as its framing says. */
+  whole: boolean
+}
+
+interface World {
+  site: Site
+  answer: Answer
+  answers: Answer[]
+  pending?: Promise<Answer>
+  stopping?: Promise<void>
+  other?: Site
+}
+
+let nextId = 0
+
+export async function sleep (ms: number): Promise<void> {
+  await new Promise((resolve) => setTimeout(resolve, ms))
+}
+
+/** Calls `fn` until it answers true. */
+export async function until (fn: () => Promise<boolean> | boolean, withinMs: number, what: string): Promise<void> {
+  const endMs = performance.now() + withinMs
+  while (!(await fn())) {
+    assert.ok(performance.now() < endMs, `${what} did not happen within ${withinMs} ms`)
+    await sleep(15)
+  }
+}
+
+interface SendOptions {
+  headers?: { [name: string]: string }
+  chunks?: string[]
+  leaveMs?: number
+}
+
+export function send (site: Site, line: string, options: SendOptions = {}): Promise<Answer> {
+  const [method, path] = line.split(' ') as [string, string]
+  const [host, port] = (site.settings.clientAddress as string).split(':')
+  const headers = { Host: 'a.example', 'X-Request-Id': `t-${++nextId}`, 'X-Request-Deadline-Ms': '4000', ...options.headers }
+  return new Promise((resolve, reject) => {
+    const req = httpRequest({ host, port, method, path, headers, agent: false }, (res) => {
+      const chunks: Buffer[] = []
+      res.on('data', (chunk: Buffer) => chunks.push(chunk))
+      res.on('error', () => {})
+      res.on('close', () => resolve({
+        status: res.statusCode ?? 0, headers: res.headers, body: Buffer.concat(chunks).toString(), whole: res.complete
+      }))
+    })
+    req.on('error', (err) => options.leaveMs === undefined ? reject(err) : resolve({ status: 0, headers: {}, body: '', whole: false }))
+    for (const chunk of (options.chunks ?? []).slice(0, -1)) req.write(chunk)
+    req.end(options.chunks?.at(-1))
+    if (options.leaveMs !== undefined) setTimeout(() => req.destroy(), options.leaveMs)
+  })
+}
+
+/** Writes raw bytes and returns the status of the answer. */
+async function write (site: Site, text: string): Promise<Answer> {
+  const [host, port] = (site.settings.clientAddress as string).split(':')
+  const socket = connect({ host: host as string, port: Number(port) })
+  await once(socket, 'connect')
+  let got = ''
+  socket.on('data', (chunk) => { got += chunk })
+  socket.on('error', () => {})
+  socket.write(text)
+  await until(() => got.includes('\r\n\r\n'), 2500, 'an answer')
+  socket.destroy()
+  return { status: Number(got.split(' ')[1]), headers: {}, body: got, whole: true }
+}
+
+function allSeen (site: Site): SeenRequest[] {
+  return [...site.workers.values()].flatMap((worker) => worker.seen())
+}
+
+function workerOf (site: Site, id: string): FakeWorker {
+  const worker = site.workers.get(id)
+  assert.ok(worker, `worker ${id} does not exist`)
+  return worker
+}
+
+async function isReady (site: Site): Promise<boolean> {
+  const [host, port] = (site.settings.readyAddress as string).split(':')
+  return await new Promise((resolve) => {
+    httpRequest({ host, port, path: '/v1/ready', agent: false }, (res) => {
+      res.resume()
+      resolve(res.statusCode === 200)
+    }).on('error', () => resolve(false)).end()
+  })
+}
+
+async function open (world: World, workers: FakeWorkerOptions[]): Promise<void> {
+  world.site = await startSite()
+  assert.equal(await isReady(world.site), false)
+  assert.equal((await send(world.site, 'GET /safe/x')).status, 503)
+  world.site.configure(1)
+  for (const worker of workers) await world.site.addWorker(worker)
+  // A version is in force when the last worker is too, since the store tells of changes in order.
+  await until(async () => await isReady(world.site), 2000, 'readiness')
+  await sleep(60)
+}
+
+Given('a gateway site with the plain workers {string}', async function (this: World, ids: string) {
+  await open(this, ids.split(', ').map((id) => ({ id, service: 'plain' })))
+})
+
+Given('a gateway site with engines', async function (this: World, table: DataTable) {
+  await open(this, table.hashes().map(({ id, stage, events, every }) => ({
+    id: id as string, service: 'llm', stage: stage as 'prefill' | 'decode', events: Number(events), eventMs: Number(every)
+  })))
+})
+
+After(async function (this: World) {
+  await this.other?.close()
+  await this.site?.close()
+})
+
+Given('gateway workers that are {string}', function (this: World, mode: WorkerMode) {
+  for (const worker of this.site.workers.values()) worker.setMode(mode)
+})
+
+Given('gateway workers that are {string} to their first request', function (this: World, mode: WorkerMode) {
+  for (const worker of this.site.workers.values()) worker.setMode(mode, WorkerMode.Good)
+  // Only the first worker that is asked fails; its answer puts the others right.
+  const settle = setInterval(() => {
+    if (allSeen(this.site).length === 0) return
+    clearInterval(settle)
+    for (const worker of this.site.workers.values()) worker.setMode(WorkerMode.Good)
+  }, 1)
+})
+
+Given('a gateway worker {string} that is gone without a word', async function (this: World, id: string) {
+  await workerOf(this.site, id).close()
+})
+
+When('a gateway client sends {string}', async function (this: World, line: string) {
+  this.answer = await send(this.site, line)
+})
+
+When('a gateway client sends {string} without waiting', async function (this: World, line: string) {
+  this.pending = send(this.site, line)
+  await until(() => allSeen(this.site).length > 0, 500, 'the request')
+})
+
+When('a gateway client sends {string} {int} times', async function (this: World, line: string, times: number) {
+  this.answers = []
+  for (let i = 0; i < times; i++) this.answers.push(await send(this.site, line))
+})
+
+When('a gateway client sends {string} with the body {string} and the headers',
+  async function (this: World, line: string, body: string, table: DataTable) {
+    this.answer = await send(this.site, line, { headers: { ...table.rowsHash(), 'Content-Length': String(body.length) }, chunks: [body] })
+  })
+
+When('a gateway client sends {string} with the headers', async function (this: World, line: string, table: DataTable) {
+  this.answer = await send(this.site, line, { headers: table.rowsHash() })
+})
+
+When('a gateway client sends {string} in the chunks {string}', async function (this: World, line: string, chunks: string) {
+  this.answer = await send(this.site, line, { chunks: chunks.split(', ') })
+})
+
+When('a gateway client sends {string} and leaves after {int} ms', async function (this: World, line: string, leaveMs: number) {
+  await send(this.site, line, { leaveMs })
+})
+
+const start = 'POST /unsafe/x HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: raw\r\n'
+const inner = 'GET /safe/y HTTP/1.1\r\nHost: a.example\r\n\r\n1234'
+const odd: { readonly [what: string]: string } = {
+  'an unknown path': 'GET /other/x HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: raw\r\n\r\n',
+  'no request id': 'GET /safe/x HTTP/1.1\r\nHost: a.example\r\n\r\n',
+  'a large body': `${start}Content-Length: 1001\r\n\r\n${'x'.repeat(1001)}`,
+  'large chunks': `${start}Transfer-Encoding: chunked\r\n\r\n${'190\r\n' + 'x'.repeat(400) + '\r\n'}${'2bc\r\n' + 'x'.repeat(700) + '\r\n'}0\r\n\r\n`,
+  'a large header': `${start}X-Large: ${'x'.repeat(9000)}\r\n\r\n`,
+  'a slow header': start,
+  'two lengths': `${start}Content-Length: 1\r\nContent-Length: 2\r\n\r\nxx`,
+  'length and chunks': `${start}Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n`,
+  'no protocol': 'nonsense\r\n\r\n',
+  'a body that looks like a request': `${start}Content-Length: ${inner.length}\r\n\r\n${inner}`
+}
+
+When(/^a gateway client writes (.*)$/, async function (this: World, what: string) {
+  this.answer = await write(this.site, odd[what] as string)
+})
+
+When('the gateway operator removes the route {string} in version {int}', function (this: World, name: string, version: number) {
+  removeRoute(this.site, name, version)
+})
+
+When('the gateway operator removes the route {string} in version {int} while the store forgets its history',
+  function (this: World, name: string, version: number) {
+    this.site.store.setMode(StoreMode.Silent)
+    removeRoute(this.site, name, version)
+    this.site.store.compact()
+    this.site.store.setMode(StoreMode.Up)
+  })
+
+When('the gateway operator writes version {int} with every route', function (this: World, version: number) {
+  this.site.configure(version)
+})
+
+function removeRoute (site: Site, name: string, version: number): void {
+  const prefix = name === 'safe' ? '/elsewhere/' : `/${name}/`
+  site.configure(version, { routes: [{ name, host: 'a.example', prefix, kind: 'idempotent', timeout_ms: 500, service: 'plain' }] })
+}
+
+When('the gateway store is {string}', function (this: World, mode: StoreMode) { this.site.store.setMode(mode) })
+
+When('{int} ms pass at the gateway', async function (ms: number) { await sleep(ms) })
+
+const entries: { readonly [what: string]: (worker: FakeWorker) => string } = {
+  draining: (worker) => worker.entry({ state: 'draining' }),
+  'no JSON': () => '{"service":',
+  'of a strange state': (worker) => worker.entry({ state: 'resting' }),
+  'without an address': (worker) => worker.entry({ address: undefined }),
+  'without a version': (worker) => worker.entry({ version: undefined }),
+  'born in text': (worker) => worker.entry({ born: 'today' })
+}
+
+When(/^the gateway entry of "(\w+)" is (.*)$/, function (this: World, id: string, what: string) {
+  this.site.store.put(`servers/${id}`, (entries[what] as (worker: FakeWorker) => string)(workerOf(this.site, id)))
+})
+
+When('the gateway entry of {string} lapses', function (this: World, id: string) { this.site.store.remove(`servers/${id}`) })
+
+When('the gateway is stopped', function (this: World) { this.stopping = this.site.gateway.stop() })
+
+Then('the gateway client gets {int}', async function (this: World, status: number) {
+  if (this.pending !== undefined) this.answer = await this.pending
+  assert.equal(this.answer.status, status)
+})
+
+Then('the gateway client gets {int} each time', function (this: World, status: number) {
+  assert.deepEqual(this.answers.map((answer) => answer.status), this.answers.map(() => status))
+})
+
+Then('the gateway client gets {int} with the body {string} and a seal', function (this: World, status: number, body: string) {
+  assert.equal(this.answer.status, status)
+  assert.equal(this.answer.body, body)
+  assert.match(String(this.answer.headers['x-server-seal']), /^seal-/)
+})
+
+Then('the gateway answer says when to come back: {word}', function (this: World, again: string) {
+  assert.equal(this.answer.headers['retry-after'] !== undefined, again === 'yes')
+})
+
+Then('the gateway answer has no length and closes its connection', function (this: World) {
+  assert.equal(this.answer.headers['content-length'], undefined)
+  assert.equal(this.answer.headers['transfer-encoding'], undefined)
+  assert.equal(this.answer.headers.connection, 'close')
+})
+
+Then('the gateway workers saw {int} requests', function (this: World, count: number) {
+  assert.equal(allSeen(this.site).length, count)
+})
+
+Then('the gateway worker {string} saw {int} requests', function (this: World, id: string, count: number) {
+  assert.equal(workerOf(this.site, id).seen().length, count)
+})
+
+Then('the gateway worker saw {string} with the body {string}', function (this: World, line: string, body: string) {
+  const [seen] = allSeen(this.site)
+  assert.equal(`${seen?.method} ${seen?.path}`, line)
+  assert.equal(seen?.body, body)
+})
+
+Then('the gateway worker saw the header {string} with {string}', function (this: World, name: string, value: string) {
+  assert.equal(allSeen(this.site)[0]?.headers[name], value)
+})
+
+Then('the gateway worker saw its own identity and at most {int} ms', function (this: World, most: number) {
+  const worker = [...this.site.workers.values()].find((one) => one.seen().length > 0)
+  const headers = worker?.seen()[0]?.headers ?? {}
+  assert.equal(headers['x-expect-instance'], worker?.id)
+  const left = Number(headers['x-request-deadline-ms'])
+  assert.ok(left > 0 && left <= most, `${left} ms are left`)
+})
+
+Then('the gateway worker saw none of the headers {string}', function (this: World, names: string) {
+  for (const name of names.split(', ')) assert.equal(allSeen(this.site)[0]?.headers[name], undefined, name)
+})
+
+Then('the gateway worker is let go within {int} ms', async function (this: World, ms: number) {
+  await until(() => allSeen(this.site).some((seen) => seen.dropped), ms, 'the end of the work')
+})
+
+Then('the gateway answers {string} with {int} within {int} ms', async function (this: World, line: string, status: number, ms: number) {
+  await until(async () => (await send(this.site, line)).status === status, ms, `status ${status}`)
+})
+
+Then('the gateway is ready', async function (this: World) { assert.equal(await isReady(this.site), true) })
+
+Then('the gateway is not ready', async function (this: World) { assert.equal(await isReady(this.site), false) })
+
+When('another gateway starts', async function (this: World) {
+  const { storeAddress, peerAddress } = this.site.settings
+  this.other = await startSite({ seeds: [peerAddress as string], settings: { storeAddress, machine: 'edge-2' } })
+})
+
+Then('the other gateway is ready within {int} ms', async function (this: World, ms: number) {
+  await until(async () => await isReady(this.other as Site), ms, 'readiness')
+})
+
+Then('the other gateway answers {string} with {int}', async function (this: World, line: string, status: number) {
+  assert.equal((await send(this.other as Site, line)).status, status)
+})
--- a/gateway/start_gateway.ts
+++ b/gateway/start_gateway.ts
@@ -3,7 +3,7 @@
  */
 import { createServer } from 'node:http'
 import { createRetryBudget } from '../core/retry/mod.ts'
-import { createDirectory } from '../directory/mod.ts'
+import { createDirectory, exchangeRecords } from '../directory/mod.ts'
 import { createExchangePool } from '../exchange/mod.ts'
 import { readyPath } from '../platform/mod.ts'
 import { parseAddress } from '../wire/mod.ts'
@@ -80,7 +80,7 @@
       const slack = budgetShare * settings.retrySlack / assumedEntries
       // Half of the slack may be saved up, the other half comes evenly over the window.
       const minPerS = slack / 2 / (settings.retryWindowMs / 1000)
-      const made = createRetryBudget({ ratio: budgetShare * settings.retryRatio, minPerS, maxSaved: slack / 2 })
+      const made = createRetryBudget({ ratio: budgetShare * settings.retryRatio, minPerS, maxSaved: slack / 2, startSaved: slack / 2 })
       budgets.set(service, made)
       return made
     },
@@ -90,6 +90,8 @@
     }
   }
   const front = createFront(shared)
+  const peerAddress = settings.peerAddress === undefined ? {} : { address: settings.peerAddress }
+  const records = await exchangeRecords({ directory, timer, log, seeds: settings.seeds, ...peerAddress })
 
   function isReady (): boolean {
     if (stopping) return false
@@ -125,6 +127,7 @@
       ready.close()
       ready.closeAllConnections()
       shared.engines.close()
+      await records.close()
       await directory.close()
       await shared.pool.close()
       await shared.controlPool.close()
--- a/sidecar/start_sidecar.ts
+++ b/sidecar/start_sidecar.ts
@@ -2,7 +2,7 @@
  * Starts the process beside an engine: it watches the engine and gives it orders.
  */
 import { StagePolicy } from '../core/balance/mod.ts'
-import { createDirectory } from '../directory/mod.ts'
+import { createDirectory, exchangeRecords } from '../directory/mod.ts'
 import { callJson, createExchangePool } from '../exchange/mod.ts'
 import { decodeEngineReport, reportCall } from '../platform/mod.ts'
 import { PackPolicy } from '../core/packing/mod.ts'
@@ -50,6 +50,7 @@
   const pool = createExchangePool()
   const directory = createDirectory({ storeAddress: settings.storeAddress, timer, log, random })
   const balance = { policy: StagePolicy.Share, prefillShare: 0.2 }
+  const records = await exchangeRecords({ directory, timer, log, seeds: settings.seeds })
   const stages = createStageTask({ machine: settings.machine, directory, pool, timer, log, balance })
   const packing = {
     policy: PackPolicy.Likely,
@@ -86,6 +87,7 @@
     stop: async () => {},
     async close () {
       if (listener.ok) await listener.val.close()
+      await records.close()
       await directory.close()
       await pool.close()
     }
