--- a/core/packing/create_packer.ts
+++ b/core/packing/create_packer.ts
@@ -2,6 +2,7 @@
  * The admission of streams to the memory of one engine.
  */
 import { PackPolicy } from './_types.ts'
+import { expectedLeft } from './expected_left.ts'
 import { predictPeak } from './predict_peak.ts'
 import type { Growth, PackAsk, PackRun } from './_types.ts'
 
@@ -10,8 +11,6 @@
   policy: PackPolicy
   /** Share of the memory that stays free for streams that grow more than predicted. */
   marginShare: number
-  /** Factor on the predicted output. */
-  caution: number
   /** Time in milliseconds for which an admitted stream may take to begin. */
   startMs: number
 }
@@ -38,8 +37,8 @@
 
 /** Weight of the newest finished stream in the typical output; some twenty streams shape it. */
 const newestShare = 0.05
-/** Share of the predicted output that a stream which has outgrown it is still expected to grow. */
-const outgrownShare = 0.25
+/** Spread of the logarithm of the output about its prediction: that of an estimate and a typical size which spread by 0.5 each. */
+const spreads: { readonly [K in PackPolicy]: number } = { [PackPolicy.Full]: 0, [PackPolicy.Likely]: 0.35 }
 
 type Predict = (ask: PackAsk, typicalTokens: number | undefined) => number
 
@@ -63,30 +62,29 @@
  * ```ts
  * import { createPacker, PackPolicy } from 'briarloom/core/packing'
  *
- * const packer = createPacker({ policy: PackPolicy.Full, marginShare: 0, caution: 1, startMs: 2000 })
+ * const packer = createPacker({ policy: PackPolicy.Full, marginShare: 0, startMs: 2000 })
  * packer.size(1000, 10)
  * console.assert(packer.admit({ requestId: 'a', promptTokens: 500, maxTokens: 400 }, 0))
  * console.assert(!packer.admit({ requestId: 'b', promptTokens: 500, maxTokens: 400 }, 0))
  * ```
  */
 export function createPacker (options: PackerOptions): Packer {
-  const { policy, marginShare, caution, startMs } = options
+  const { policy, marginShare, startMs } = options
   const bookings = new Map<string, Booking>()
   let memoryTokens = 0
   let tokensPerEvent = 1
   let typicalTokens: number | undefined
 
   function predict (ask: PackAsk): number {
-    const tokens = caution * predictions[policy](ask, typicalTokens)
-    return Math.min(ask.maxTokens, Math.max(tokensPerEvent, tokens))
+    return Math.min(ask.maxTokens, Math.max(tokensPerEvent, predictions[policy](ask, typicalTokens)))
   }
 
   function growth (booking: Booking): Growth {
     const { promptTokens, predictedTokens, maxTokens, run } = booking
-    if (run === undefined) return { usedTokens: promptTokens, leftTokens: predictedTokens }
-    const made = run.events * tokensPerEvent
-    const left = Math.max(predictedTokens - made, outgrownShare * predictedTokens)
-    return { usedTokens: Math.max(run.tokensInMemory, promptTokens), leftTokens: Math.max(0, Math.min(left, maxTokens - made)) }
+    const made = (run?.events ?? 0) * tokensPerEvent
+    const left = spreads[policy] === 0 ? predictedTokens - made : expectedLeft(predictedTokens, spreads[policy], made)
+    const usedTokens = Math.max(run?.tokensInMemory ?? 0, promptTokens)
+    return { usedTokens, leftTokens: Math.max(0, Math.min(left, maxTokens - made)) }
   }
 
   function expire (nowMs: number): void {
--- a/directory/_follow_prefix.ts
+++ b/directory/_follow_prefix.ts
@@ -90,11 +90,11 @@
     if (closed) return
     const done = revision === undefined ? await readAll() : await watch(revision)
     if (closed) return
-    if (done) void step()
-    else pause = timer.after(backoffMs * (0.5 + options.random()), () => { void step() })
+    if (done) step()
+    else pause = timer.after(backoffMs * (0.5 + options.random()), () => { step() })
   }
 
-  void step()
+  step()
   return () => {
     closed = true
     pause?.cancel()
--- a/directory/exchange_records.ts
+++ b/directory/exchange_records.ts
@@ -62,7 +62,7 @@
 
   const asking = timer.every(askPeriodMs, () => {
     if (directory.isRead()) asking.cancel()
-    else for (const seed of seeds) void ask(seed)
+    else for (const seed of seeds) ask(seed)
   })
 
   const own = address === undefined ? undefined : parseAddress(address)
--- a/gateway/_engine_links.ts
+++ b/gateway/_engine_links.ts
@@ -9,7 +9,7 @@
 import type { Worker } from '../core/fleet/mod.ts'
 import type { Directory } from '../directory/mod.ts'
 import type { Log } from '../log/mod.ts'
-import type { Subscription, Timer } from '../timer/mod.ts'
+import type { Timer } from '../timer/mod.ts'
 import type { Connection, Message } from '../wire/mod.ts'
 
 /** Configures the connections. */
@@ -26,7 +26,7 @@
   /** True when the process beside the engine is connected and has told of the engine. */
   isLinked (worker: Worker): boolean
   /** Asks for memory at an engine; the result is the name of the reservation. */
-  ask (worker: Worker, ask: PackAsk): Promise<Result<string, RefusalCode>>
+  ask (worker: Worker, ask: PackAsk, reads: boolean): Promise<Result<string, RefusalCode>>
   /** Gives up memory that was granted and is not used. */
   drop (worker: Worker, requestId: string): void
   close (): void
@@ -96,7 +96,7 @@
   function dialMissing (): void {
     for (const worker of directory.fleet.all()) {
       const address = worker.entry.stage === undefined ? undefined : addressOf(worker)
-      if (address !== undefined && !links.has(address)) void open(address)
+      if (address !== undefined && !links.has(address)) open(address)
     }
   }
 
@@ -105,20 +105,19 @@
 
   return {
     isLinked: (worker) => worker.room !== undefined && links.get(addressOf(worker) ?? '')?.connection !== undefined,
-    ask (worker, ask) {
+    ask (worker, ask, reads) {
       const link = links.get(addressOf(worker) ?? '')
       const attempt = ++asks
-      const sent = link?.connection?.send({ kind: MessageKind.Pack, attempt, workerId: worker.entry.id, ...ask })
+      const sent = link?.connection?.send({ kind: MessageKind.Pack, attempt, workerId: worker.entry.id, reads, ...ask })
       if (link === undefined || !sent) return Promise.resolve(Err(RefusalCode.Unreachable))
       const key = `${ask.requestId}/${attempt}`
       return new Promise((resolve) => {
-        let late: Subscription | undefined
         const finish = (answer: Result<string, RefusalCode>): void => {
-          late?.cancel()
+          late.cancel()
           link.waiting.delete(key)
           resolve(answer)
         }
-        late = timer.after(askTimeoutMs, () => finish(Err(RefusalCode.Unreachable)))
+        const late = timer.after(askTimeoutMs, () => finish(Err(RefusalCode.Unreachable)))
         link.waiting.set(key, finish)
       })
     },
--- a/gateway/_front.ts
+++ b/gateway/_front.ts
@@ -119,7 +119,7 @@
         stopped: () => stopped
       }
       shared.budget(service.name).succeeded()
-      void serve(job)
+      serve(job)
     })
   }
 
--- a/gateway/_send.ts
+++ b/gateway/_send.ts
@@ -60,9 +60,10 @@
         handlers.onRefused({ arrived: true, reason: 'refused' })
         return
       }
-      directory.fleet.suspect(worker, timer.now())
-      if (outcomeOf(failure) === Outcome.NotRun) handlers.onRefused({ arrived: false, reason: failure.message })
-      else handlers.onLost(failure.message)
+      if (outcomeOf(failure) === Outcome.NotRun) {
+        directory.fleet.suspect(worker, timer.now())
+        handlers.onRefused({ arrived: false, reason: failure.message })
+      } else handlers.onLost(failure.message)
     }
   })
   return {
--- a/gateway/gateway_test.ts
+++ b/gateway/gateway_test.ts
@@ -23,6 +23,7 @@
   site: Site
   answer: Answer
   answers: Answer[]
+  tookMs: number
   pending?: Promise<Answer>
   stopping?: Promise<void>
   other?: Site
@@ -318,3 +319,65 @@
 Then('the other gateway answers {string} with {int}', async function (this: World, line: string, status: number) {
   assert.equal((await send(this.other as Site, line)).status, status)
 })
+
+const prompt = { 'X-Model': 'm', 'X-Token-Counts': '100,40', 'X-Length-Hint': '30', 'X-Request-Deadline-Ms': '3000' }
+
+When('a gateway client asks for a generation on {string}', async function (this: World, path: string) {
+  const startedMs = performance.now()
+  this.answer = await send(this.site, `POST ${path}`, { headers: prompt, chunks: ['prompt'] })
+  this.tookMs = performance.now() - startedMs
+})
+
+When('a gateway client asks for a generation on {string} and leaves after {int} ms', async function (this: World, path: string, leaveMs: number) {
+  await send(this.site, `POST ${path}`, { headers: prompt, chunks: ['prompt'], leaveMs })
+})
+
+Given('gateway engines without memory', function (this: World) {
+  for (const worker of this.site.workers.values()) worker.setMemory(10)
+})
+
+Given('gateway engines that lose their connection after event {int}', function (this: World, event: number) {
+  for (const worker of this.site.workers.values()) worker.cutAfter(event, 9)
+})
+
+Given('gateway engines that lose their first connection after event {int}', function (this: World, event: number) {
+  for (const worker of this.site.workers.values()) worker.cutAfter(event, 1)
+})
+
+Given('gateway engines that are slow to read', function (this: World) {
+  for (const worker of this.site.workers.values()) worker.setReadMs(400)
+})
+
+Then('the gateway client gets the events {int} to {int}, each once', function (this: World, first: number, last: number) {
+  assert.equal(this.answer.status, 200)
+  assert.ok(this.answer.whole, 'the answer is not whole')
+  const wanted = Array.from({ length: last - first + 1 }, (_, i) => `id: ${first + i}\ndata: piece ${first + i}\n\n`)
+  assert.equal(this.answer.body, wanted.join(''))
+})
+
+Then('the gateway client gets an answer that is not whole', function (this: World) { assert.equal(this.answer.whole, false) })
+
+Then('the gateway answer came within {int} ms', function (this: World, ms: number) {
+  assert.ok(this.tookMs < ms, `it took ${this.tookMs} ms`)
+})
+
+Then('the gateway engines saw a reservation, then a prefill at {string}, then a decode with its KV cache and the reservation',
+  function (this: World, reader: string) {
+    const [read] = workerOf(this.site, reader).seen()
+    assert.equal(read?.headers['x-stage'], 'prefill')
+    const decoder = [...this.site.workers.values()].find((worker) => worker.id !== reader && worker.seen().length > 0)
+    assert.deepEqual(decoder?.calls().map(({ call }) => call), ['POST /v1/hold-take'])
+    const headers = decoder?.seen()[0]?.headers ?? {}
+    assert.equal(headers['x-kv-hold'], 'hold-1')
+    assert.equal(headers['x-kv-source'], `${workerOf(this.site, reader).address}/kv-1`)
+    assert.equal(headers['x-stage'], undefined)
+  })
+
+Then('a gateway engine was asked to go on after event {int}', function (this: World, event: number) {
+  assert.ok(allSeen(this.site).some((seen) => seen.headers['last-event-id'] === String(event)))
+})
+
+Then('the gateway engines got their reservation back within {int} ms', async function (this: World, ms: number) {
+  const calls = (): string[] => [...this.site.workers.values()].flatMap((worker) => worker.calls().map(({ call }) => call))
+  await until(() => calls().includes('DELETE /v1/hold-drop/hold-1'), ms, 'the release')
+})
--- a/sidecar/_admission_task.ts
+++ b/sidecar/_admission_task.ts
@@ -21,6 +21,8 @@
   pool: ExchangePool
   timer: Timer
   packing: PackerOptions
+  /** True while the engine is, or soon will be, ordered to another stage. */
+  isSwitching: () => boolean
 }
 
 /** Admits streams to one engine. */
@@ -32,6 +34,10 @@
 }
 
 const holdTimeoutMs = 200
+/** Time in milliseconds that one prompt token takes at an engine that also generates; about twice that of one that only reads. */
+const ownTokenMs = 0.04
+/** Time in milliseconds between two prompts that the engine reads itself, in which its streams make an event each. */
+const betweenReadsMs = 80
 /** Time in milliseconds after which gateways hear of the engine again although nothing has changed. */
 const refreshMs = 500
 /** Change of the free memory that gateways hear of at once, as a share of all. */
@@ -44,6 +50,8 @@
   const gateways = new Set<Connection>()
   let entry: WorkerEntry | undefined
   let report: EngineReport | undefined
+  /** Time in milliseconds until which the engine reads a prompt itself; a second one would double the pause of its streams. */
+  let readingUntilMs = 0
   let told: { roomTokens: number, waiting: number, senders: number, atMs: number } | undefined
 
   async function admit (connection: Connection, msg: Pack): Promise<void> {
@@ -52,7 +60,9 @@
       connection.send({ kind: MessageKind.Refused, requestId, attempt, code, retryAfterMs: 0 })
     }
     if (entry === undefined || entry.id !== msg.workerId) return refuse(RefusalCode.Stale)
+    if (!generates()) return refuse(RefusalCode.Draining)
     const ask = { requestId, promptTokens, maxTokens }
+    if (msg.reads && readingUntilMs > timer.now()) return refuse(RefusalCode.TargetMissed)
     if (!packer.admit(likelyTokens === undefined ? ask : { ...ask, likelyTokens }, timer.now())) return refuse(RefusalCode.NoCapacity)
     const call = holdCall(entry.id, promptTokens + tokensPerEvent(), packing.startMs)
     const answer = await callJson(entry.address, call, { pool, timer, timeoutMs: holdTimeoutMs })
@@ -61,14 +71,19 @@
       packer.drop(requestId)
       return refuse(RefusalCode.NoCapacity)
     }
+    if (msg.reads) readingUntilMs = timer.now() + promptTokens * ownTokenMs + betweenReadsMs
     if (!connection.send({ kind: MessageKind.Packed, requestId, attempt, hold })) giveBack(requestId, hold)
     tell()
   }
 
+  function generates (): boolean {
+    return report !== undefined && report.stage === Stage.Decode && !report.busy && !options.isSwitching()
+  }
+
   function giveBack (requestId: string, hold: string): void {
     packer.drop(requestId)
     if (entry === undefined) return
-    void callJson(entry.address, dropHoldCall(hold), { pool, timer, timeoutMs: holdTimeoutMs })
+    callJson(entry.address, dropHoldCall(hold), { pool, timer, timeoutMs: holdTimeoutMs })
   }
 
   function tokensPerEvent (): number {
@@ -78,7 +93,7 @@
   function tell (): void {
     if (entry === undefined || report === undefined) return
     const waiting = report.waiting + (report.stage === Stage.Prefill ? report.running : 0)
-    const now = { roomTokens: Math.max(0, Math.floor(packer.room(timer.now()))), waiting, senders: gateways.size, atMs: timer.now() }
+    const now = { roomTokens: generates() ? Math.max(0, Math.floor(packer.room(timer.now()))) : 0, waiting, senders: gateways.size, atMs: timer.now() }
     const changed = told === undefined || told.waiting !== now.waiting || told.senders !== now.senders ||
       Math.abs(told.roomTokens - now.roomTokens) >= noticeShare * report.totalTokens
     if (!changed && now.atMs - (told?.atMs ?? 0) < refreshMs) return
@@ -88,7 +103,7 @@
   }
 
   const handlers: { [K in MessageKind]?: (connection: Connection, msg: MessageOf<K>) => void } = {
-    [MessageKind.Pack]: (connection, msg) => { void admit(connection, msg) },
+    [MessageKind.Pack]: (connection, msg) => { admit(connection, msg) },
     [MessageKind.Cancel]: (_connection, msg) => { packer.drop(msg.requestId) }
   }
 
--- a/sidecar/_stage_task.ts
+++ b/sidecar/_stage_task.ts
@@ -28,6 +28,8 @@
 export interface StageTask {
   /** Takes a fresh report of the engine and orders another stage when one is due. */
   onReport (entry: WorkerEntry, report: EngineReport): Promise<void>
+  /** True while an order is due, outstanding, or accepted and not yet shown by a report. */
+  isSwitching (): boolean
 }
 
 const orderTimeoutMs = 1_000
@@ -71,6 +73,7 @@
       outstanding = true
       await order(entry, report, stage)
       outstanding = false
-    }
+    },
+    isSwitching: () => outstanding || dueSinceMs !== undefined
   }
 }
--- a/sidecar/start_sidecar.ts
+++ b/sidecar/start_sidecar.ts
@@ -54,11 +54,10 @@
   const stages = createStageTask({ machine: settings.machine, directory, pool, timer, log, balance })
   const packing = {
     policy: PackPolicy.Likely,
-    marginShare: 0.05,
-    caution: 1.1,
+    marginShare: 0.1,
     startMs: 2000
   }
-  const admission = createAdmissionTask({ directory, pool, timer, packing })
+  const admission = createAdmissionTask({ directory, pool, timer, packing, isSwitching: () => stages.isSwitching() })
   const listener = await listen({
     host: settings.ip, port: settings.internalPort, firstMessageTimeoutMs: 0, onConnection: (connection) => admission.attach(connection)
   })
@@ -81,7 +80,7 @@
     reading = false
   }
 
-  timer.every(reportPeriodMs, () => { void readReport() })
+  timer.every(reportPeriodMs, () => { readReport() })
   log.info({ worker: settings.workerAddress }, 'watching')
   return {
     stop: async () => {},
--- a/testing/fleuve/start_worker.ts
+++ b/testing/fleuve/start_worker.ts
@@ -52,6 +52,10 @@
   /** Sets how many tokens reservations may take in all. */
   setMemory (tokens: number): void
   setStage (stage: string): void
+  /** Resets the connection of the next streams after an event, `times` times. */
+  cutAfter (event: number, times: number): void
+  /** Sets how long a prefill takes, in milliseconds. */
+  setReadMs (ms: number): void
   /** The entry as the worker writes it to the store. */
   entry (fields?: object): string
   close (): Promise<void>
@@ -80,6 +84,8 @@
   let memory = 100_000
   let holds = 0
   let orders = 0
+  let readMs = 0
+  let cut = { event: 0, times: 0 }
   const running = new Set<string>()
 
   function head (req: IncomingMessage, extra: object = {}): Record<string, string> {
@@ -140,6 +146,14 @@
     const timer = setInterval(() => {
       event++
       res.write(`id: ${event}\ndata: piece ${event}\n\n`)
+      if (cut.times > 0 && event === cut.event) {
+        cut.times--
+        clearInterval(timer)
+        // Half of the next event is on its way when the engine is lost.
+        res.write(`id: ${event + 1}\nda`)
+        setTimeout(() => res.socket?.resetAndDestroy(), eventMs)
+        return
+      }
       if (event < events) return
       clearInterval(timer)
       res.end()
@@ -192,7 +206,11 @@
       res.on('close', () => { request.dropped = !res.writableFinished })
       const mode = modes.length > 1 ? modes.shift() as WorkerMode : modes[0] as WorkerMode
       if (mode !== WorkerMode.Good || stage === undefined) return answers[mode](req, res)
-      if (req.headers['x-stage'] === 'prefill') return json(res, 200, { kv_cache_handle: `kv-${seen.length}`, tokens: 10, version: 1 })
+      if (req.headers['x-stage'] === 'prefill') {
+        const handle = { kv_cache_handle: `kv-${seen.length}`, tokens: 10, version: 1 }
+        setTimeout(() => json(res, 200, handle), readMs)
+        return
+      }
       stream(req, res)
     })
   })
@@ -206,6 +224,8 @@
     calls: () => calls,
     setMode (...next) { modes = next },
     setMemory (tokens) { memory = tokens },
+    cutAfter (event, times) { cut = { event, times } },
+    setReadMs (ms) { readMs = ms },
     setStage (next) { stage = next as 'prefill' | 'decode' },
     entry: (fields = {}) => JSON.stringify({
       service,
--- a/wire/_message_checks.ts
+++ b/wire/_message_checks.ts
@@ -120,7 +120,7 @@
   [MessageKind.PeerReport]: { name: isName, incarnation: isCount, state: oneOf(['suspect', 'leaving', 'gone']) },
   [MessageKind.UsageShare]: { entry: isName, incarnation: isCount, seq: isCount, usage: listOf(isUsage) },
   [MessageKind.Pack]: {
-    ...attempt, workerId: isName, promptTokens: isAmount, likelyTokens: optional(isAmount), maxTokens: isAmount
+    ...attempt, workerId: isName, promptTokens: isAmount, likelyTokens: optional(isAmount), maxTokens: isAmount, reads: isFlag
   },
   [MessageKind.Packed]: { ...attempt, hold: isName },
   [MessageKind.EngineRoom]: { workerId: isName, roomTokens: isAmount, waiting: isAmount, senders: isCount },
--- a/wire/messages.ts
+++ b/wire/messages.ts
@@ -304,6 +304,8 @@
   likelyTokens?: number
   /** Most tokens that the output may have. */
   maxTokens: number
+  /** True when the engine is to read the prompt itself, between the tokens of its other streams. */
+  reads: boolean
 }
 
 /** Admits a stream; answers `Pack`. */
--- a/wire/wire_fuzz_test.ts
+++ b/wire/wire_fuzz_test.ts
@@ -53,7 +53,7 @@
     startOffset: 0,
     tierClass: TierClass.Paid
   },
-  [MessageKind.Pack]: { kind: MessageKind.Pack, ...ref, workerId: 'i-1', promptTokens: 400, likelyTokens: 90.5, maxTokens: 200 },
+  [MessageKind.Pack]: { kind: MessageKind.Pack, ...ref, workerId: 'i-1', promptTokens: 400, likelyTokens: 90.5, maxTokens: 200, reads: false },
   [MessageKind.Packed]: { kind: MessageKind.Packed, ...ref, hold: 'h' },
   [MessageKind.EngineRoom]: { kind: MessageKind.EngineRoom, workerId: 'i-1', roomTokens: 9000, waiting: 2, senders: 4 },
   [MessageKind.Resume]: { kind: MessageKind.Resume, ...ref, offset: 4 },
