--- /dev/null
+++ b/core/packing/packing.feature
@@ -0,0 +1,24 @@
+Feature: Packing streams into the memory of an engine
+
+  Scenario: The packing peak is what streams that grow together reach
+    Then the packing peak equals that of a simulation, token by token, for 300 random sets of streams
+
+  Scenario: The packing expectation grows with what is made and never ends before it
+    Then the packing expectation of the whole output is at least what is made and grows with it, for 300 random outputs
+
+  Scenario: A packing by the maximum never lets memory run out
+    Then a packing by the policy "full" keeps 300 random loads within the memory
+
+  Scenario: A packing counts a stream until it has run, or until it is dropped or late
+    Given a packing of 1000 tokens with the policy "full"
+    Then the packing admits "a" with a prompt of 500 and at most 400 tokens at 0 ms
+    And the packing refuses "b" with a prompt of 500 and at most 400 tokens at 10 ms
+    When the packing drops "a"
+    Then the packing admits "b" with a prompt of 500 and at most 400 tokens at 20 ms
+    And the packing refuses "c" with a prompt of 500 and at most 400 tokens at 2000 ms
+    And the packing admits "c" with a prompt of 500 and at most 400 tokens at 2021 ms
+
+  Scenario: A packing knows streams that it did not admit
+    Given a packing of 1000 tokens with the policy "full"
+    When the packing sees the run "x" with 800 tokens in memory after 1 events
+    Then the packing refuses "a" with a prompt of 300 and at most 10 tokens at 0 ms
--- /dev/null
+++ b/sidecar/sidecar_test.ts
@@ -0,0 +1,155 @@
+/**
+ * Steps for the sidecar, against stand-ins of the store and of its engine.
+ */
+import assert from 'node:assert/strict'
+import { PassThrough } from 'node:stream'
+import { After, Given, Then, When } from '@cucumber/cucumber'
+import { createLog } from '../log/mod.ts'
+import { buildRules, freePort, startStore, startWorker } from '../testing/fleuve/mod.ts'
+import { createSystemTimer } from '../timer/mod.ts'
+import { connect, MessageKind } from '../wire/mod.ts'
+import { startSidecar } from './mod.ts'
+import type { FakeStore, FakeWorker } from '../testing/fleuve/mod.ts'
+import type { Timer } from '../timer/mod.ts'
+import type { Connection, Message } from '../wire/mod.ts'
+import type { Sidecar } from './mod.ts'
+
+interface World {
+  store: FakeStore
+  engine: FakeWorker
+  sidecar: Sidecar
+  timer: Timer
+  port: number
+  gateway?: Connection
+  received: Message[]
+  asked: number
+}
+
+async function sleep (ms: number): Promise<void> {
+  await new Promise((resolve) => setTimeout(resolve, ms))
+}
+
+async function start (world: World): Promise<void> {
+  world.timer = createSystemTimer()
+  const settings = {
+    machine: 'side-1',
+    ip: '127.0.0.1',
+    zone: 'levis',
+    regions: { levis: 'qc-est' },
+    internalPort: world.port,
+    seeds: [],
+    storeAddress: world.store.address,
+    workerAddress: world.engine.address,
+    heartbeatMs: 1200,
+    graceMs: 8000,
+    drainMs: 2500,
+    retryRatio: 0.2,
+    retrySlack: 54,
+    retryWindowMs: 10_000,
+    orderLeaseMs: 3000
+  }
+  const log = createLog({ name: 'side-1', level: 'info', stream: new PassThrough().resume() })
+  world.sidecar = await startSidecar({ settings, timer: world.timer, log, random: Math.random })
+}
+
+async function open (world: World, tokens: number, stage: 'prefill' | 'decode', engines: number, readers: number): Promise<void> {
+  world.store = await startStore()
+  world.engine = await startWorker({ id: 'i-5', service: 'llm', stage })
+  world.engine.setMemory(tokens)
+  world.port = await freePort()
+  world.asked = 0
+  world.store.put('op/config', buildRules(1))
+  for (let i = 1; i < engines; i++) {
+    const other = stage === 'prefill' ? i < readers : i <= readers
+    const fields = { stage: other ? 'prefill' : 'decode', address: `10.0.0.${i}:80` }
+    // The balance takes readers in the order of their identities; without any, this engine comes first.
+    world.store.put(`servers/i-${readers === 0 ? i + 5 : i}`, world.engine.entry(fields))
+  }
+  world.store.put('servers/i-5', world.engine.entry())
+  await start(world)
+  await sleep(250)
+}
+
+async function ask (world: World, fields: { promptTokens: number, maxTokens: number, likelyTokens?: number, reads: boolean }): Promise<Message> {
+  if (world.gateway === undefined) {
+    world.received = []
+    world.gateway = (await connect({ address: `127.0.0.1:${world.port}` })).unwrap()
+    world.gateway.onMessage((msg) => { world.received.push(msg) })
+  }
+  const attempt = ++world.asked
+  world.gateway.send({ kind: MessageKind.Pack, requestId: `r-${attempt}`, attempt, workerId: 'i-5', ...fields })
+  for (let i = 0; i < 100; i++) {
+    const answer = world.received.find((msg) => 'attempt' in msg && msg.attempt === attempt)
+    if (answer !== undefined) return answer
+    await sleep(10)
+  }
+  assert.fail('the sidecar does not answer')
+}
+
+function orders (world: World): string[] {
+  return world.engine.calls().filter(({ call }) => call === 'POST /v1/order').map(({ body }) => body)
+}
+
+After(async function (this: World) {
+  this.gateway?.close()
+  await this.sidecar?.close()
+  this.timer?.close()
+  await this.engine?.close()
+  await this.store?.close()
+})
+
+Given('a sidecar beside an engine of {int} tokens with the stage {string}', async function (this: World, tokens: number, stage: 'decode') {
+  await open(this, tokens, stage, 1, 0)
+})
+
+Given('a sidecar beside an engine of {int} tokens with the stage {string} among {int} engines of which {int} read',
+  async function (this: World, tokens: number, stage: 'prefill' | 'decode', engines: number, readers: number) {
+    await open(this, tokens, stage, engines, readers)
+  })
+
+Then('the sidecar {word} a stream of {int} and at most {int} tokens that likely makes {int}',
+  async function (this: World, verdict: string, promptTokens: number, maxTokens: number, likelyTokens: number) {
+    const answer = await ask(this, { promptTokens, maxTokens, likelyTokens, reads: false })
+    assert.equal(answer.kind, verdict === 'admits' ? MessageKind.Packed : MessageKind.Refused)
+  })
+
+Then('the sidecar {word} a stream of {int} tokens that its engine reads itself', async function (this: World, verdict: string, promptTokens: number) {
+  const answer = await ask(this, { promptTokens, maxTokens: 200, reads: true })
+  assert.equal(answer.kind, verdict === 'admits' ? MessageKind.Packed : MessageKind.Refused)
+})
+
+Then('the sidecar engine holds {int} reservations', function (this: World, count: number) {
+  assert.equal(this.engine.calls().filter(({ call }) => call === 'POST /v1/hold-take').length, count)
+})
+
+Then('the sidecar orders {string} within {int} ms with the number of orders before', async function (this: World, stage: string, ms: number) {
+  for (let waited = 0; orders(this).length === 0 && waited < ms; waited += 20) await sleep(20)
+  const order = JSON.parse(orders(this)[0] ?? '{}')
+  assert.equal(order.stage, stage)
+  assert.equal(order.expect, 0)
+  assert.equal(order.holder, 'side-1')
+  assert.ok(order.fence > 0)
+  this.store.put('servers/i-5', this.engine.entry({ stage }))
+})
+
+Then('the sidecar gives {int} orders in {int} ms', async function (this: World, count: number, ms: number) {
+  const before = count === 0 ? orders(this).length : 0
+  await sleep(ms)
+  assert.equal(orders(this).length - before, count)
+})
+
+Then('the sidecar comes to refuse every stream within {int} ms', async function (this: World, ms: number) {
+  const endMs = performance.now() + ms
+  for (;;) {
+    const answer = await ask(this, { promptTokens: 1, maxTokens: 1, reads: false })
+    if (answer.kind === MessageKind.Refused) return
+    assert.ok(performance.now() < endMs, 'streams are still admitted')
+    await sleep(20)
+  }
+})
+
+When('the sidecar starts again', async function (this: World) {
+  await this.sidecar.close()
+  this.timer.close()
+  await start(this)
+})
