Bound the log, serve metrics, and name the policies in a file of the operator

Log lines go to standard output without blocking, within bytes a second and bytes that wait; those about success are dropped first and counted.

--- a/cli/platform_main.ts
+++ b/cli/platform_main.ts
@@ -5,9 +5,10 @@
 import { PlatformProcess, runOnPlatform } from './run_on_platform.ts'
 
 const kinds = new Map<string, PlatformProcess>(Object.values(PlatformProcess).map((kind) => [kind, kind]))
-const kind = kinds.get(process.argv[2] ?? '')
-if (kind === undefined) {
-  console.error(`process "${process.argv[2] ?? ''}" does not exist; expected ${[...kinds.keys()].join(' or ')}`)
+const [name = '', policyFile] = process.argv.slice(2)
+const kind = kinds.get(name)
+if (kind === undefined || policyFile === undefined) {
+  console.error(`expected ${[...kinds.keys()].join(' or ')} and a file of policies, got "${name}" and "${policyFile ?? ''}"`)
   process.exit(1)
 }
-process.exit(await runOnPlatform(kind, undefined))
+process.exit(await runOnPlatform(kind, policyFile))
--- a/cli/run_on_platform.ts
+++ b/cli/run_on_platform.ts
@@ -3,11 +3,13 @@
  */
 import { readFileSync } from 'node:fs'
 import { startGateway } from '../gateway/mod.ts'
-import { createLog } from '../log/mod.ts'
+import { createBoundedStream, createLog } from '../log/mod.ts'
 import { parseNodeSettings } from '../platform/mod.ts'
+import { formatProblem, loadPolicy } from '../settings/mod.ts'
 import { startSidecar } from '../sidecar/mod.ts'
 import { createSystemTimer } from '../timer/mod.ts'
 import type { Log } from '../log/mod.ts'
+import type { PolicySettings } from '../settings/mod.ts'
 import type { NodeSettings } from '../platform/mod.ts'
 import type { Timer } from '../timer/mod.ts'
 import { ExitCode } from './_exit_code.ts'
@@ -25,14 +27,17 @@
 
 interface StartOptions {
   settings: NodeSettings
+  policy: PolicySettings
   timer: Timer
   log: Log
-  random: () => number
+  droppedLines: () => number
 }
 
 const starters: { readonly [K in PlatformProcess]: (options: StartOptions) => Promise<Running> } = {
-  [PlatformProcess.Gateway]: startGateway,
-  [PlatformProcess.Sidecar]: startSidecar
+  [PlatformProcess.Gateway]: ({ policy, ...options }) =>
+    startGateway({ ...options, random: Math.random, metricsPort: policy.metrics.gatewayPort }),
+  [PlatformProcess.Sidecar]: ({ policy, ...options }) =>
+    startSidecar({ ...options, random: Math.random, stages: policy.stages, packing: policy.packing, metricsPort: policy.metrics.sidecarPort })
 }
 
 /** Variable of the environment that holds the path of the platform's settings file. */
@@ -42,31 +47,38 @@
  * Runs a process on the platform, which names the settings file in the environment.
  *
  * @param kind which process
- * @param file the settings file; the one that the environment names when absent
+ * @param policyFile the operator's policies
  * @returns 0 after SIGTERM, 1 when the settings cannot be used
  *
  * @example
  * ```ts
- * process.exitCode = await runOnPlatform(PlatformProcess.Gateway, undefined)
+ * process.exitCode = await runOnPlatform(PlatformProcess.Gateway, 'deploy/policy.jsonc')
  * ```
  */
-export async function runOnPlatform (kind: PlatformProcess, file: string | undefined): Promise<ExitCode> {
-  const path = file ?? process.env[settingsVariable]
-  if (path === undefined) {
-    console.error(`${kind}: expected --settings FILE or the variable ${settingsVariable}`)
-    return ExitCode.Failed
-  }
+export async function runOnPlatform (kind: PlatformProcess, policyFile: string): Promise<ExitCode> {
+  const path = process.env[settingsVariable]
+  if (path === undefined) return fail(`${kind}: expected the variable ${settingsVariable}`)
   const settings = parseNodeSettings(readFileSync(path, 'utf8'))
-  if (settings.err) {
-    console.error(`${path}: ${settings.val}`)
-    return ExitCode.Failed
-  }
+  if (settings.err) return fail(`${path}: ${settings.val}`)
+  const policy = loadPolicy(readFileSync(policyFile, 'utf8'), { file: policyFile })
+  if (policy.err) return fail(policy.val.map(formatProblem).join('\n'))
   const timer = createSystemTimer()
-  const log = createLog({ name: settings.val.machine, level: 'info' })
-  const running = await starters[kind]({ settings: settings.val, timer, log, random: Math.random })
-  process.on('SIGHUP', () => { log.info({}, 'settings file has changed') })
+  const stream = createBoundedStream({ maxBytesPerS: policy.val.log.maxBytesPerS, now: timer.now })
+  const log = createLog({ name: settings.val.machine, level: policy.val.log.level, bounded: { to: stream, now: timer.now } })
+  const options = { settings: settings.val, policy: policy.val, timer, log, droppedLines: stream.dropped }
+  const running = await starters[kind](options)
+  process.on('SIGHUP', () => {
+    const changed = parseNodeSettings(readFileSync(path, 'utf8'))
+    // Addresses and bounds of a running process stay; a restart takes new ones.
+    log.info({ valid: changed.ok, reason: changed.err ? changed.val : undefined }, 'settings file has changed')
+  })
   await new Promise<void>((resolve) => { process.once('SIGTERM', () => resolve()) })
   await running.stop()
   await running.close()
   return ExitCode.Ok
 }
+
+function fail (message: string): ExitCode {
+  console.error(message)
+  return ExitCode.Failed
+}
--- a/core/packing/packing_test.ts
+++ b/core/packing/packing_test.ts
@@ -4,8 +4,8 @@
 import assert from 'node:assert/strict'
 import { Given, Then, When } from '@cucumber/cucumber'
 import fc from 'fast-check'
-import { createPacker, expectedLeft, PackPolicy, predictPeak } from './mod.ts'
-import type { Growth, Packer } from './mod.ts'
+import { createPacker, expectedLeft, predictPeak } from './mod.ts'
+import type { Growth, Packer, PackPolicy } from './mod.ts'
 
 interface World {
   packer: Packer
--- a/directory/create_directory.ts
+++ b/directory/create_directory.ts
@@ -33,6 +33,8 @@
   learn (records: StoreChange[]): void
   /** Returns the highest revision seen. */
   revision (): number
+  /** Returns the time in milliseconds since the store last answered. */
+  ageMs (): number
   /** Returns true once the store has answered for rules and workers. */
   isRead (): boolean
   close (): Promise<void>
@@ -65,6 +67,7 @@
   const read = new Set<string>()
   let table: RouteTable | undefined
   let troubleMs = -Infinity
+  let answeredMs = timer.now()
   let failure: string | undefined
 
   function applyRules (value: string): void {
@@ -128,6 +131,7 @@
   }
 
   function onState (message: string | undefined): void {
+    if (message === undefined) answeredMs = timer.now()
     if (message !== undefined) troubleMs = timer.now()
     if ((message === undefined) === (failure === undefined)) return
     if (message === undefined) log.info({ store: storeAddress }, 'store answers again')
@@ -158,6 +162,7 @@
     records: () => [...known.values()].filter((record) => record.value !== null),
     learn: apply,
     revision: () => Math.max(0, ...[...known.values()].map((record) => record.revision)),
+    ageMs: () => timer.now() - answeredMs,
     isRead: () => read.size === followers.length,
     async close () {
       for (const stop of followers) stop()
--- a/gateway/_front.ts
+++ b/gateway/_front.ts
@@ -3,6 +3,7 @@
  */
 import { createServer } from 'node:http'
 import { chooseTarget } from '../core/route/mod.ts'
+import { Count, Latency } from '../metrics/mod.ts'
 import { decodeRequestHead } from '../platform/mod.ts'
 import { createReply } from './_reply.ts'
 import { serveGeneration } from './_serve_generation.ts'
@@ -34,6 +35,9 @@
 /** Time in milliseconds after which a client is asked to come back while the rules are not known yet. */
 const notReadyRetryMs = 500
 
+/** Status from which on an answer is logged as a failure. */
+const failedStatus = 400
+
 const clientErrors: { readonly [code: string]: number } = { HPE_HEADER_OVERFLOW: 431, ERR_HTTP_REQUEST_TIMEOUT: 408 }
 const statusTexts: { readonly [status: number]: string } = {
   400: 'Bad Request', 408: 'Request Timeout', 431: 'Request Header Fields Too Large'
@@ -69,7 +73,8 @@
       req.resume()
       if (!req.complete) res.shouldKeepAlive = false
       reply.own(retryAfterMs === undefined ? { status, reason } : { status, reason, retryAfterMs })
-      log.info({ request: head.requestId, status, reason }, 'refused')
+      log.warn({ request: head.requestId, status, reason }, 'refused')
+      shared.metrics.count(Count.Requests, { service: '', status: String(status), reason })
     }
     const table = directory.table()
     if (table === undefined) return answer(503, 'not_ready', notReadyRetryMs)
@@ -126,7 +131,24 @@
   async function serve (job: Job): Promise<void> {
     const ended = await (job.service.engine === undefined ? ways.plain : ways.engine)(shared, job)
     const tookMs = Math.round(timer.now() - job.startedMs)
-    log.info({ request: job.requestId, route: job.route.name, service: job.service.name, tookMs, promptTokens: job.head.promptTokens, maxOutputTokens: job.head.maxOutputTokens, hint: job.head.likelyOutputTokens, ...ended }, 'ended')
+    const { promptTokens, maxOutputTokens, likelyOutputTokens } = job.head
+    const size = promptTokens === 0 ? {} : { promptTokens, maxOutputTokens, likelyOutputTokens }
+    const fields = {
+      request: job.requestId, route: job.route.name, service: job.service.name, version: directory.table()?.version, tookMs, ...size, ...ended
+    }
+    if (ended.status >= failedStatus) log.warn(fields, 'ended')
+    else log.info(fields, 'ended')
+    measure(job, ended, tookMs)
+  }
+
+  function measure (job: Job, ended: Ended, tookMs: number): void {
+    const reason = ended.reason.length > 0 ? ended.reason : 'answered'
+    shared.metrics.count(Count.Requests, { service: job.service.name, status: String(ended.status), reason })
+    shared.metrics.observe(Latency.Request, tookMs)
+    const latencies: Array<[Latency, number | undefined]> = [
+      [Latency.FirstEvent, ended.firstMs], [Latency.Pause, ended.pauseMs], [Latency.Hold, ended.holdMs], [Latency.Prefill, ended.prefillMs]
+    ]
+    for (const [metric, ms] of latencies) if (ms !== undefined) shared.metrics.observe(metric, ms)
   }
 
   return {
--- a/gateway/_types.ts
+++ b/gateway/_types.ts
@@ -4,6 +4,7 @@
 import type { Directory } from '../directory/mod.ts'
 import type { ExchangePool } from '../exchange/mod.ts'
 import type { Log } from '../log/mod.ts'
+import type { ServedMetrics } from '../metrics/mod.ts'
 import type { NodeSettings, RequestHead } from '../platform/mod.ts'
 import type { RetryBudget } from '../core/retry/mod.ts'
 import type { RouteRule, ServiceRule } from '../core/route/mod.ts'
@@ -22,6 +23,7 @@
   /** Connections that carry calls about requests: reservations, releases. */
   controlPool: ExchangePool
   engines: EngineLinks
+  metrics: ServedMetrics
   random: () => number
   /** Returns the budget for repeated sends to a service. */
   budget (service: string): RetryBudget
@@ -59,5 +61,13 @@
   reason: string
   worker?: string
   attempts: number
-  [field: string]: unknown
+  detail?: string | undefined
+  /** Engine that read the prompt, when another one generated. */
+  prefilled?: string | undefined
+  bytes?: number
+  /** Times in milliseconds; absent when they do not apply. */
+  firstMs?: number
+  pauseMs?: number
+  holdMs?: number
+  prefillMs?: number
 }
--- a/gateway/start_gateway.ts
+++ b/gateway/start_gateway.ts
@@ -5,6 +5,7 @@
 import { createRetryBudget } from '../core/retry/mod.ts'
 import { createDirectory, exchangeRecords } from '../directory/mod.ts'
 import { createExchangePool } from '../exchange/mod.ts'
+import { createServedMetrics } from '../metrics/mod.ts'
 import { readyPath } from '../platform/mod.ts'
 import { parseAddress } from '../wire/mod.ts'
 import { createEngineLinks } from './_engine_links.ts'
@@ -22,6 +23,10 @@
   timer: Timer
   log: Log
   random: () => number
+  /** Port at which metrics are served; nowhere when absent. */
+  metricsPort?: number
+  /** Number of log lines that were dropped. */
+  droppedLines?: () => number
 }
 
 /** A running gateway. */
@@ -65,7 +70,20 @@
   const directory = createDirectory({
     storeAddress: settings.storeAddress, timer, log, random, onRules: (table) => front.limit(table.limits)
   })
+  const metrics = createServedMetrics({
+    ...(options.metricsPort === undefined ? {} : { listen: { host: settings.ip, port: options.metricsPort } }),
+    gauges: {
+      config_version: () => directory.table()?.version ?? 0,
+      view_age_ms: () => directory.ageMs(),
+      workers: () => directory.fleet.all().length,
+      sidecars: () => directory.fleet.all().filter((worker) => worker.room !== undefined).length,
+      requests_in_flight: () => front.inFlight(),
+      log_lines_dropped: () => options.droppedLines?.() ?? 0
+    },
+    onError: (reason) => log.warn({ reason }, 'metrics not served')
+  })
   const shared: Shared = {
+    metrics,
     settings,
     timer,
     log,
@@ -131,6 +149,7 @@
       await directory.close()
       await shared.pool.close()
       await shared.controlPool.close()
+      metrics.close()
     }
   }
 }
--- a/log/create_log.ts
+++ b/log/create_log.ts
@@ -3,6 +3,7 @@
  */
 import bunyan from 'bunyan'
 import type { Decision } from './_decision.ts'
+import type { BoundedStream, LogRecord } from './create_bounded_stream.ts'
 
 /** Names the levels of log lines. */
 export type LogLevel = 'trace' | 'debug' | 'info' | 'warn' | 'error' | 'fatal'
@@ -14,6 +15,8 @@
   level: LogLevel
   /** Where the lines go; standard output by default. */
   stream?: NodeJS.WritableStream
+  /** Where the records go instead of to a stream, with the time of the steady clock. */
+  bounded?: { to: BoundedStream, now: () => number }
 }
 
 /** Typed fields of a log line. */
@@ -43,8 +46,9 @@
  * ```
  */
 export function createLog (options: LogOptions): Log {
-  const { name, level, stream = process.stdout } = options
-  const logger = bunyan.createLogger({ name, level, stream, serializers: { err: bunyan.stdSerializers.err } })
+  const { name, level, stream = process.stdout, bounded } = options
+  const output = bounded === undefined ? { stream } : { streams: [{ type: 'raw', stream: rawStream(bounded) }] }
+  const logger = bunyan.createLogger({ name, level, ...output, serializers: { err: bunyan.stdSerializers.err } })
   return {
     decision: (decision) => { logger.info({ decision }, decision.kind) },
     debug: (fields, text) => { logger.debug(fields, text) },
@@ -53,3 +57,13 @@
     error: (fields, text) => { logger.error(fields, text) }
   }
 }
+
+/** Adds the time of the steady clock, since the time of day may jump, and drops what is the same in every line. */
+function rawStream (bounded: NonNullable<LogOptions['bounded']>): NodeJS.WritableStream {
+  const raw = {
+    write ({ hostname: _hostname, pid: _pid, v: _version, ...record }: LogRecord): void {
+      bounded.to.write({ ...record, steadyMs: Math.round(bounded.now()) } as LogRecord)
+    }
+  }
+  return raw as unknown as NodeJS.WritableStream // bunyan calls nothing but `write` on a raw stream.
+}
--- a/metrics/mod.ts
+++ b/metrics/mod.ts
@@ -1,7 +1,9 @@
 /**
- * Metrics over StatsD, from a typed table of names.
+ * Metrics from typed tables of names: over StatsD, or served as text.
  */
 export { createMetrics } from './create_metrics.ts'
 export { Metric, MetricKind, metricTable } from './_table.ts'
 export type { Metrics, MetricsOptions, TagArgs } from './create_metrics.ts'
 export type { MetricOf, MetricSpec, TagsOf } from './_table.ts'
+export { Count, createServedMetrics, Latency } from './create_served_metrics.ts'
+export type { GaugeReaders, ServedMetrics, ServedMetricsOptions } from './create_served_metrics.ts'
--- /dev/null
+++ b/settings/load_policy.ts
@@ -0,0 +1,45 @@
+/**
+ * Reads what the operator sets for the processes on the platform.
+ */
+import { z } from 'zod'
+import { StagePolicy } from '../core/balance/mod.ts'
+import { PackPolicy } from '../core/packing/mod.ts'
+import { Err, Ok } from '../core/results/mod.ts'
+import type { Result } from '../core/results/mod.ts'
+import { parseJsonc } from './_parse_jsonc.ts'
+import type { SettingsProblem } from './_problem.ts'
+import { zodProblems } from './_zod_problems.ts'
+
+const maxPort = 65_535
+const share = z.number().min(0).max(0.9)
+
+const policySchema = z.strictObject({
+  stages: z.strictObject({ policy: z.enum(StagePolicy), prefillShare: share }),
+  packing: z.strictObject({ policy: z.enum(PackPolicy), marginShare: share }),
+  log: z.strictObject({ level: z.enum(['debug', 'info', 'warn', 'error']), maxBytesPerS: z.int().min(1_000) }),
+  metrics: z.strictObject({ gatewayPort: z.int().min(1).max(maxPort), sidecarPort: z.int().min(1).max(maxPort) })
+})
+
+/** What the operator sets for the processes on the platform. */
+export type PolicySettings = z.output<typeof policySchema>
+
+/**
+ * Reads the operator's policies from JSON with comments.
+ *
+ * @param text the text of the file
+ * @param options the name of the file
+ * @returns the policies, or every fault with its line, its path and what was expected
+ *
+ * @example
+ * ```ts
+ * import { loadPolicy } from 'briarloom/settings'
+ *
+ * console.assert(loadPolicy('{}', { file: 'policy.jsonc' }).err)
+ * ```
+ */
+export function loadPolicy (text: string, options: { file: string }): Result<PolicySettings, SettingsProblem[]> {
+  const parsed = parseJsonc(text, options.file)
+  if (parsed.problems.length > 0) return Err(parsed.problems)
+  const result = policySchema.safeParse(parsed.value)
+  return result.success ? Ok(result.data) : Err(zodProblems(result.error.issues, policySchema, parsed, options.file))
+}
--- a/sidecar/_admission_task.ts
+++ b/sidecar/_admission_task.ts
@@ -31,6 +31,10 @@
   attach (connection: Connection): void
   /** Takes a fresh report of the engine and tells the gateways what has changed. */
   onReport (entry: WorkerEntry, report: EngineReport): void
+  /** Tokens that are free for streams. */
+  roomTokens (): number
+  /** Number of gateways that are connected. */
+  gateways (): number
 }
 
 const holdTimeoutMs = 200
@@ -108,6 +112,8 @@
   }
 
   return {
+    roomTokens: () => packer.room(timer.now()),
+    gateways: () => gateways.size,
     attach (connection) {
       gateways.add(connection)
       told = undefined
--- a/sidecar/sidecar_test.ts
+++ b/sidecar/sidecar_test.ts
@@ -4,6 +4,8 @@
 import assert from 'node:assert/strict'
 import { PassThrough } from 'node:stream'
 import { After, Given, Then, When } from '@cucumber/cucumber'
+import { StagePolicy } from '../core/balance/mod.ts'
+import { PackPolicy } from '../core/packing/mod.ts'
 import { createLog } from '../log/mod.ts'
 import { buildRules, freePort, startStore, startWorker } from '../testing/fleuve/mod.ts'
 import { createSystemTimer } from '../timer/mod.ts'
@@ -25,6 +27,10 @@
   asked: number
 }
 
+const policies = {
+  stages: { policy: StagePolicy.Share, prefillShare: 0.2 }, packing: { policy: PackPolicy.Likely, marginShare: 0.1 }
+}
+
 async function sleep (ms: number): Promise<void> {
   await new Promise((resolve) => setTimeout(resolve, ms))
 }
@@ -49,7 +55,7 @@
     orderLeaseMs: 3000
   }
   const log = createLog({ name: 'side-1', level: 'info', stream: new PassThrough().resume() })
-  world.sidecar = await startSidecar({ settings, timer: world.timer, log, random: Math.random })
+  world.sidecar = await startSidecar({ settings, timer: world.timer, log, random: Math.random, ...policies })
 }
 
 async function open (world: World, tokens: number, stage: 'prefill' | 'decode', engines: number, readers: number): Promise<void> {
--- a/sidecar/start_sidecar.ts
+++ b/sidecar/start_sidecar.ts
@@ -1,14 +1,15 @@
 /**
  * Starts the process beside an engine: it watches the engine and gives it orders.
  */
-import { StagePolicy } from '../core/balance/mod.ts'
 import { createDirectory, exchangeRecords } from '../directory/mod.ts'
 import { callJson, createExchangePool } from '../exchange/mod.ts'
+import { createServedMetrics } from '../metrics/mod.ts'
 import { decodeEngineReport, reportCall } from '../platform/mod.ts'
-import { PackPolicy } from '../core/packing/mod.ts'
 import { listen } from '../wire/mod.ts'
 import { createAdmissionTask } from './_admission_task.ts'
 import { createStageTask } from './_stage_task.ts'
+import type { ChooseStagesOptions } from '../core/balance/mod.ts'
+import type { PackerOptions } from '../core/packing/mod.ts'
 import type { WorkerEntry } from '../core/fleet/mod.ts'
 import type { Log } from '../log/mod.ts'
 import type { NodeSettings } from '../platform/mod.ts'
@@ -20,6 +21,12 @@
   timer: Timer
   log: Log
   random: () => number
+  stages: ChooseStagesOptions
+  packing: Pick<PackerOptions, 'policy' | 'marginShare'>
+  /** Port at which metrics are served; nowhere when absent. */
+  metricsPort?: number
+  /** Number of log lines that were dropped. */
+  droppedLines?: () => number
 }
 
 /** A running sidecar. */
@@ -31,6 +38,8 @@
 /** Time in milliseconds between two reads of the engine's report, which are free on its own machine. */
 const reportPeriodMs = 50
 const reportTimeoutMs = 500
+/** Time in milliseconds for which memory is kept for a stream that was admitted: reading the longest prompt in a queue, and a margin. */
+const startMs = 2_000
 
 /**
  * Starts a sidecar.
@@ -49,19 +58,25 @@
   const { settings, timer, log, random } = options
   const pool = createExchangePool()
   const directory = createDirectory({ storeAddress: settings.storeAddress, timer, log, random })
-  const balance = { policy: StagePolicy.Share, prefillShare: 0.2 }
   const records = await exchangeRecords({ directory, timer, log, seeds: settings.seeds })
-  const stages = createStageTask({ machine: settings.machine, directory, pool, timer, log, balance })
-  const packing = {
-    policy: PackPolicy.Likely,
-    marginShare: 0.1,
-    startMs: 2000
-  }
+  const stages = createStageTask({ machine: settings.machine, directory, pool, timer, log, balance: options.stages })
+  const packing = { ...options.packing, startMs }
   const admission = createAdmissionTask({ directory, pool, timer, packing, isSwitching: () => stages.isSwitching() })
   const listener = await listen({
     host: settings.ip, port: settings.internalPort, firstMessageTimeoutMs: 0, onConnection: (connection) => admission.attach(connection)
   })
   if (listener.err) log.error({ reason: listener.val.message }, 'not listening')
+  const metrics = createServedMetrics({
+    ...(options.metricsPort === undefined ? {} : { listen: { host: settings.ip, port: options.metricsPort } }),
+    gauges: {
+      config_version: () => directory.table()?.version ?? 0,
+      view_age_ms: () => directory.ageMs(),
+      room_tokens: () => admission.roomTokens(),
+      gateways: () => admission.gateways(),
+      log_lines_dropped: () => options.droppedLines?.() ?? 0
+    },
+    onError: (reason) => log.warn({ reason }, 'metrics not served')
+  })
   let reading = false
 
   function ownEntry (): WorkerEntry | undefined {
@@ -89,6 +104,7 @@
       await records.close()
       await directory.close()
       await pool.close()
+      metrics.close()
     }
   }
 }
