Finish within the grace period what is taken, and let early requests wait for the first view

Change: a stopping gateway takes streams for 3 s and plain requests while their route's timeout fits, and refuses the rest with the time to come back; a request waits up to 400 ms for the first rules and workers. The watch of the store waits 1.5 s instead of 1 s, which saves a third of the calls and still finds a silent connection within the bound for changes.

--- a/directory/create_directory.ts
+++ b/directory/create_directory.ts
@@ -41,7 +41,7 @@
 }
 
 /** Time in milliseconds that one watch waits: a watch that fell silent is found well within the bound for changes in force. */
-const watchMs = 1_000
+const watchMs = 1_500
 /** Time in milliseconds after an outage of the store within which live workers have written their entries again. */
 const returnMs = 2_300
 
--- a/gateway/_front.ts
+++ b/gateway/_front.ts
@@ -2,7 +2,7 @@
  * Accepts the requests of clients, within the operator's limits.
  */
 import { createServer } from 'node:http'
-import { chooseTarget } from '../core/route/mod.ts'
+import { chooseTarget, RequestKind } from '../core/route/mod.ts'
 import { Count, Latency } from '../metrics/mod.ts'
 import { decodeRequestHead } from '../platform/mod.ts'
 import { createReply } from './_reply.ts'
@@ -11,7 +11,7 @@
 import { StopReason } from './_types.ts'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
-import type { ClientLimits } from '../core/route/mod.ts'
+import type { ClientLimits, RouteRule } from '../core/route/mod.ts'
 import type { Ended, Job, Shared } from './_types.ts'
 
 /** Accepts the requests of clients. */
@@ -21,8 +21,8 @@
   inFlight (): number
   /** Sets the limits that the operator's rules name. */
   limit (limits: ClientLimits): void
-  /** Lets every answer from now on close its connection. */
-  drain (): void
+  /** Lets every answer from now on close its connection, and refuses what cannot end within `graceMs` milliseconds. */
+  drain (graceMs: number): void
 }
 
 type Serve = (shared: Shared, job: Job) => Promise<Ended>
@@ -35,6 +35,13 @@
 /** Time in milliseconds after which a client is asked to come back while the rules are not known yet. */
 const notReadyRetryMs = 500
 
+/** Time in milliseconds for which a request waits for the first rules and workers; a store that answers has told of them by then. */
+const viewWaitMs = 400
+const viewCheckMs = 20
+/** Time in milliseconds after SIGTERM up to which streams are taken; the balancer has taken the process out by then. */
+const lastStreamMs = 3_000
+/** Time in milliseconds from the end of a process until the next one serves. */
+const restartMs = 1_000
 /** Status from which on an answer is logged as a failure. */
 const failedStatus = 400
 
@@ -48,6 +55,8 @@
   const { timer, log, directory } = shared
   let inFlight = 0
   let draining = false
+  let drainedMs = Infinity
+  let endMs = Infinity
   const server = createServer({ keepAlive: true, noDelay: true, connectionsCheckingInterval: 500 }, onRequest)
   server.requestTimeout = 0
   server.on('clientError', onClientError)
@@ -63,9 +72,28 @@
   }
 
   function onRequest (req: IncomingMessage, res: ServerResponse): void {
-    const startedMs = timer.now()
     inFlight++
     res.once('close', () => { inFlight-- })
+    onceViewed(timer.now(), () => accept(req, res))
+  }
+
+  /** Calls `fn` as soon as rules and workers are known, or when waiting for them has taken too long. */
+  function onceViewed (sinceMs: number, fn: () => void): void {
+    const isViewed = directory.table() !== undefined && directory.fleet.all().length > 0
+    if (isViewed || timer.now() - sinceMs >= viewWaitMs) fn()
+    else timer.after(viewCheckMs, () => onceViewed(sinceMs, fn))
+  }
+
+  /** Tells whether a request can end before the process does; streams take longer than a grace period has left. */
+  function fitsGrace (route: RouteRule): boolean {
+    if (!draining) return true
+    const nowMs = timer.now()
+    if (route.kind === RequestKind.Streaming) return nowMs - drainedMs < lastStreamMs
+    return nowMs + route.timeoutMs < endMs
+  }
+
+  function accept (req: IncomingMessage, res: ServerResponse): void {
+    const startedMs = timer.now()
     if (draining) res.shouldKeepAlive = false
     const head = decodeRequestHead(req.rawHeaders)
     const reply = createReply(res, head.requestId)
@@ -81,6 +109,7 @@
     if (head.requestId === undefined) return answer(400, 'no_request_id')
     const route = table.match(req.headers.host ?? '', req.url ?? '/')
     if (route === undefined) return answer(404, 'no_route')
+    if (!fitsGrace(route)) return answer(503, 'stopping', Math.max(0, endMs - timer.now()) + restartMs)
     const service = table.service(chooseTarget(route, shared.random()) ?? '')
     if (service === undefined) return answer(503, 'no_service', notReadyRetryMs)
     if (Number(req.headers['content-length'] ?? 0) > table.limits.maxBodyBytes) return answer(413, 'body_too_large')
@@ -160,7 +189,11 @@
       // Node reads the bound for each new connection, but its types know it only as an option of the constructor.
       Object.assign(server, { maxHeaderSize: limits.maxHeaderBytes })
     },
-    drain () { draining = true }
+    drain (graceMs) {
+      draining = true
+      drainedMs = timer.now()
+      endMs = drainedMs + graceMs
+    }
   }
 }
 
--- a/gateway/gateway.feature
+++ b/gateway/gateway.feature
@@ -165,6 +165,22 @@
     Then the gateway is not ready
     And the gateway client gets 504
 
+  Scenario: A gateway that is stopping refuses in time what it cannot finish
+    When the gateway is stopped
+    And 4000 ms pass at the gateway
+    And a gateway client sends "POST /unsafe/x"
+    Then the gateway client gets 503
+    And the gateway answer says when to come back: yes
+    And the gateway workers saw 0 requests
+
+  Scenario: A gateway that knows no rules refuses, and the request has not run
+    When a gateway starts whose store answers after 3000 ms
+    Then the other gateway answers "GET /safe/x" with 503
+
+  Scenario: A request that comes before the first rules waits for them
+    When a gateway starts whose store answers after 150 ms
+    Then the other gateway answers "GET /safe/x" with 200
+
   Scenario: A gateway that starts while the store is down learns from another one
     When the gateway store is "silent"
     And another gateway starts
--- a/gateway/start_gateway.ts
+++ b/gateway/start_gateway.ts
@@ -129,7 +129,7 @@
   return {
     async stop () {
       stopping = true
-      front.drain()
+      front.drain(settings.graceMs - exitMarginMs)
       log.info({ inFlight: front.inFlight() }, 'stopping')
       const startedMs = timer.now()
       const untilMs = startedMs + settings.graceMs - exitMarginMs
