--- a/cli/check.ts
+++ b/cli/check.ts
@@ -1,9 +1,10 @@
 /**
- * The command `check`: validates settings files and files of configuration records.
+ * The command `check`: validates settings files, policies and files of configuration records.
  */
 import { Err, Ok } from '../core/results/mod.ts'
 import type { Result } from '../core/results/mod.ts'
-import { checkReferences, formatProblem, loadRecords, loadSettings, parseJsonc } from '../settings/mod.ts'
+import { checkReferences, formatProblem, loadPolicy, loadRecords, loadSettings, parseJsonc } from '../settings/mod.ts'
+import { isNodeSettings, parseNodeSettings } from '../platform/mod.ts'
 import type { LoadedRecord, SettingsProblem } from '../settings/mod.ts'
 import { ExitCode } from './_exit_code.ts'
 import { readText } from './_read_file.ts'
@@ -58,7 +59,16 @@
 function checkFile (file: string): Result<Checked, string[]> {
   const text = readText(file)
   if (text.err) return Err([text.val])
-  if (holdsRecords(text.val, file)) {
+  const { value } = parseJsonc(text.val, file)
+  if (isNodeSettings(value)) {
+    const node = parseNodeSettings(text.val)
+    return node.ok ? Ok({ what: `platform settings of "${node.val.machine}"`, records: [] }) : Err([`${file}: ${node.val}`])
+  }
+  if (hasField(value, 'stages') || hasField(value, 'packing')) {
+    const policy = loadPolicy(text.val, { file })
+    return policy.ok ? Ok({ what: 'policies', records: [] }) : format(policy.val)
+  }
+  if (hasField(value, 'records')) {
     const records = loadRecords(text.val, { file })
     return records.ok ? Ok({ what: `records (${records.val.length})`, records: records.val }) : format(records.val)
   }
@@ -66,9 +76,8 @@
   return settings.ok ? Ok({ what: `settings of an ${settings.val.process}`, records: [] }) : format(settings.val)
 }
 
-function holdsRecords (text: string, file: string): boolean {
-  const { value } = parseJsonc(text, file)
-  return typeof value === 'object' && value !== null && 'records' in value
+function hasField (value: unknown, field: string): boolean {
+  return typeof value === 'object' && value !== null && field in value
 }
 
 function format (problems: SettingsProblem[]): Result<Checked, string[]> {
--- a/cli/parse_command.ts
+++ b/cli/parse_command.ts
@@ -7,10 +7,12 @@
 import type { Output } from './check.ts'
 import type { ExitCode } from './_exit_code.ts'
 import { explain } from './explain.ts'
+import { explainLogs } from './explain_logs.ts'
 import { load } from './load.ts'
 import { loadFlags } from './_load_options.ts'
 import { runDaemon } from './run_daemon.ts'
 import { status } from './status.ts'
+import { parseAddress } from '../wire/mod.ts'
 
 /** Flags as they stand on the command line. */
 interface Flags extends Record<string, unknown> {
@@ -24,7 +26,7 @@
 }
 
 /** Flags whose values are never read as numbers. */
-const textFlags = ['settings', 'url', 'key', 'model', 'words']
+const textFlags = ['_', 'settings', 'url', 'key', 'model', 'words']
 
 /**
  * Parses a command line. Help, the version and usage errors are printed by the parser, which then ends the process.
@@ -65,17 +67,20 @@
 }
 
 function addTools (program: Sade, output: Output): void {
-  program.command('check <file>', 'Check settings files and files of configuration records')
+  program.command('check <file>', "Check settings, policies, configuration records and the platform's settings files")
     .example('check entry.jsonc records.jsonc')
     .action((file: string, flags: Flags) => check([file, ...flags._], output))
   program.command('status <address>', 'Print the own view of the process at ADDRESS (ip:port)')
     .option('--settings', 'Settings file that holds the key between processes')
     .example('status 127.0.0.1:7001')
     .action((address: string, flags: Flags) => status(address, flags, output))
-  program.command('explain <address> <request>', 'Print why an entry routed or refused a recent request so')
+  program.command('explain <what> <where>', 'Print what happened to a request: ADDRESS REQUEST asks an entry, REQUEST LOGFILE... reads logs')
     .option('--settings', 'Settings file that holds the key between processes')
     .example('explain 127.0.0.1:7001 levis-1-4fK0')
-    .action((address: string, request: string, flags: Flags) => explain(address, request, flags, output))
+    .example('explain 9c41d07be2a35f68 edge-1.log side-1.log')
+    .action((what: string, where: string, flags: Flags) => parseAddress(what).ok
+      ? explain(what, where, flags, output)
+      : Promise.resolve(explainLogs(what, [where, ...flags._], output)))
 }
 
 function addLoad (program: Sade, output: Output): void {
--- a/core/balance/choose_stages.ts
+++ b/core/balance/choose_stages.ts
@@ -23,7 +23,7 @@
 
 const prefillCounts: { readonly [K in StagePolicy]: (engines: number, now: number, share: number) => number } = {
   [StagePolicy.Keep]: (_engines, now) => now,
-  [StagePolicy.Share]: (engines, _now, share) => engines < 2 ? 0 : Math.max(1, Math.round(engines * share)),
+  [StagePolicy.Share]: (engines, _now, share) => engines < 2 ? 0 : Math.min(engines - 1, Math.max(1, Math.round(engines * share))),
   [StagePolicy.None]: () => 0
 }
 
--- a/gateway/_serve_generation.ts
+++ b/gateway/_serve_generation.ts
@@ -2,6 +2,7 @@
  * Serves generations: memory at a decode engine is reserved first, then the prompt is read, then the stream is forwarded.
  */
 import { createEventSplitter } from '../core/stream/mod.ts'
+import { Count } from '../metrics/mod.ts'
 import { decode, StreamEnd } from './_decode.ts'
 import { askOrTake, release, reserve } from './_memory.ts'
 import { free, prefill } from './_prefill.ts'
@@ -36,8 +37,13 @@
     const startedMs = shared.timer.now()
     const hold = await reserve(shared, job, tries.exclude)
     const heldMs = shared.timer.now()
+    shared.metrics.count(Count.Holds, { result: hold === undefined ? 'refused' : 'taken' })
     if (hold === undefined) return giveUp(shared, job, tries, 'no_memory')
-    const read = await prefill(shared, job, hold.reader)
+    const { worker, reader, tokens } = hold
+    const room = worker.room === undefined ? {} : { roomTokens: worker.room.roomTokens, roomAgeMs: Math.round(heldMs - worker.room.atMs) }
+    const waitedMs = Math.round(heldMs - startedMs)
+    shared.log.info({ request: job.requestId, worker: worker.entry.id, reader: reader?.entry.id, tokens, waitedMs, ...room }, 'reserved')
+    const read = await prefill(shared, job, reader)
     if (job.stopped() !== undefined) {
       release(shared, hold, job.requestId)
       if (read !== undefined) free(shared, read.worker, read.handle)
@@ -52,8 +58,13 @@
     if (result.end === StreamEnd.Answered || result.end === StreamEnd.Stopped) {
       return { ...about, reason: result.detail || result.end, attempts: tries.attempts }
     }
+    const { end, status, detail, bytes } = result
+    shared.log.warn({ request: job.requestId, attempt: tries.attempts, worker: worker.entry.id, end, status, detail, bytes }, 'attempt failed')
+    if (read !== undefined && end === StreamEnd.Refused) shared.metrics.count(Count.TokensInVain, {}, job.head.promptTokens)
     if (!mayGoOn(shared, job, tries, result)) return { ...about, ...giveUp(shared, job, tries, result.end) }
-    tries.exclude.add(hold.worker.entry.id)
+    shared.metrics.count(Count.Retries, { service: job.service.name })
+    shared.log.warn({ request: job.requestId, afterEvent: tries.events?.lastId(), attempts: tries.attempts }, 'resuming')
+    tries.exclude.add(worker.entry.id)
     tries.events?.reset()
   }
 }
--- a/gateway/_serve_plain.ts
+++ b/gateway/_serve_plain.ts
@@ -5,6 +5,7 @@
 import { RequestKind } from '../core/route/mod.ts'
 import { shouldRetry } from '../core/retry/mod.ts'
 import { Outcome } from '../core/types/mod.ts'
+import { Count } from '../metrics/mod.ts'
 import { sendJob } from './_send.ts'
 import { StopReason } from './_types.ts'
 import type { Worker } from '../core/fleet/mod.ts'
@@ -57,6 +58,8 @@
     if (result.end === SendEnd.Answered && !(failed && idempotent)) return deliver(job, attempt, result, worker)
     last = result.answer === undefined ? last : result
     exclude.add(worker.entry.id)
+    const about = { request: job.requestId, attempt, worker: worker.entry.id, end: result.end, status: result.answer?.head.status, reason: result.reason }
+    shared.log.warn({ ...about, failures: worker.failures, leftMs: Math.round(job.deadlineMs - timer.now()) }, 'attempt failed')
     if (!result.arrived) {
       attempt-- // The worker has seen nothing, so it counts as none.
       continue
@@ -67,6 +70,7 @@
       { budget: shared.budget(job.service.name), nowMs: timer.now(), random, maxAttempts: job.route.maxAttempts }
     )
     if (plan.err) return finish(job, attempt, mayHaveRun, last, plan.val, result.reason)
+    shared.metrics.count(Count.Retries, { service: job.service.name })
   }
 }
 
