Know what is free beside streams that ran before the sidecar did

Change: a stream of unknown size is taken to make a twentieth of the memory until sizes are learned.

--- a/core/packing/create_packer.ts
+++ b/core/packing/create_packer.ts
@@ -35,6 +35,8 @@
   run?: PackRun
 }
 
+/** Share of the memory that a stream of unknown size is taken to make: an engine holds about twenty requests. */
+const unknownShare = 0.05
 /** Weight of the newest finished stream in the typical output; some twenty streams shape it. */
 const newestShare = 0.05
 /** Spread of the logarithm of the output about its prediction: that of an estimate and a typical size which spread by 0.5 each. */
@@ -115,7 +117,7 @@
         const known = bookings.get(run.requestId)
         const made = run.events * tokensPerEvent
         const unknown = { requestId: run.requestId, promptTokens: Math.max(0, run.tokensInMemory - made), maxTokens: Infinity }
-        const ask = known ?? { ...unknown, predictedTokens: typicalTokens ?? 0 }
+        const ask = known ?? { ...unknown, predictedTokens: typicalTokens ?? unknownShare * memoryTokens }
         const { expiresMs: _started, ...booking } = ask as Booking
         bookings.set(run.requestId, { ...booking, run })
       }
--- a/core/packing/expected_left.ts
+++ b/core/packing/expected_left.ts
@@ -27,6 +27,7 @@
  * ```
  */
 export function expectedLeft (medianTokens: number, spread: number, madeTokens: number): number {
+  if (medianTokens <= 0) return 0
   const mean = medianTokens * Math.exp(spread * spread / 2)
   if (madeTokens <= 0) return mean
   const z = Math.log(madeTokens / medianTokens) / spread
--- a/core/packing/packing.feature
+++ b/core/packing/packing.feature
@@ -22,3 +22,16 @@
     Given a packing of 1000 tokens with the policy "full"
     When the packing sees the run "x" with 800 tokens in memory after 1 events
     Then the packing refuses "a" with a prompt of 300 and at most 10 tokens at 0 ms
+
+  Scenario Outline: A packing that starts beside running streams knows what is free
+    Given a packing of 1000 tokens with the policy "<policy>"
+    When the packing sees the run "x" with 500 tokens in memory after <events> events
+    Then the packing has from 1 to 500 tokens free
+
+    Examples:
+      | policy | events |
+      | full   | 0      |
+      | full   | 20     |
+      | likely | 0      |
+      | likely | 1      |
+      | likely | 20     |
--- a/core/packing/packing_test.ts
+++ b/core/packing/packing_test.ts
@@ -83,3 +83,8 @@
   function (this: World, requestId: string, tokensInMemory: number, events: number) {
     this.packer.observe([{ requestId, tokensInMemory, events }], 0)
   })
+
+Then('the packing has from {int} to {int} tokens free', function (this: World, least: number, most: number) {
+  const room = this.packer.room(0)
+  assert.ok(room >= least && room <= most, `${room} tokens are free`)
+})
