Explain the platform's log lines and policies to operators, and keep test worlds apart

Found by the whole suite: worlds of two test files shared a property, so their clean-up closed what is no store; seven scenarios of core/configuration failed for that.

--- a/cli/parse_command.ts
+++ b/cli/parse_command.ts
@@ -11,6 +11,7 @@
 import { load } from './load.ts'
 import { loadFlags } from './_load_options.ts'
 import { runDaemon } from './run_daemon.ts'
+import { PlatformProcess, runOnPlatform } from './run_on_platform.ts'
 import { status } from './status.ts'
 import { parseAddress } from '../wire/mod.ts'
 
@@ -52,6 +53,7 @@
 function createProgram (output: Output): Sade {
   const program = sade('briarloom').version('0.1.0')
   addDaemons(program, output)
+  addPlatformProcesses(program)
   addTools(program, output)
   addLoad(program, output)
   return program
@@ -66,6 +68,14 @@
   }
 }
 
+function addPlatformProcesses (program: Sade): void {
+  for (const kind of Object.values(PlatformProcess)) {
+    program.command(`${kind} <policies>`, `Run a ${kind} on the platform, which names its settings file in the environment`)
+      .example(`${kind} deploy/policy.jsonc`)
+      .action((policies: string) => runOnPlatform(kind, policies))
+  }
+}
+
 function addTools (program: Sade, output: Output): void {
   program.command('check <file>', "Check settings, policies, configuration records and the platform's settings files")
     .example('check entry.jsonc records.jsonc')
--- a/gateway/_memory.ts
+++ b/gateway/_memory.ts
@@ -52,18 +52,23 @@
   const isBack = (job.head.deadlineMs ?? Infinity) < returnedShare * job.route.timeoutMs
   const untilMs = (exclude.size > 0 ? timer.now() : job.startedMs) + (isBack ? returnedWaitMs : waitShare * job.route.targetLatencyMs)
   const memoryTokens = job.service.engine?.memoryTokens ?? 0
+  const refused = (engines: Worker[]): undefined => {
+    const rooms = engines.map(({ entry, room }) => `${entry.id}:${room?.roomTokens ?? 'unknown'}`)
+    shared.log.warn({ request: job.requestId, promptTokens: job.head.promptTokens, rooms, isBack, stopped: job.stopped() }, 'not reserved')
+    return undefined
+  }
   for (;;) {
     const engines = directory.fleet.serving(job.service.name)
       .filter((worker) => worker.entry.stage !== Stage.Prefill && worker.suspectUntilMs <= timer.now() && !exclude.has(worker.entry.id))
       .sort((a, b) => freeTokens(shared, b, memoryTokens) - freeTokens(shared, a, memoryTokens))
     for (const worker of engines) {
-      if (job.stopped() !== undefined) return undefined
+      if (job.stopped() !== undefined) return refused(engines)
       if (worker.room !== undefined && worker.room.roomTokens < job.head.promptTokens) continue
       const hold = await askOrTake(shared, job, worker, choosePrefill(shared, job))
       if (hold !== undefined) return hold
-      if (timer.now() > untilMs) return undefined
+      if (timer.now() > untilMs) return refused(engines)
     }
-    if (job.stopped() !== undefined || timer.now() + holdPauseMs > untilMs) return undefined
+    if (job.stopped() !== undefined || timer.now() + holdPauseMs > untilMs) return refused(engines)
     await new Promise<void>((resolve) => { timer.after(holdPauseMs, resolve) })
   }
 }
--- a/gateway/gateway_test.ts
+++ b/gateway/gateway_test.ts
@@ -20,13 +20,13 @@
 }
 
 interface World {
-  site: Site
+  gatewaySite: Site
   answer: Answer
   answers: Answer[]
   tookMs: number
   pending?: Promise<Answer>
   stopping?: Promise<void>
-  other?: Site
+  otherSite?: Site
 }
 
 let nextId = 0
@@ -105,12 +105,12 @@
 }
 
 async function open (world: World, workers: FakeWorkerOptions[]): Promise<void> {
-  world.site = await startSite()
-  assert.equal(await isReady(world.site), false)
-  world.site.configure(1)
-  for (const worker of workers) await world.site.addWorker(worker)
+  world.gatewaySite = await startSite()
+  assert.equal(await isReady(world.gatewaySite), false)
+  world.gatewaySite.configure(1)
+  for (const worker of workers) await world.gatewaySite.addWorker(worker)
   // A version is in force when the last worker is too, since the store tells of changes in order.
-  await until(async () => await isReady(world.site), 2000, 'readiness')
+  await until(async () => await isReady(world.gatewaySite), 2000, 'readiness')
   await sleep(60)
 }
 
@@ -125,57 +125,57 @@
 })
 
 After(async function (this: World) {
-  await this.other?.close()
-  await this.site?.close()
+  await this.otherSite?.close()
+  await this.gatewaySite?.close()
 })
 
 Given('gateway workers that are {string}', function (this: World, mode: WorkerMode) {
-  for (const worker of this.site.workers.values()) worker.setMode(mode)
+  for (const worker of this.gatewaySite.workers.values()) worker.setMode(mode)
 })
 
 Given('gateway workers that are {string} to their first request', function (this: World, mode: WorkerMode) {
-  for (const worker of this.site.workers.values()) worker.setMode(mode, WorkerMode.Good)
+  for (const worker of this.gatewaySite.workers.values()) worker.setMode(mode, WorkerMode.Good)
   // Only the first worker that is asked fails; its answer puts the others right.
   const settle = setInterval(() => {
-    if (allSeen(this.site).length === 0) return
+    if (allSeen(this.gatewaySite).length === 0) return
     clearInterval(settle)
-    for (const worker of this.site.workers.values()) worker.setMode(WorkerMode.Good)
+    for (const worker of this.gatewaySite.workers.values()) worker.setMode(WorkerMode.Good)
   }, 1)
 })
 
 Given('a gateway worker {string} that is gone without a word', async function (this: World, id: string) {
-  await workerOf(this.site, id).close()
+  await workerOf(this.gatewaySite, id).close()
 })
 
 When('a gateway client sends {string}', async function (this: World, line: string) {
-  this.answer = await send(this.site, line)
+  this.answer = await send(this.gatewaySite, line)
 })
 
 When('a gateway client sends {string} without waiting', async function (this: World, line: string) {
-  this.pending = send(this.site, line)
-  await until(() => allSeen(this.site).length > 0, 500, 'the request')
+  this.pending = send(this.gatewaySite, line)
+  await until(() => allSeen(this.gatewaySite).length > 0, 500, 'the request')
 })
 
 When('a gateway client sends {string} {int} times', async function (this: World, line: string, times: number) {
   this.answers = []
-  for (let i = 0; i < times; i++) this.answers.push(await send(this.site, line))
+  for (let i = 0; i < times; i++) this.answers.push(await send(this.gatewaySite, line))
 })
 
 When('a gateway client sends {string} with the body {string} and the headers',
   async function (this: World, line: string, body: string, table: DataTable) {
-    this.answer = await send(this.site, line, { headers: { ...table.rowsHash(), 'Content-Length': String(body.length) }, chunks: [body] })
+    this.answer = await send(this.gatewaySite, line, { headers: { ...table.rowsHash(), 'Content-Length': String(body.length) }, chunks: [body] })
   })
 
 When('a gateway client sends {string} with the headers', async function (this: World, line: string, table: DataTable) {
-  this.answer = await send(this.site, line, { headers: table.rowsHash() })
+  this.answer = await send(this.gatewaySite, line, { headers: table.rowsHash() })
 })
 
 When('a gateway client sends {string} in the chunks {string}', async function (this: World, line: string, chunks: string) {
-  this.answer = await send(this.site, line, { chunks: chunks.split(', ') })
+  this.answer = await send(this.gatewaySite, line, { chunks: chunks.split(', ') })
 })
 
 When('a gateway client sends {string} and leaves after {int} ms', async function (this: World, line: string, leaveMs: number) {
-  await send(this.site, line, { leaveMs })
+  await send(this.gatewaySite, line, { leaveMs })
 })
 
 const start = 'POST /unsafe/x HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: raw\r\n'
@@ -194,23 +194,23 @@
 }
 
 When(/^a gateway client writes (.*)$/, async function (this: World, what: string) {
-  this.answer = await write(this.site, odd[what] as string)
+  this.answer = await write(this.gatewaySite, odd[what] as string)
 })
 
 When('the gateway operator removes the route {string} in version {int}', function (this: World, name: string, version: number) {
-  removeRoute(this.site, name, version)
+  removeRoute(this.gatewaySite, name, version)
 })
 
 When('the gateway operator removes the route {string} in version {int} while the store forgets its history',
   function (this: World, name: string, version: number) {
-    this.site.store.setMode(StoreMode.Silent)
-    removeRoute(this.site, name, version)
-    this.site.store.compact()
-    this.site.store.setMode(StoreMode.Up)
+    this.gatewaySite.store.setMode(StoreMode.Silent)
+    removeRoute(this.gatewaySite, name, version)
+    this.gatewaySite.store.compact()
+    this.gatewaySite.store.setMode(StoreMode.Up)
   })
 
 When('the gateway operator writes version {int} with every route', function (this: World, version: number) {
-  this.site.configure(version)
+  this.gatewaySite.configure(version)
 })
 
 function removeRoute (site: Site, name: string, version: number): void {
@@ -218,7 +218,7 @@
   site.configure(version, { routes: [{ name, host: 'a.example', prefix, kind: 'idempotent', timeout_ms: 500, service: 'plain' }] })
 }
 
-When('the gateway store is {string}', function (this: World, mode: StoreMode) { this.site.store.setMode(mode) })
+When('the gateway store is {string}', function (this: World, mode: StoreMode) { this.gatewaySite.store.setMode(mode) })
 
 When('{int} ms pass at the gateway', async function (ms: number) { await sleep(ms) })
 
@@ -232,12 +232,12 @@
 }
 
 When(/^the gateway entry of "(\w+)" is (.*)$/, function (this: World, id: string, what: string) {
-  this.site.store.put(`servers/${id}`, (entries[what] as (worker: FakeWorker) => string)(workerOf(this.site, id)))
+  this.gatewaySite.store.put(`servers/${id}`, (entries[what] as (worker: FakeWorker) => string)(workerOf(this.gatewaySite, id)))
 })
 
-When('the gateway entry of {string} lapses', function (this: World, id: string) { this.site.store.remove(`servers/${id}`) })
+When('the gateway entry of {string} lapses', function (this: World, id: string) { this.gatewaySite.store.remove(`servers/${id}`) })
 
-When('the gateway is stopped', function (this: World) { this.stopping = this.site.gateway.stop() })
+When('the gateway is stopped', function (this: World) { this.stopping = this.gatewaySite.gateway.stop() })
 
 Then('the gateway client gets {int}', async function (this: World, status: number) {
   if (this.pending !== undefined) this.answer = await this.pending
@@ -265,25 +265,25 @@
 })
 
 Then('the gateway workers saw {int} requests', function (this: World, count: number) {
-  assert.equal(allSeen(this.site).length, count)
+  assert.equal(allSeen(this.gatewaySite).length, count)
 })
 
 Then('the gateway worker {string} saw {int} requests', function (this: World, id: string, count: number) {
-  assert.equal(workerOf(this.site, id).seen().length, count)
+  assert.equal(workerOf(this.gatewaySite, id).seen().length, count)
 })
 
 Then('the gateway worker saw {string} with the body {string}', function (this: World, line: string, body: string) {
-  const [seen] = allSeen(this.site)
+  const [seen] = allSeen(this.gatewaySite)
   assert.equal(`${seen?.method} ${seen?.path}`, line)
   assert.equal(seen?.body, body)
 })
 
 Then('the gateway worker saw the header {string} with {string}', function (this: World, name: string, value: string) {
-  assert.equal(allSeen(this.site)[0]?.headers[name], value)
+  assert.equal(allSeen(this.gatewaySite)[0]?.headers[name], value)
 })
 
 Then('the gateway worker saw its own identity and at most {int} ms', function (this: World, most: number) {
-  const worker = [...this.site.workers.values()].find((one) => one.seen().length > 0)
+  const worker = [...this.gatewaySite.workers.values()].find((one) => one.seen().length > 0)
   const headers = worker?.seen()[0]?.headers ?? {}
   assert.equal(headers['x-expect-instance'], worker?.id)
   const left = Number(headers['x-request-deadline-ms'])
@@ -291,60 +291,60 @@
 })
 
 Then('the gateway worker saw none of the headers {string}', function (this: World, names: string) {
-  for (const name of names.split(', ')) assert.equal(allSeen(this.site)[0]?.headers[name], undefined, name)
+  for (const name of names.split(', ')) assert.equal(allSeen(this.gatewaySite)[0]?.headers[name], undefined, name)
 })
 
 Then('the gateway worker is let go within {int} ms', async function (this: World, ms: number) {
-  await until(() => allSeen(this.site).some((seen) => seen.dropped), ms, 'the end of the work')
+  await until(() => allSeen(this.gatewaySite).some((seen) => seen.dropped), ms, 'the end of the work')
 })
 
 Then('the gateway answers {string} with {int} within {int} ms', async function (this: World, line: string, status: number, ms: number) {
-  await until(async () => (await send(this.site, line)).status === status, ms, `status ${status}`)
+  await until(async () => (await send(this.gatewaySite, line)).status === status, ms, `status ${status}`)
 })
 
-Then('the gateway is ready', async function (this: World) { assert.equal(await isReady(this.site), true) })
+Then('the gateway is ready', async function (this: World) { assert.equal(await isReady(this.gatewaySite), true) })
 
-Then('the gateway is not ready', async function (this: World) { assert.equal(await isReady(this.site), false) })
+Then('the gateway is not ready', async function (this: World) { assert.equal(await isReady(this.gatewaySite), false) })
 
 When('another gateway starts', async function (this: World) {
-  const { storeAddress, peerAddress } = this.site.settings
-  this.other = await startSite({ seeds: [peerAddress as string], settings: { storeAddress, machine: 'edge-2' } })
+  const { storeAddress, peerAddress } = this.gatewaySite.settings
+  this.otherSite = await startSite({ seeds: [peerAddress as string], settings: { storeAddress, machine: 'edge-2' } })
 })
 
 Then('the other gateway is ready within {int} ms', async function (this: World, ms: number) {
-  await until(async () => await isReady(this.other as Site), ms, 'readiness')
+  await until(async () => await isReady(this.otherSite as Site), ms, 'readiness')
 })
 
 Then('the other gateway answers {string} with {int}', async function (this: World, line: string, status: number) {
-  assert.equal((await send(this.other as Site, line)).status, status)
+  assert.equal((await send(this.otherSite as Site, line)).status, status)
 })
 
 const prompt = { 'X-Model': 'm', 'X-Token-Counts': '100,40', 'X-Length-Hint': '30', 'X-Request-Deadline-Ms': '3000' }
 
 When('a gateway client asks for a generation on {string}', async function (this: World, path: string) {
   const startedMs = performance.now()
-  this.answer = await send(this.site, `POST ${path}`, { headers: prompt, chunks: ['prompt'] })
+  this.answer = await send(this.gatewaySite, `POST ${path}`, { headers: prompt, chunks: ['prompt'] })
   this.tookMs = performance.now() - startedMs
 })
 
 When('a gateway client asks for a generation on {string} and leaves after {int} ms', async function (this: World, path: string, leaveMs: number) {
-  await send(this.site, `POST ${path}`, { headers: prompt, chunks: ['prompt'], leaveMs })
+  await send(this.gatewaySite, `POST ${path}`, { headers: prompt, chunks: ['prompt'], leaveMs })
 })
 
 Given('gateway engines without memory', function (this: World) {
-  for (const worker of this.site.workers.values()) worker.setMemory(10)
+  for (const worker of this.gatewaySite.workers.values()) worker.setMemory(10)
 })
 
 Given('gateway engines that lose their connection after event {int}', function (this: World, event: number) {
-  for (const worker of this.site.workers.values()) worker.cutAfter(event, 9)
+  for (const worker of this.gatewaySite.workers.values()) worker.cutAfter(event, 9)
 })
 
 Given('gateway engines that lose their first connection after event {int}', function (this: World, event: number) {
-  for (const worker of this.site.workers.values()) worker.cutAfter(event, 1)
+  for (const worker of this.gatewaySite.workers.values()) worker.cutAfter(event, 1)
 })
 
 Given('gateway engines that are slow to read', function (this: World) {
-  for (const worker of this.site.workers.values()) worker.setReadMs(400)
+  for (const worker of this.gatewaySite.workers.values()) worker.setReadMs(400)
 })
 
 Then('the gateway client gets the events {int} to {int}, each once', function (this: World, first: number, last: number) {
@@ -362,27 +362,27 @@
 
 Then('the gateway engines saw a reservation, then a prefill at {string}, then a decode with its KV cache and the reservation',
   function (this: World, reader: string) {
-    const [read] = workerOf(this.site, reader).seen()
+    const [read] = workerOf(this.gatewaySite, reader).seen()
     assert.equal(read?.headers['x-stage'], 'prefill')
-    const decoder = [...this.site.workers.values()].find((worker) => worker.id !== reader && worker.seen().length > 0)
+    const decoder = [...this.gatewaySite.workers.values()].find((worker) => worker.id !== reader && worker.seen().length > 0)
     assert.deepEqual(decoder?.calls().map(({ call }) => call), ['POST /v1/hold-take'])
     const headers = decoder?.seen()[0]?.headers ?? {}
     assert.equal(headers['x-kv-hold'], 'hold-1')
-    assert.equal(headers['x-kv-source'], `${workerOf(this.site, reader).address}/kv-1`)
+    assert.equal(headers['x-kv-source'], `${workerOf(this.gatewaySite, reader).address}/kv-1`)
     assert.equal(headers['x-stage'], undefined)
   })
 
 Then('a gateway engine was asked to go on after event {int}', function (this: World, event: number) {
-  assert.ok(allSeen(this.site).some((seen) => seen.headers['last-event-id'] === String(event)))
+  assert.ok(allSeen(this.gatewaySite).some((seen) => seen.headers['last-event-id'] === String(event)))
 })
 
 Then('the gateway engines got their reservation back within {int} ms', async function (this: World, ms: number) {
-  const calls = (): string[] => [...this.site.workers.values()].flatMap((worker) => worker.calls().map(({ call }) => call))
+  const calls = (): string[] => [...this.gatewaySite.workers.values()].flatMap((worker) => worker.calls().map(({ call }) => call))
   await until(() => calls().includes('DELETE /v1/hold-drop/hold-1'), ms, 'the release')
 })
 
 When('a gateway starts whose store answers after {int} ms', async function (this: World, ms: number) {
-  this.site.store.setMode(StoreMode.Busy)
-  this.other = await startSite({ settings: { storeAddress: this.site.settings.storeAddress, machine: 'edge-2' } })
-  setTimeout(() => this.site.store.setMode(StoreMode.Up), ms)
+  this.gatewaySite.store.setMode(StoreMode.Busy)
+  this.otherSite = await startSite({ settings: { storeAddress: this.gatewaySite.settings.storeAddress, machine: 'edge-2' } })
+  setTimeout(() => this.gatewaySite.store.setMode(StoreMode.Up), ms)
 })
--- a/sidecar/sidecar_test.ts
+++ b/sidecar/sidecar_test.ts
@@ -17,12 +17,12 @@
 import type { Sidecar } from './mod.ts'
 
 interface World {
-  store: FakeStore
-  engine: FakeWorker
+  sideStore: FakeStore
+  sideEngine: FakeWorker
   sidecar: Sidecar
-  timer: Timer
+  sideTimer: Timer
   port: number
-  gateway?: Connection
+  sideGateway?: Connection
   received: Message[]
   asked: number
 }
@@ -36,7 +36,7 @@
 }
 
 async function start (world: World): Promise<void> {
-  world.timer = createSystemTimer()
+  world.sideTimer = createSystemTimer()
   const settings = {
     machine: 'side-1',
     ip: '127.0.0.1',
@@ -44,8 +44,8 @@
     regions: { levis: 'qc-est' },
     internalPort: world.port,
     seeds: [],
-    storeAddress: world.store.address,
-    workerAddress: world.engine.address,
+    storeAddress: world.sideStore.address,
+    workerAddress: world.sideEngine.address,
     heartbeatMs: 1200,
     graceMs: 8000,
     drainMs: 2500,
@@ -55,35 +55,35 @@
     orderLeaseMs: 3000
   }
   const log = createLog({ name: 'side-1', level: 'info', stream: new PassThrough().resume() })
-  world.sidecar = await startSidecar({ settings, timer: world.timer, log, random: Math.random, ...policies })
+  world.sidecar = await startSidecar({ settings, timer: world.sideTimer, log, random: Math.random, ...policies })
 }
 
 async function open (world: World, tokens: number, stage: 'prefill' | 'decode', engines: number, readers: number): Promise<void> {
-  world.store = await startStore()
-  world.engine = await startWorker({ id: 'i-5', service: 'llm', stage })
-  world.engine.setMemory(tokens)
+  world.sideStore = await startStore()
+  world.sideEngine = await startWorker({ id: 'i-5', service: 'llm', stage })
+  world.sideEngine.setMemory(tokens)
   world.port = await freePort()
   world.asked = 0
-  world.store.put('op/config', buildRules(1))
+  world.sideStore.put('op/config', buildRules(1))
   for (let i = 1; i < engines; i++) {
     const other = stage === 'prefill' ? i < readers : i <= readers
     const fields = { stage: other ? 'prefill' : 'decode', address: `10.0.0.${i}:80` }
     // The balance takes readers in the order of their identities; without any, this engine comes first.
-    world.store.put(`servers/i-${readers === 0 ? i + 5 : i}`, world.engine.entry(fields))
+    world.sideStore.put(`servers/i-${readers === 0 ? i + 5 : i}`, world.sideEngine.entry(fields))
   }
-  world.store.put('servers/i-5', world.engine.entry())
+  world.sideStore.put('servers/i-5', world.sideEngine.entry())
   await start(world)
   await sleep(250)
 }
 
 async function ask (world: World, fields: { promptTokens: number, maxTokens: number, likelyTokens?: number, reads: boolean }): Promise<Message> {
-  if (world.gateway === undefined) {
+  if (world.sideGateway === undefined) {
     world.received = []
-    world.gateway = (await connect({ address: `127.0.0.1:${world.port}` })).unwrap()
-    world.gateway.onMessage((msg) => { world.received.push(msg) })
+    world.sideGateway = (await connect({ address: `127.0.0.1:${world.port}` })).unwrap()
+    world.sideGateway.onMessage((msg) => { world.received.push(msg) })
   }
   const attempt = ++world.asked
-  world.gateway.send({ kind: MessageKind.Pack, requestId: `r-${attempt}`, attempt, workerId: 'i-5', ...fields })
+  world.sideGateway.send({ kind: MessageKind.Pack, requestId: `r-${attempt}`, attempt, workerId: 'i-5', ...fields })
   for (let i = 0; i < 100; i++) {
     const answer = world.received.find((msg) => 'attempt' in msg && msg.attempt === attempt)
     if (answer !== undefined) return answer
@@ -93,15 +93,15 @@
 }
 
 function orders (world: World): string[] {
-  return world.engine.calls().filter(({ call }) => call === 'POST /v1/order').map(({ body }) => body)
+  return world.sideEngine.calls().filter(({ call }) => call === 'POST /v1/order').map(({ body }) => body)
 }
 
 After(async function (this: World) {
-  this.gateway?.close()
+  this.sideGateway?.close()
   await this.sidecar?.close()
-  this.timer?.close()
-  await this.engine?.close()
-  await this.store?.close()
+  this.sideTimer?.close()
+  await this.sideEngine?.close()
+  await this.sideStore?.close()
 })
 
 Given('a sidecar beside an engine of {int} tokens with the stage {string}', async function (this: World, tokens: number, stage: 'decode') {
@@ -125,7 +125,7 @@
 })
 
 Then('the sidecar engine holds {int} reservations', function (this: World, count: number) {
-  assert.equal(this.engine.calls().filter(({ call }) => call === 'POST /v1/hold-take').length, count)
+  assert.equal(this.sideEngine.calls().filter(({ call }) => call === 'POST /v1/hold-take').length, count)
 })
 
 Then('the sidecar orders {string} within {int} ms with the number of orders before', async function (this: World, stage: string, ms: number) {
@@ -135,7 +135,7 @@
   assert.equal(order.expect, 0)
   assert.equal(order.holder, 'side-1')
   assert.ok(order.fence > 0)
-  this.store.put('servers/i-5', this.engine.entry({ stage }))
+  this.sideStore.put('servers/i-5', this.sideEngine.entry({ stage }))
 })
 
 Then('the sidecar gives {int} orders in {int} ms', async function (this: World, count: number, ms: number) {
@@ -156,6 +156,6 @@
 
 When('the sidecar starts again', async function (this: World) {
   await this.sidecar.close()
-  this.timer.close()
+  this.sideTimer.close()
   await start(this)
 })
--- a/wire/wire_fuzz_test.ts
+++ b/wire/wire_fuzz_test.ts
@@ -122,7 +122,7 @@
   [MessageKind.ExplainReply]: { kind: MessageKind.ExplainReply, requestId: 'r1', decisions: [{ reason: 'nearest' }] }
 }
 
-const optionalFields = new Set(['ticket', 'reply', 'code', 'ageMs', 'after', 'more'])
+const optionalFields = new Set(['likelyTokens', 'ticket', 'reply', 'code', 'ageMs', 'after', 'more'])
 const freeFields = new Set(['decisions'])
 
 const sample = fc.constantFrom<Message>(...Object.values(samples))
