--- a/metrics/create_served_metrics.ts
+++ b/metrics/create_served_metrics.ts
@@ -28,17 +28,14 @@
   /** Repeated sends, by service. */
   Retries = 'retries_total',
   /** Prompt tokens that were read and not used. */
-  TokensInVain = 'tokens_in_vain_total',
-  /** Reads of the store, by result. */
-  StoreReads = 'store_reads_total'
+  TokensInVain = 'tokens_in_vain_total'
 }
 
 const labels: { readonly [C in Count]: readonly string[] } = {
   [Count.Requests]: ['service', 'status', 'reason'],
   [Count.Holds]: ['result'],
   [Count.Retries]: ['service'],
-  [Count.TokensInVain]: [],
-  [Count.StoreReads]: ['result']
+  [Count.TokensInVain]: []
 }
 
 const help: { readonly [M in Count | Latency]: string } = {
@@ -46,7 +43,6 @@
   [Count.Holds]: 'Requests for the memory of engines by result',
   [Count.Retries]: 'Repeated sends by service',
   [Count.TokensInVain]: 'Prompt tokens read and not used',
-  [Count.StoreReads]: 'Reads of the store by result',
   [Latency.Request]: 'Time from a request to its final answer in ms',
   [Latency.FirstEvent]: 'Time from a request to the first event in ms',
   [Latency.Pause]: 'Longest pause of a stream in ms',
