Start with less: check policies at build time, load only undici's client; a client that reads slowly is no lost engine

The build now checks the policies and writes them without comments. Also: the watch for silent engines counted the time in which the gateway itself had paused a stream for a slow client, and resumed it elsewhere; the new scenario failed before.

--- a/cli/parse_command.ts
+++ b/cli/parse_command.ts
@@ -13,6 +13,7 @@
 import { runDaemon } from './run_daemon.ts'
 import { PlatformProcess, runOnPlatform } from './run_on_platform.ts'
 import { status } from './status.ts'
+import { writePolicy } from './write_policy.ts'
 import { parseAddress } from '../wire/mod.ts'
 
 /** Flags as they stand on the command line. */
@@ -71,7 +72,7 @@
 function addPlatformProcesses (program: Sade): void {
   for (const kind of Object.values(PlatformProcess)) {
     program.command(`${kind} <policies>`, `Run a ${kind} on the platform, which names its settings file in the environment`)
-      .example(`${kind} deploy/policy.jsonc`)
+      .example(`${kind} target/policy.json`)
       .action((policies: string) => runOnPlatform(kind, policies))
   }
 }
@@ -80,6 +81,9 @@
   program.command('check <file>', "Check settings, policies, configuration records and the platform's settings files")
     .example('check entry.jsonc records.jsonc')
     .action((file: string, flags: Flags) => check([file, ...flags._], output))
+  program.command('write-policy <from> <to>', 'Check the policies for the platform and write them without comments')
+    .example('write-policy deploy/policy.jsonc target/policy.json')
+    .action((from: string, to: string) => Promise.resolve(writePolicy(from, to, output)))
   program.command('status <address>', 'Print the own view of the process at ADDRESS (ip:port)')
     .option('--settings', 'Settings file that holds the key between processes')
     .example('status 127.0.0.1:7001')
--- a/cli/run_on_platform.ts
+++ b/cli/run_on_platform.ts
@@ -5,7 +5,6 @@
 import { startGateway } from '../gateway/mod.ts'
 import { createBoundedStream, createLog } from '../log/mod.ts'
 import { parseNodeSettings } from '../platform/mod.ts'
-import { formatProblem, loadPolicy } from '../settings/mod.ts'
 import { startSidecar } from '../sidecar/mod.ts'
 import { createSystemTimer } from '../timer/mod.ts'
 import type { Log } from '../log/mod.ts'
@@ -47,12 +46,12 @@
  * Runs a process on the platform, which names the settings file in the environment.
  *
  * @param kind which process
- * @param policyFile the operator's policies
+ * @param policyFile the operator's policies, as `write-policy` wrote them
  * @returns 0 after SIGTERM, 1 when the settings cannot be used
  *
  * @example
  * ```ts
- * process.exitCode = await runOnPlatform(PlatformProcess.Gateway, 'deploy/policy.jsonc')
+ * process.exitCode = await runOnPlatform(PlatformProcess.Gateway, 'target/policy.json')
  * ```
  */
 export async function runOnPlatform (kind: PlatformProcess, policyFile: string): Promise<ExitCode> {
@@ -60,12 +59,12 @@
   if (path === undefined) return fail(`${kind}: expected the variable ${settingsVariable}`)
   const settings = parseNodeSettings(readFileSync(path, 'utf8'))
   if (settings.err) return fail(`${path}: ${settings.val}`)
-  const policy = loadPolicy(readFileSync(policyFile, 'utf8'), { file: policyFile })
-  if (policy.err) return fail(policy.val.map(formatProblem).join('\n'))
+  // The build has checked this file; loading the checker again would take a fifth of the start.
+  const policy = JSON.parse(readFileSync(policyFile, 'utf8')) as PolicySettings
   const timer = createSystemTimer()
-  const stream = createBoundedStream({ maxBytesPerS: policy.val.log.maxBytesPerS, now: timer.now })
-  const log = createLog({ name: settings.val.machine, level: policy.val.log.level, bounded: { to: stream, now: timer.now } })
-  const options = { settings: settings.val, policy: policy.val, timer, log, droppedLines: stream.dropped }
+  const stream = createBoundedStream({ maxBytesPerS: policy.log.maxBytesPerS, now: timer.now })
+  const log = createLog({ name: settings.val.machine, level: policy.log.level, bounded: { to: stream, now: timer.now } })
+  const options = { settings: settings.val, policy, timer, log, droppedLines: stream.dropped }
   const running = await starters[kind](options)
   process.on('SIGHUP', () => {
     const changed = parseNodeSettings(readFileSync(path, 'utf8'))
--- a/directory/_follow_prefix.ts
+++ b/directory/_follow_prefix.ts
@@ -30,12 +30,15 @@
 /** Shortest and longest wait in milliseconds before a failed read is repeated. */
 const minBackoffMs = 50
 const maxBackoffMs = 400
+/** Longest wait in milliseconds before the first read has succeeded, since requests wait for it. */
+const firstBackoffMs = 100
 
 /** Follows a prefix until the result is called. */
 export function followPrefix (options: FollowOptions): () => void {
   const { address, prefix, pool, timer } = options
   let revision: number | undefined
   let backoffMs = minBackoffMs
+  let hasRead = false
   let closed = false
   let pause: Subscription | undefined
 
@@ -56,7 +59,7 @@
 
   function fail (message: string): undefined {
     options.onState(message)
-    backoffMs = Math.min(maxBackoffMs, backoffMs * 2)
+    backoffMs = Math.min(hasRead ? maxBackoffMs : firstBackoffMs, backoffMs * 2)
     return undefined
   }
 
@@ -74,6 +77,7 @@
       if (!page.more || afterKey === undefined) break
     }
     revision = first
+    hasRead = true
     options.onChanges(changes, true)
     return true
   }
--- a/docs/docs_test.ts
+++ b/docs/docs_test.ts
@@ -14,7 +14,7 @@
 /** Codes that no caller sees: whoever cancelled is gone. */
 const unseenCodes = new Set([RefusalCode.Cancelled])
 const sourceFolders = ['agent', 'cli', 'daemon', 'directory', 'entry', 'gateway', 'peer', 'platform', 'relay', 'sidecar']
-const commands = new Set(['entry', 'agent', 'gateway', 'sidecar', 'check', 'status', 'explain', 'load'])
+const commands = new Set(['entry', 'agent', 'gateway', 'sidecar', 'write', 'check', 'status', 'explain', 'load'])
 
 When('the page {string} is read', function (this: World, name: string) {
   this.page = readFileSync(`docs/${name}`, 'utf8')
--- a/exchange/create_exchange_pool.ts
+++ b/exchange/create_exchange_pool.ts
@@ -2,10 +2,11 @@
  * Kept connections to servers, each of which carries one exchange at a time.
  */
 import { connect } from 'node:net'
-import { Client } from 'undici'
+// The index of undici also loads fetch, caches and WebSockets, which take two thirds of its loading time.
+import Client from 'undici/lib/dispatcher/client.js'
 import { FailureKind } from './_types.ts'
 import type { Socket } from 'node:net'
-import type { buildConnector, Dispatcher } from 'undici'
+import type { buildConnector, Client as ClientType, Dispatcher } from 'undici'
 import type { Exchange, ExchangeHandlers, ExchangePool, ExchangeRequest } from './_types.ts'
 
 /** Configures a pool. */
@@ -28,7 +29,7 @@
 const probeIdleMs = 1_000
 
 interface Line {
-  client: Client
+  client: ClientType
   used: boolean
   /** True when the server closed its end. */
   ended: boolean
@@ -66,7 +67,7 @@
   }
 
   function open (address: string): Line {
-    const line: Line = { client: undefined as unknown as Client, used: false, ended: false, failed: false }
+    const line: Line = { client: undefined as unknown as ClientType, used: false, ended: false, failed: false }
     line.client = new Client(`http://${address}`, {
       pipelining: 1,
       headersTimeout: 0,
--- a/gateway/_decode.ts
+++ b/gateway/_decode.ts
@@ -54,6 +54,8 @@
     let firstMs: number | undefined
     let lastMs = timer.now()
     let over = false
+    /** True while the client reads slower than the engine writes, so that silence is no sign of a loss. */
+    let paused = false
 
     function settle (end: StreamEnd, detail: string): void {
       if (over) return
@@ -71,8 +73,13 @@
       stream.bytes += chunk.length
       const whole = events === undefined ? chunk : events.push(chunk)
       if (whole.length === 0 || job.reply.write(whole)) return
+      paused = true
       exchange.pause()
-      job.reply.onDrain(() => exchange.resume())
+      job.reply.onDrain(() => {
+        paused = false
+        lastMs = timer.now()
+        exchange.resume()
+      })
     }
 
     const lastEventId = events === undefined ? job.head.lastEventId : events.lastId()
@@ -98,7 +105,7 @@
     const silence = events === undefined
       ? undefined
       : timer.every(silentMs / lostPauses, () => {
-        if (firstMs === undefined || timer.now() - lastMs < silentMs) return
+        if (paused || firstMs === undefined || timer.now() - lastMs < silentMs) return
         exchange.abort()
         settle(StreamEnd.Lost, `silent for ${silentMs} ms`)
       })
--- a/gateway/gateway_test.ts
+++ b/gateway/gateway_test.ts
@@ -386,3 +386,35 @@
   this.otherSite = await startSite({ settings: { storeAddress: this.gatewaySite.settings.storeAddress, machine: 'edge-2' } })
   setTimeout(() => this.gatewaySite.store.setMode(StoreMode.Up), ms)
 })
+
+Given('a gateway engine {string} with {int} events of {int} bytes', async function (this: World, id: string, events: number, eventBytes: number) {
+  for (const worker of this.gatewaySite.workers.values()) worker.setMemory(10)
+  await this.gatewaySite.addWorker({ id, service: 'llm', stage: 'decode', events, eventMs: 10, eventBytes })
+  await sleep(100)
+})
+
+When('a gateway client asks for a generation on {string} and reads nothing for {int} ms', async function (this: World, path: string, ms: number) {
+  const [host, port] = (this.gatewaySite.settings.clientAddress as string).split(':')
+  const headers = { Host: 'a.example', 'X-Request-Id': `t-${++nextId}`, ...prompt }
+  this.answer = await new Promise((resolve, reject) => {
+    const req = httpRequest({ host, port, method: 'POST', path, headers, agent: false }, (res) => {
+      let body = ''
+      res.pause()
+      setTimeout(() => res.resume(), ms)
+      res.on('data', (chunk) => { body += chunk })
+      res.on('error', () => {})
+      res.on('close', () => resolve({ status: res.statusCode ?? 0, headers: res.headers, body, whole: res.complete }))
+    })
+    req.on('error', reject)
+    req.end('prompt')
+  })
+})
+
+Then('the gateway client gets a whole answer of {int} events', function (this: World, count: number) {
+  assert.equal(this.answer.whole, true)
+  assert.deepEqual([...this.answer.body.matchAll(/^id: (\d+)$/gm)].map((found) => Number(found[1])), Array.from({ length: count }, (_, i) => i + 1))
+})
+
+Then('the gateway engines saw {int} decode', function (this: World, count: number) {
+  assert.equal(allSeen(this.gatewaySite).filter((seen) => seen.headers['x-kv-hold'] !== undefined).length, count)
+})
--- a/gateway/generation.feature
+++ b/gateway/generation.feature
@@ -40,3 +40,9 @@
     Given gateway engines that are slow to read
     When a gateway client asks for a generation on "/stream/x" and leaves after 60 ms
     Then the gateway engines got their reservation back within 500 ms
+
+  Scenario: A client that reads slowly is no sign that its engine is lost
+    Given a gateway engine "d3" with 8 events of 2000000 bytes
+    When a gateway client asks for a generation on "/resume/x" and reads nothing for 1800 ms
+    Then the gateway client gets a whole answer of 8 events
+    And the gateway engines saw 1 decode
--- a/testing/fleuve/start_worker.ts
+++ b/testing/fleuve/start_worker.ts
@@ -70,13 +70,15 @@
   /** Events of a stream and the time in milliseconds between them. */
   events?: number
   eventMs?: number
+  /** Bytes of padding in each event. */
+  eventBytes?: number
 }
 
 const answerText = 'signed'
 
 /** Starts a worker on the loopback address. */
 export async function startWorker (options: FakeWorkerOptions): Promise<FakeWorker> {
-  const { id, service, zone = 'levis', events = 3, eventMs = 5 } = options
+  const { id, service, zone = 'levis', events = 3, eventMs = 5, eventBytes = 0 } = options
   const seen: SeenRequest[] = []
   const calls: Array<{ call: string, body: string }> = []
   let modes: WorkerMode[] = [WorkerMode.Good]
@@ -145,7 +147,7 @@
     let event = first
     const timer = setInterval(() => {
       event++
-      res.write(`id: ${event}\ndata: piece ${event}\n\n`)
+      res.write(`id: ${event}\ndata: piece ${event}${'.'.repeat(eventBytes)}\n\n`)
       if (cut.times > 0 && event === cut.event) {
         cut.times--
         clearInterval(timer)
