Ask no engine to read prompts that has refused one, and charge the refusal to the retry budget

Change: such an engine is not asked for 2 s; the refusal is charged, and without budget the request is refused as not run; what the sidecar says of the stage goes before the store. New scenario: 4 requests at the refusing engine before, 1 after.

--- a/core/fleet/_types.ts
+++ b/core/fleet/_types.ts
@@ -54,6 +54,8 @@
   atMs: number
   /** Tokens that are free for streams. */
   roomTokens: number
+  /** True when it only reads prompts. */
+  reads: boolean
   /** Requests that wait to run or to be read. */
   waiting: number
   /** Number of processes that send requests to the engine. */
@@ -71,6 +73,8 @@
   ownTokens: number
   /** Prompt tokens of this process that wait to be read there. */
   ownPrompt: number
+  /** Time in milliseconds until which it is not asked to read prompts, because it refused one. */
+  readsAgainMs?: number
   /** Smoothed time in milliseconds in which it reads one prompt token. */
   readTokenMs?: number
   /** Share of recent requests that failed, from 0 to 1. */
--- a/gateway/_engine_links.ts
+++ b/gateway/_engine_links.ts
@@ -84,7 +84,7 @@
     [MessageKind.EngineRoom]: (_link, msg) => {
       const worker = directory.fleet.get(msg.workerId)
       if (worker === undefined) return
-      worker.room = { atMs: timer.now(), roomTokens: msg.roomTokens, waiting: msg.waiting, senders: msg.senders }
+      worker.room = { atMs: timer.now(), roomTokens: msg.roomTokens, reads: msg.reads, waiting: msg.waiting, senders: msg.senders }
     }
   }
 
--- a/gateway/_memory.ts
+++ b/gateway/_memory.ts
@@ -1,7 +1,7 @@
 /**
  * Reserves the memory of engines for generations.
  */
-import { Stage } from '../core/fleet/mod.ts'
+import { Stage, stageOf } from '../core/fleet/mod.ts'
 import { RefusalCode } from '../core/types/mod.ts'
 import { callJson } from '../exchange/mod.ts'
 import { decodeHold, dropHoldCall, holdCall } from '../platform/mod.ts'
@@ -59,7 +59,7 @@
   }
   for (;;) {
     const engines = directory.fleet.serving(job.service.name)
-      .filter((worker) => worker.entry.stage !== Stage.Prefill && worker.suspectUntilMs <= timer.now() && !exclude.has(worker.entry.id))
+      .filter((worker) => stageOf(worker) !== Stage.Prefill && worker.suspectUntilMs <= timer.now() && !exclude.has(worker.entry.id))
       .sort((a, b) => freeTokens(shared, b, memoryTokens) - freeTokens(shared, a, memoryTokens))
     for (const worker of engines) {
       if (job.stopped() !== undefined) return refused(engines)
--- a/gateway/_prefill.ts
+++ b/gateway/_prefill.ts
@@ -1,7 +1,7 @@
 /**
  * Chooses the engine that reads a prompt, and lets it.
  */
-import { Stage } from '../core/fleet/mod.ts'
+import { Stage, stageOf } from '../core/fleet/mod.ts'
 import { callJson } from '../exchange/mod.ts'
 import { decodeHandle, freeHandleCall } from '../platform/mod.ts'
 import { sendJob } from './_send.ts'
@@ -10,6 +10,8 @@
 
 /** Time in milliseconds for the call that frees a KV cache. */
 const freeTimeoutMs = 400
+/** Time in milliseconds for which an engine that refused a prompt is not asked to read one; the store tells of a new stage within it. */
+const refusedMs = 2_000
 /** Time in milliseconds that one prompt token takes at an engine that only reads, before any was measured. */
 const firstTokenMs = 0.02
 /** Factor by which an engine that also generates reads slower. */
@@ -32,7 +34,7 @@
 export function nearestReader (shared: Shared, job: Job): Worker | undefined {
   const nowMs = shared.timer.now()
   const engines = shared.directory.fleet.serving(job.service.name)
-    .filter((worker) => worker.entry.stage === Stage.Prefill && worker.suspectUntilMs <= nowMs)
+    .filter((worker) => stageOf(worker) === Stage.Prefill && worker.suspectUntilMs <= nowMs && (worker.readsAgainMs ?? 0) <= nowMs)
   return engines.sort((a, b) => readMs(shared, job, a) - readMs(shared, job, b))[0]
 }
 
@@ -47,9 +49,17 @@
   return late && ownMs < apartMs && ownMs < pauseShare * job.route.longestPauseMs ? undefined : best
 }
 
-/** Lets an engine read the prompt; the result names the KV cache, or is undefined when there is none. */
-export function prefill (shared: Shared, job: Job, worker: Worker | undefined): Promise<{ worker: Worker, handle: string } | undefined> {
-  if (worker === undefined) return Promise.resolve(undefined)
+/** What came of reading a prompt apart. */
+export interface PrefillResult {
+  /** The KV cache; absent when there is none. */
+  read?: { worker: Worker, handle: string }
+  /** True when the engine refused the call, which counts against the budget for repeated sends. */
+  refused: boolean
+}
+
+/** Lets an engine read the prompt. */
+export function prefill (shared: Shared, job: Job, worker: Worker | undefined): Promise<PrefillResult> {
+  if (worker === undefined) return Promise.resolve({ refused: false })
   const isAlone = worker.ownPrompt === 0 && (worker.room?.waiting ?? 0) === 0
   const startedMs = shared.timer.now()
   worker.ownPrompt += job.head.promptTokens
@@ -58,11 +68,11 @@
     let status = 0
     let over = false
 
-    function settle (handle: string | undefined): void {
+    function settle (handle: string | undefined, refused = false): void {
       if (over) return
       over = true
       worker!.ownPrompt -= job.head.promptTokens
-      resolve(handle === undefined ? undefined : { worker: worker!, handle })
+      resolve(handle === undefined ? { refused } : { read: { worker: worker!, handle }, refused })
     }
 
     const exchange = sendJob(shared, job, worker, { prefill: true }, {
@@ -73,7 +83,11 @@
         if (isAlone && status === 200 && job.head.promptTokens > 0) learnReadTime(worker, tookMs / job.head.promptTokens)
         settle(status === 200 ? decodeHandle(parse(Buffer.concat(chunks))) : undefined)
       },
-      onRefused () { settle(undefined) },
+      onRefused ({ arrived }) {
+        // It may have another stage by now; asking it for every prompt would use up the budget for repeated sends.
+        if (arrived) worker.readsAgainMs = shared.timer.now() + refusedMs
+        settle(undefined, arrived)
+      },
       onLost () { settle(undefined) }
     })
     job.onStop(() => {
--- a/gateway/_serve_generation.ts
+++ b/gateway/_serve_generation.ts
@@ -1,6 +1,7 @@
 /**
  * Serves generations: memory at a decode engine is reserved first, then the prompt is read, then the stream is forwarded.
  */
+import { RefusalCode } from '../core/types/mod.ts'
 import { createEventSplitter } from '../core/stream/mod.ts'
 import { Count } from '../metrics/mod.ts'
 import { decode, StreamEnd } from './_decode.ts'
@@ -43,11 +44,12 @@
     const room = worker.room === undefined ? {} : { roomTokens: worker.room.roomTokens, roomAgeMs: Math.round(heldMs - worker.room.atMs) }
     const waitedMs = Math.round(heldMs - startedMs)
     shared.log.info({ request: job.requestId, worker: worker.entry.id, reader: reader?.entry.id, tokens, waitedMs, ...room }, 'reserved')
-    const read = await prefill(shared, job, reader)
-    if (job.stopped() !== undefined) {
+    const { read, refused } = await prefill(shared, job, reader)
+    const isOverBudget = refused && !shared.budget(job.service.name).take(shared.timer.now())
+    if (isOverBudget || job.stopped() !== undefined) {
       release(shared, hold, job.requestId)
       if (read !== undefined) free(shared, read.worker, read.handle)
-      return giveUp(shared, job, tries, job.stopped() as string)
+      return giveUp(shared, job, tries, job.stopped() ?? RefusalCode.RetryBudgetExhausted)
     }
     const readMs = shared.timer.now()
     tries.attempts++
--- a/gateway/gateway_test.ts
+++ b/gateway/gateway_test.ts
@@ -418,3 +418,12 @@
 Then('the gateway engines saw {int} decode', function (this: World, count: number) {
   assert.equal(allSeen(this.gatewaySite).filter((seen) => seen.headers['x-kv-hold'] !== undefined).length, count)
 })
+
+Given('a gateway worker {string} that is {string}', function (this: World, id: string, mode: WorkerMode) {
+  workerOf(this.gatewaySite, id).setMode(mode)
+})
+
+When('a gateway client asks for a generation on {string} {int} times', async function (this: World, path: string, times: number) {
+  this.answers = []
+  for (let i = 0; i < times; i++) this.answers.push(await send(this.gatewaySite, `POST ${path}`, { headers: prompt, chunks: ['prompt'] }))
+})
--- a/gateway/generation.feature
+++ b/gateway/generation.feature
@@ -46,3 +46,9 @@
     When a gateway client asks for a generation on "/resume/x" and reads nothing for 1800 ms
     Then the gateway client gets a whole answer of 8 events
     And the gateway engines saw 1 decode
+
+  Scenario: An engine that refuses to read a prompt is not asked for the next ones
+    Given a gateway worker "p1" that is "full"
+    When a gateway client asks for a generation on "/stream/x" 4 times
+    Then the gateway client gets 200 each time
+    And the gateway worker "p1" saw 1 requests
--- a/sidecar/_admission_task.ts
+++ b/sidecar/_admission_task.ts
@@ -56,7 +56,7 @@
   let report: EngineReport | undefined
   /** Time in milliseconds until which the engine reads a prompt itself; a second one would double the pause of its streams. */
   let readingUntilMs = 0
-  let told: { roomTokens: number, waiting: number, senders: number, atMs: number } | undefined
+  let told: { roomTokens: number, reads: boolean, waiting: number, senders: number, atMs: number } | undefined
 
   async function admit (connection: Connection, msg: Pack): Promise<void> {
     const { requestId, attempt, promptTokens, likelyTokens, maxTokens } = msg
@@ -97,8 +97,10 @@
   function tell (): void {
     if (entry === undefined || report === undefined) return
     const waiting = report.waiting + (report.stage === Stage.Prefill ? report.running : 0)
-    const now = { roomTokens: generates() ? Math.max(0, Math.floor(packer.room(timer.now()))) : 0, waiting, senders: gateways.size, atMs: timer.now() }
-    const changed = told === undefined || told.waiting !== now.waiting || told.senders !== now.senders ||
+    const roomTokens = generates() ? Math.max(0, Math.floor(packer.room(timer.now()))) : 0
+    const reads = report.stage === Stage.Prefill && !report.busy && !options.isSwitching()
+    const now = { roomTokens, reads, waiting, senders: gateways.size, atMs: timer.now() }
+    const changed = told === undefined || told.reads !== reads || told.waiting !== now.waiting || told.senders !== now.senders ||
       Math.abs(told.roomTokens - now.roomTokens) >= noticeShare * report.totalTokens
     if (!changed && now.atMs - (told?.atMs ?? 0) < refreshMs) return
     told = now
--- a/wire/messages.ts
+++ b/wire/messages.ts
@@ -322,6 +322,8 @@
   workerId: string
   /** Tokens that the predicted peak leaves free. */
   roomTokens: number
+  /** True when the engine only reads prompts, and is not about to change. */
+  reads: boolean
   /** Requests that wait to run or to be read. */
   waiting: number
   /** Number of processes that send requests to the engine. */
