--- a/testing/fleuve/start_site.ts
+++ b/testing/fleuve/start_site.ts
@@ -8,7 +8,6 @@
 import { createSystemTimer } from '../../timer/mod.ts'
 import { startStore } from './start_store.ts'
 import { startWorker } from './start_worker.ts'
-import type { AddressInfo } from 'node:net'
 import type { Gateway } from '../../gateway/mod.ts'
 import type { NodeSettings } from '../../platform/mod.ts'
 import type { FakeStore } from './start_store.ts'
@@ -29,13 +28,27 @@
   close (): Promise<void>
 }
 
+/** Range of ports that the operating system gives to no outgoing connection: one that was just found free stays so until it is bound. */
+const firstPort = 10_000
+const portCount = 20_000
+/** Ports that one process may take before another one's begin, so that test runs side by side do not meet. */
+const portsPerProcess = 400
+let nextPort = process.pid * portsPerProcess % portCount
+
+async function canListen (port: number): Promise<boolean> {
+  const server = createServer()
+  return await new Promise((resolve) => {
+    server.once('error', () => resolve(false))
+    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)))
+  })
+}
+
 /** Finds a port of the loopback address that nobody uses. */
 export async function freePort (): Promise<number> {
-  const server = createServer()
-  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
-  const { port } = server.address() as AddressInfo
-  await new Promise((resolve) => server.close(resolve))
-  return port
+  for (;;) {
+    const port = firstPort + nextPort++ % portCount
+    if (await canListen(port)) return port
+  }
 }
 
 const engine = {
