--- a/gateway/_client_server.ts
+++ b/gateway/_client_server.ts
@@ -160,8 +160,8 @@
   async function serve (request: ClientRequest): Promise<void> {
     const result = await (request.service.engine === undefined ? handlers.plain : handlers.engine)(context, request)
     const tookMs = Math.round(timer.now() - request.startedMs)
-    const { promptTokens, maxOutputTokens, likelyOutputTokens } = request.head
-    const size = promptTokens === 0 ? {} : { promptTokens, maxOutputTokens, likelyOutputTokens }
+    const { promptTokens, maxOutputTokens, likelyOutputTokens, sharedParts } = request.head
+    const size = promptTokens === 0 ? {} : { promptTokens, maxOutputTokens, likelyOutputTokens, parts: sharedParts.join(' ') }
     const fields = {
       request: request.requestId,
       route: request.route.name,
--- a/gateway/_forward_stream.ts
+++ b/gateway/_forward_stream.ts
@@ -26,6 +26,8 @@
   bytes: number
   /** Time in milliseconds from the request to the first event; absent when there was none. */
   firstMs?: number
+  /** Time in milliseconds from the send to the engine to the end. */
+  ranMs: number
   /** Longest pause in milliseconds between two chunks of the stream. */
   pauseMs: number
 }
@@ -52,7 +54,8 @@
   return new Promise((resolve) => {
     const stats = { status: 0, bytes: 0, pauseMs: 0, worker: worker.entry.id }
     let firstMs: number | undefined
-    let lastDataMs = timer.now()
+    const sentMs = timer.now()
+    let lastDataMs = sentMs
     let isSettled = false
     /** True while the client reads more slowly than the engine writes, so that missing data is no sign of a lost engine. */
     let isPaused = false
@@ -63,7 +66,8 @@
       silenceTimer?.cancel()
       worker.ownTokens -= reservation.tokens
       context.sidecars.reportStreamEnd(worker, request.requestId, end === StreamEnd.Completed)
-      resolve({ ...stats, end, detail, ...(firstMs === undefined ? {} : { firstMs }) })
+      const ranMs = Math.round(timer.now() - sentMs)
+      resolve({ ...stats, ranMs, end, detail, ...(firstMs === undefined ? {} : { firstMs }) })
     }
 
     function forward (chunk: Buffer): void {
--- a/gateway/_serve_generation.ts
+++ b/gateway/_serve_generation.ts
@@ -71,10 +71,12 @@
     if (result.end === StreamEnd.Completed || result.end === StreamEnd.Stopped) {
       return { ...fields, reason: result.detail || result.end, attempts: state.attempts }
     }
-    const { end, status, detail, bytes } = result
+    const { end, status, detail, bytes, ranMs } = result
+    const parts = request.head.sharedParts.join(' ')
     context.log.warn({
-      request: request.requestId, attempt: state.attempts, worker: worker.entry.id, end, status, detail, bytes
+      request: request.requestId, attempt: state.attempts, worker: worker.entry.id, end, status, detail, bytes, ranMs, parts
     }, 'attempt failed')
+    if (end === StreamEnd.Lost) context.metrics.count(Count.StreamsLost, { phase: bytes === 0 ? 'start' : 'midway' })
     if (kvCache !== undefined && end === StreamEnd.Refused) context.metrics.count(Count.WastedPrefillTokens, {}, request.head.promptTokens)
     if (!tryTakeRetry(context, request, state, result)) return { ...fields, ...failRequest(context, request, state, result.end) }
     context.metrics.count(Count.Retries, { service: request.service.name })
--- a/metrics/create_prometheus_metrics.ts
+++ b/metrics/create_prometheus_metrics.ts
@@ -31,6 +31,8 @@
   WastedPrefillTokens = 'tokens_in_vain_total',
   /** Retries that the shared retry budget did not allow, by service. */
   RetriesDenied = 'retries_denied_total',
+  /** Streams of engines that broke, by phase: before their first event (`start`) or after it (`midway`). */
+  StreamsLost = 'streams_lost_total',
   /** Calls to the configuration store, by result. */
   StoreReads = 'store_reads_total'
 }
@@ -41,6 +43,7 @@
   [Count.Retries]: ['service'],
   [Count.WastedPrefillTokens]: [],
   [Count.RetriesDenied]: ['service'],
+  [Count.StreamsLost]: ['phase'],
   [Count.StoreReads]: ['result']
 }
 
@@ -50,6 +53,7 @@
   [Count.Retries]: 'Repeated sends by service',
   [Count.WastedPrefillTokens]: 'Prompt tokens read and not used',
   [Count.RetriesDenied]: 'Repeated sends that the shared bound did not allow by service',
+  [Count.StreamsLost]: 'Streams of engines that broke, by phase',
   [Count.StoreReads]: 'Calls to the store by result',
   [Latency.Request]: 'Time from a request to its final answer in ms',
   [Latency.FirstEvent]: 'Time from a request to the first event in ms',
