--- a/core/fleet/_types.ts
+++ b/core/fleet/_types.ts
@@ -88,6 +88,8 @@
   latencyMs: number
   /** Time in milliseconds before which the worker is suspect: it is chosen only when no other is left. */
   suspectUntilMs: number
+  /** Requests per second that the worker accepts from all gateways together, by its newest response; absent when that names no limit. */
+  limitPerS?: number
   /** Newest report of its sidecar; absent when the sidecar is not connected. */
   capacity?: EngineCapacityView
 }
--- a/gateway/_send_to_worker.ts
+++ b/gateway/_send_to_worker.ts
@@ -51,6 +51,11 @@
   }, {
     onHead (status, raw, isCloseDelimited) {
       const head = decodeResponseHead(status, raw)
+      if (head.limitPerS !== worker.limitPerS) {
+        context.log.warn({ worker: worker.entry.id, limitPerS: head.limitPerS }, 'worker limit')
+        if (head.limitPerS === undefined) delete worker.limitPerS
+        else worker.limitPerS = head.limitPerS
+      }
       if (head.requestId !== undefined && head.requestId !== request.requestId) return false
       isRefused = head.notRun
       if (isRefused) return true
