Keep the request rate that a worker in need names, over all gateways

Cause: Server-Limit was passed on to the client and read by nobody. Class: back-pressure stated in words, where the code listened only to refusals.

Change: core/pacing spaces the requests of a process to a worker; a gateway takes an equal share of the limit and begins at a random part of its interval. chooseWorker prefers workers that accept a request now; a plain request waits at most half of its target latency for a place, else it is refused at once with 503 worker_limit and has not run. The sidecar of an engine reads the limit from its reports and keeps it for all gateways together, with a burst of 2 s.

Why it works: N processes that each keep 1/N of the limit without bursts keep it together, and the engine's sidecar sees every admission.

--- a/core/fleet/_types.ts
+++ b/core/fleet/_types.ts
@@ -2,6 +2,8 @@
  * Types for the workers that a process knows.
  */
 
+import type { Pacer } from '../pacing/mod.ts'
+
 /** Names the states that a worker publishes. */
 export enum WorkerState {
   Ready = 'ready',
@@ -88,8 +90,8 @@
   latencyMs: number
   /** Time in milliseconds before which the worker is suspect: it is chosen only when no other is left. */
   suspectUntilMs: number
-  /** Requests per second that the worker accepts from all gateways together, by its newest response; absent when that names no limit. */
-  limitPerS?: number
+  /** Paces the requests of this process while the worker limits their rate; absent when its newest response names no limit. */
+  pacer?: Pacer
   /** Newest report of its sidecar; absent when the sidecar is not connected. */
   capacity?: EngineCapacityView
 }
--- a/core/fleet/choose_worker.ts
+++ b/core/fleet/choose_worker.ts
@@ -1,6 +1,7 @@
 /**
  * The choice of a worker for a request that is not a generation.
  */
+import { getSendDelayMs } from './get_send_delay_ms.ts'
 import type { Worker } from './_types.ts'
 
 /** Configures the choice of a worker. */
@@ -17,7 +18,8 @@
 }
 
 /**
- * Chooses the worker with the shortest expected response time; a suspect worker is chosen only when no other is left.
+ * Chooses the worker with the shortest expected response time; a suspect worker is chosen only when no other is left, and one whose
+ * rate is limited only when it accepts a request now, or when no worker does.
  *
  * @param workers the workers of the service
  * @param options the time, the round-trip times and the excluded workers
@@ -34,9 +36,10 @@
 export function chooseWorker (workers: Worker[], options: ChooseWorkerOptions): Worker | undefined {
   const candidates = workers.filter((worker) => !options.exclude.has(worker.entry.id))
   const reachable = candidates.filter((worker) => worker.suspectUntilMs <= options.nowMs)
+  const open = reachable.filter((worker) => getSendDelayMs(worker, options.nowMs) === 0)
   let best: Worker | undefined
   let shortestMs = Infinity
-  for (const worker of reachable.length > 0 ? reachable : candidates) {
+  for (const worker of open.length > 0 ? open : reachable.length > 0 ? reachable : candidates) {
     // The random increase of up to 5 % spreads requests over workers with nearly equal estimates.
     const expectedMs = estimateResponseMs(worker, options) * (1 + 0.05 * options.random())
     if (expectedMs >= shortestMs) continue
@@ -50,5 +53,5 @@
   const { entry, inFlight, latencyMs, failureShare } = worker
   const roundTripMs = options.roundTripMs(entry.zone)
   const serviceMs = Math.max(1, latencyMs - roundTripMs)
-  return roundTripMs + serviceMs * (1 + inFlight / Math.max(1, entry.slots)) + failureShare * options.failureMs
+  return getSendDelayMs(worker, options.nowMs) + roundTripMs + serviceMs * (1 + inFlight / Math.max(1, entry.slots)) + failureShare * options.failureMs
 }
--- /dev/null
+++ b/core/pacing/mod.ts
@@ -0,0 +1,5 @@
+/**
+ * Pacing: spaces the requests of one process to a worker that limits the rate of all processes together.
+ */
+export { createPacer } from './create_pacer.ts'
+export type { Pacer, PacerOptions } from './create_pacer.ts'
--- a/gateway/_prefill.ts
+++ b/gateway/_prefill.ts
@@ -1,7 +1,7 @@
 /**
  * Chooses the engine for the prefill of a prompt, and has it run the prefill.
  */
-import { smooth, Stage, stageOf } from '../core/fleet/mod.ts'
+import { getSendDelayMs, smooth, Stage, stageOf } from '../core/fleet/mod.ts'
 import { callJson } from '../exchange/mod.ts'
 import { decodeKvCacheHandle, buildFreeKvCacheCall } from '../platform/mod.ts'
 import { sendToWorker } from './_send_to_worker.ts'
@@ -54,6 +54,7 @@
   const nowMs = context.timer.now()
   const engines = context.directory.fleet.serving(request.service.name)
     .filter((worker) => stageOf(worker) === Stage.Prefill && worker.suspectUntilMs <= nowMs && (worker.prefillRetryAtMs ?? 0) <= nowMs)
+    .filter((worker) => getSendDelayMs(worker, nowMs) === 0)
   return engines.sort((a, b) => estimateCostMs(context, request, a) - estimateCostMs(context, request, b))[0]
 }
 
@@ -104,6 +105,7 @@
   const isIdle = worker.ownQueuedPromptTokens === 0 && (worker.capacity?.waitingRequests ?? 0) === 0
   const startedMs = context.timer.now()
   const timeoutMs = timeoutFactor * estimatePrefillMs(context, request, worker) + timeoutMarginMs
+  worker.pacer?.take(startedMs)
   worker.ownQueuedPromptTokens += request.head.promptTokens
   worker.typicalPromptTokens = smooth(worker.typicalPromptTokens, request.head.promptTokens)
   return new Promise((resolve) => {
--- a/gateway/_reserve_memory.ts
+++ b/gateway/_reserve_memory.ts
@@ -1,7 +1,7 @@
 /**
  * Reserves memory of engines for generations.
  */
-import { Stage, stageOf } from '../core/fleet/mod.ts'
+import { getSendDelayMs, Stage, stageOf } from '../core/fleet/mod.ts'
 import { Err, Ok } from '../core/results/mod.ts'
 import { RefusalCode } from '../core/types/mod.ts'
 import { callJson } from '../exchange/mod.ts'
@@ -93,7 +93,12 @@
 export async function reserveAtEngine (
   context: GatewayContext, request: ClientRequest, worker: Worker, prefillEngine: Worker | undefined
 ): Promise<Result<Reservation, RefusalCode>> {
-  if (!context.sidecars.isConnected(worker)) return await reserveDirectly(context, request, worker, prefillEngine)
+  if (!context.sidecars.isConnected(worker)) {
+    // A connected sidecar keeps the limit of its engine for all gateways.
+    if (getSendDelayMs(worker, context.timer.now()) > 0) return Err(RefusalCode.NoCapacity)
+    worker.pacer?.take(context.timer.now())
+    return await reserveDirectly(context, request, worker, prefillEngine)
+  }
   const { promptTokens, maxOutputTokens: maxTokens, likelyOutputTokens } = request.head
   const withoutEstimate = { requestId: request.requestId, promptTokens, maxTokens }
   const packRequest = likelyOutputTokens === undefined ? withoutEstimate : { ...withoutEstimate, likelyTokens: likelyOutputTokens }
--- a/gateway/_send_to_worker.ts
+++ b/gateway/_send_to_worker.ts
@@ -1,6 +1,7 @@
 /**
  * Sends a request to one worker.
  */
+import { createPacer } from '../core/pacing/mod.ts'
 import { Outcome } from '../core/types/mod.ts'
 import { FailureKind } from '../exchange/mod.ts'
 import { decodeResponseHead, encodeWorkerHeaders } from '../platform/mod.ts'
@@ -34,6 +35,15 @@
   return notRunKinds.has(failure.kind) ? Outcome.NotRun : Outcome.Unknown
 }
 
+/** Paces the requests to a worker by the limit that its newest response names, or lifts the limit when that names none. */
+function applyLimit (context: GatewayContext, worker: Worker, limitPerS: number | undefined): void {
+  if (limitPerS === worker.pacer?.limitPerS()) return
+  context.log.warn({ worker: worker.entry.id, limitPerS }, 'worker limit')
+  if (limitPerS === undefined) delete worker.pacer
+  else if (worker.pacer !== undefined) worker.pacer.setLimit(limitPerS)
+  else worker.pacer = createPacer(limitPerS, context.timer.now(), { memberCount: context.gatewayCount, random: context.random })
+}
+
 /** Sends a request to a worker, with the given headers, the id of the worker and the remaining time. */
 export function sendToWorker (
   context: GatewayContext, request: ClientRequest, worker: Worker, added: Omit<WorkerHeaders, 'workerId' | 'deadlineMs'>, handlers: SendHandlers
@@ -51,11 +61,7 @@
   }, {
     onHead (status, raw, isCloseDelimited) {
       const head = decodeResponseHead(status, raw)
-      if (head.limitPerS !== worker.limitPerS) {
-        context.log.warn({ worker: worker.entry.id, limitPerS: head.limitPerS }, 'worker limit')
-        if (head.limitPerS === undefined) delete worker.limitPerS
-        else worker.limitPerS = head.limitPerS
-      }
+      applyLimit(context, worker, head.limitPerS)
       if (head.requestId !== undefined && head.requestId !== request.requestId) return false
       isRefused = head.notRun
       if (isRefused) return true
--- a/gateway/_serve_plain.ts
+++ b/gateway/_serve_plain.ts
@@ -1,7 +1,7 @@
 /**
  * Serves requests of plain services by one worker; a request is retried at another worker only when that is safe.
  */
-import { chooseWorker } from '../core/fleet/mod.ts'
+import { chooseWorker, getSendDelayMs } from '../core/fleet/mod.ts'
 import { RequestKind } from '../core/route/mod.ts'
 import { planRetry } from '../core/retry/mod.ts'
 import { Outcome } from '../core/types/mod.ts'
@@ -18,6 +18,8 @@
 const retryAfterMs = 200
 /** Cost in milliseconds of a failed request in the choice of a worker; about the duration of a retry. */
 const failureMs = 400
+/** Largest share of the target latency for which a request waits until a worker that limits its rate accepts it. */
+const maxSendDelayShare = 0.5
 /** Lowest status of a worker's response that counts as failed. */
 const minFailureStatus = 500
 
@@ -50,7 +52,16 @@
   for (;;) {
     const options = { nowMs: timer.now(), roundTripMs: context.roundTripMs, exclude, failureMs, random }
     const worker = chooseWorker(directory.fleet.serving(request.service.name), options)
-    if (worker === undefined) return finishFailed(request, attempt, mayHaveRun, last, 'no_worker')
+    if (worker === undefined) return finishFailed(request, attempt, mayHaveRun, last, { reason: 'no_worker', retryAfterMs })
+    const delayMs = getSendDelayMs(worker, timer.now())
+    if (delayMs > maxSendDelayShare * request.route.targetLatencyMs) {
+      return finishFailed(request, attempt, mayHaveRun, last, { reason: 'worker_limit', retryAfterMs: Math.round(delayMs * (1 + random())) })
+    }
+    if ((worker.pacer?.take(timer.now()) ?? 0) > 0) {
+      await new Promise<void>((resolve) => { timer.after(delayMs, resolve) })
+      const reason = request.stopReason()
+      if (reason !== undefined) return finishFailed(request, attempt, mayHaveRun, last, { reason, retryAfterMs })
+    }
     attempt++
     const result = await sendOnce(context, request, worker)
     if (result.end === SendEnd.Stopped) return finishStopped(request, attempt, mayHaveRun || result.hasArrived, worker)
@@ -72,7 +83,7 @@
       { outcome, idempotent, attempt, deadlineMs: request.deadlineMs, lastBackend: worker.entry.id },
       { budget: context.retryBudget(request.service.name), nowMs: timer.now(), random, maxAttempts: request.route.maxAttempts }
     )
-    if (plan.err) return finishFailed(request, attempt, mayHaveRun, last, plan.val, result.reason)
+    if (plan.err) return finishFailed(request, attempt, mayHaveRun, last, { reason: plan.val, retryAfterMs, detail: result.reason })
     context.metrics.count(Count.Retries, { service: request.service.name })
   }
 }
@@ -83,10 +94,19 @@
   return { status: result.response?.head.status ?? 200, reason: 'answered', worker: worker.entry.id, attempts }
 }
 
+/** Why a request is not sent again. */
+interface PlainFailure {
+  reason: string
+  /** Time in milliseconds after which the client may retry, if the request has not run. */
+  retryAfterMs: number
+  detail?: string
+}
+
 /** Ends a request that is not sent again, with the last response of a worker if there is one. */
 function finishFailed (
-  request: ClientRequest, attempts: number, mayHaveRun: boolean, last: SendResult | undefined, reason: string, detail?: string
+  request: ClientRequest, attempts: number, mayHaveRun: boolean, last: SendResult | undefined, failure: PlainFailure
 ): RequestResult {
+  const { reason, retryAfterMs, detail } = failure
   if (last?.response !== undefined) {
     request.reply.sendWhole(last.response.head, last.response.body)
     return { status: last.response.head.status, reason: 'worker_failed', attempts }
--- a/gateway/_types.ts
+++ b/gateway/_types.ts
@@ -27,6 +27,8 @@
   promptGuard: PromptGuard
   metrics: PrometheusMetrics
   random: () => number
+  /** Returns the number of gateways that share the retry budgets and the limits of workers. */
+  gatewayCount: () => number
   /** Returns the retry budget of a service. */
   retryBudget (service: string): SharedRetryBudget
   /** Returns the expected round trip time in milliseconds to a zone. */
--- a/gateway/start_gateway.ts
+++ b/gateway/start_gateway.ts
@@ -83,6 +83,7 @@
       gateways,
       sidecars: () => directory.fleet.all().filter((worker) => worker.capacity !== undefined).length,
       requests_in_flight: () => clientServer.inFlight(),
+      limited_workers: () => directory.fleet.all().filter((worker) => worker.pacer !== undefined).length,
       quarantines: () => promptGuard.quarantines(),
       log_lines_dropped: () => options.droppedLines?.() ?? 0
     },
@@ -106,6 +107,7 @@
     sidecars,
     promptGuard,
     random,
+    gatewayCount: gateways,
     retryBudget (service) {
       const found = budgets.get(service)
       if (found !== undefined) return found
--- a/sidecar/_admission_task.ts
+++ b/sidecar/_admission_task.ts
@@ -2,6 +2,7 @@
  * Admits streams of the connected gateways to the memory of the engine on this machine.
  */
 import { Stage } from '../core/fleet/mod.ts'
+import { createPacer } from '../core/pacing/mod.ts'
 import { createPacker } from '../core/packing/mod.ts'
 import { createQuarantine } from '../core/quarantine/mod.ts'
 import { RefusalCode } from '../core/types/mod.ts'
@@ -10,9 +11,11 @@
 import { MessageKind } from '../wire/mod.ts'
 import type { WorkerEntry } from '../core/fleet/mod.ts'
 import type { PromptEvidence } from '../core/quarantine/mod.ts'
+import type { Pacer } from '../core/pacing/mod.ts'
 import type { PackerOptions } from '../core/packing/mod.ts'
 import type { Directory } from '../directory/mod.ts'
 import type { ExchangePool } from '../exchange/mod.ts'
+import type { Log } from '../log/mod.ts'
 import type { EngineReport } from '../platform/mod.ts'
 import type { Timer } from '../timer/mod.ts'
 import type { Connection, Message, MessageOf, Admit } from '../wire/mod.ts'
@@ -22,6 +25,7 @@
   directory: Directory
   pool: ExchangePool
   timer: Timer
+  log: Log
   packing: PackerOptions
   /** Tells whether another stage of the engine is due or being ordered. */
   isSwitching: () => boolean
@@ -33,6 +37,8 @@
   addGateway (connection: Connection): void
   /** Applies a new report of the engine and sends the capacity to the gateways when it has changed. */
   onReport (entry: WorkerEntry, report: EngineReport): void
+  /** Applies the limit in requests per second that the engine names now; undefined when it names none. */
+  setLimit (limitPerS: number | undefined): void
   /** Returns the tokens that are free for streams. */
   roomTokens (): number
   /** Returns the number of connected gateways. */
@@ -49,12 +55,14 @@
 const prefillGapMs = 150
 /** Time in milliseconds after which the capacity is sent to the gateways although nothing has changed. */
 const resendMs = 500
+/** Time in milliseconds whose requests an engine with a limited rate gets together after a time without any. */
+const paceBurstMs = 2_000
 /** Change of the free memory, as a share of the total, that is sent to the gateways at once. */
 const minChangeShare = 0.02
 
 /** Creates the admission of streams to one engine. */
 export function createAdmissionTask (options: AdmissionTaskOptions): AdmissionTask {
-  const { directory, pool, timer, packing } = options
+  const { directory, pool, timer, log, packing } = options
   const packer = createPacker(packing)
   const gateways = new Set<Connection>()
   /** Evidence of the gateways on prompts that crash engines, for those that connect later. */
@@ -63,6 +71,8 @@
   let report: EngineReport | undefined
   /** Time in milliseconds until which the engine runs a prefill; a second one meanwhile would double the pause of its streams. */
   let prefillingUntilMs = 0
+  /** Keeps the limit of the engine's request rate for all gateways; undefined while the engine names none. */
+  let pacer: Pacer | undefined
   let lastSent: { roomTokens: number, reads: boolean, waiting: number, senders: number, atMs: number } | undefined
 
   async function admit (connection: Connection, msg: Admit): Promise<void> {
@@ -74,7 +84,9 @@
     if (!canGenerate()) return refuse(RefusalCode.Draining)
     const request = { requestId, promptTokens, maxTokens }
     if (msg.reads && prefillingUntilMs > timer.now()) return refuse(RefusalCode.TargetMissed)
+    if (pacer !== undefined && pacer.delayMs(timer.now()) > 0) return refuse(RefusalCode.NoCapacity)
     if (!packer.admit(likelyTokens === undefined ? request : { ...request, likelyTokens }, timer.now())) return refuse(RefusalCode.NoCapacity)
+    pacer?.take(timer.now())
     const call = buildReserveCall(entry.id, promptTokens + tokensPerEvent(), packing.startMs)
     const response = await callJson(entry.address, call, { pool, timer, timeoutMs: reservationTimeoutMs })
     const hold = response.ok && response.val.status === 200 ? decodeReservationId(response.val.body) : undefined
@@ -144,6 +156,13 @@
         handle?.(connection, msg)
       })
     },
+    setLimit (limitPerS) {
+      if (limitPerS === pacer?.limitPerS()) return
+      log.warn({ worker: entry?.id, limitPerS }, 'worker limit')
+      if (limitPerS === undefined) pacer = undefined
+      else if (pacer !== undefined) pacer.setLimit(limitPerS)
+      else pacer = createPacer(limitPerS, timer.now(), { memberCount: () => 1, random: () => 0, burstMs: paceBurstMs })
+    },
     onReport (own, fresh) {
       entry = own
       report = fresh
--- a/sidecar/sidecar.feature
+++ b/sidecar/sidecar.feature
@@ -34,3 +34,11 @@
     Then the sidecar has called the store at most 6 times
     When the sidecar engine is replaced by another one in the store
     Then the sidecar admits streams to the new engine within 500 ms
+
+  # Guards against a worker that gets far more requests than the limit that it named (docs/incidents/worker-limit-ignored.md).
+  Scenario: A sidecar keeps the limit of its engine's request rate for all gateways, and lets it go when it ends
+    Given a sidecar beside an engine of 100000 tokens with the stage "decode"
+    When the engine of the sidecar limits its rate to 1 a second
+    Then the sidecar admits 1 of 8 streams that come at once, and refuses the others for "no_capacity"
+    When the engine of the sidecar no longer limits its rate
+    Then the sidecar admits 8 of 8 streams that come at once, and refuses the others for "no_capacity"
--- a/sidecar/sidecar_test.ts
+++ b/sidecar/sidecar_test.ts
@@ -185,3 +185,21 @@
     await sleep(20)
   }
 })
+
+When('the engine of the sidecar limits its rate to {int} a second', async function (this: World, perS: number) {
+  this.sideEngine.setLimit(perS)
+  await sleep(200)
+})
+
+When('the engine of the sidecar no longer limits its rate', async function (this: World) {
+  this.sideEngine.setLimit(undefined)
+  await sleep(200)
+})
+
+Then('the sidecar admits {int} of {int} streams that come at once, and refuses the others for {string}',
+  async function (this: World, admitted: number, streams: number, code: string) {
+    const replies: Message[] = []
+    for (let i = 0; i < streams; i++) replies.push(await requestAdmission(this, { promptTokens: 10, maxTokens: 10, reads: false }))
+    assert.equal(replies.filter(({ kind }) => kind === MessageKind.Admitted).length, admitted)
+    for (const reply of replies) assert.ok(reply.kind === MessageKind.Admitted || (reply.kind === MessageKind.Refused && reply.code === code))
+  })
--- a/sidecar/start_sidecar.ts
+++ b/sidecar/start_sidecar.ts
@@ -4,7 +4,7 @@
 import { createDirectory, syncRecords } from '../directory/mod.ts'
 import { callJson, createExchangePool } from '../exchange/mod.ts'
 import { Count, createPrometheusMetrics } from '../metrics/mod.ts'
-import { decodeEngineReport, buildReportCall } from '../platform/mod.ts'
+import { decodeEngineReport, decodeResponseHead, buildReportCall } from '../platform/mod.ts'
 import { listen } from '../wire/mod.ts'
 import { createAdmissionTask } from './_admission_task.ts'
 import { createStageTask } from './_stage_task.ts'
@@ -68,7 +68,7 @@
   const records = await syncRecords({ directory, timer, log, seeds: settings.seeds })
   const stages = createStageTask({ machine: settings.machine, directory, pool, timer, log, balance: options.stages })
   const packing = { ...options.packing, startMs }
-  const admission = createAdmissionTask({ directory, pool, timer, packing, isSwitching: () => stages.isSwitching() })
+  const admission = createAdmissionTask({ directory, pool, timer, log, packing, isSwitching: () => stages.isSwitching() })
   const listener = await listen({
     host: settings.ip, port: settings.internalPort, firstMessageTimeoutMs: 0, onConnection: (connection) => admission.addGateway(connection)
   })
@@ -99,6 +99,7 @@
     isReadingReport = true
     const response = await callJson(address, buildReportCall(), { pool, timer, timeoutMs: reportTimeoutMs })
     const report = response.err ? undefined : decodeEngineReport(response.val.body)
+    if (response.ok) admission.setLimit(decodeResponseHead(response.val.status, response.val.headers).limitPerS)
     if (report !== undefined) admission.onReport(entry, report)
     if (report !== undefined && directory.hasReadStore()) await stages.onReport(entry, report)
     isReadingReport = false
--- a/testing/fleuve/start_worker.ts
+++ b/testing/fleuve/start_worker.ts
@@ -39,6 +39,8 @@
   body: string
   /** True once the connection closed before the response was complete. */
   isAborted: boolean
+  /** Time in milliseconds on the monotonic clock. */
+  receivedMs: number
 }
 
 /** Describes the crash of an engine under a part of a prompt. */
@@ -67,6 +69,8 @@
   setStage (stage: string): void
   /** Makes the next `times` streams that reach the event with number `event` reset their connection after it. */
   resetAfterEvent (event: number, times: number): void
+  /** Sets the limit in requests per second that the worker names in its responses; undefined for none. */
+  setLimit (perS: number | undefined): void
   /** Makes an engine crash under a part of a prompt; undefined ends that. */
   setPromptCrash (crash: PromptCrash | undefined): void
   /** Sets the time in milliseconds that a prefill takes. */
@@ -107,12 +111,17 @@
   let orders = 0
   let prefillMs = 0
   let reset = { event: 0, times: 0 }
+  let limitPerS: number | undefined
   let promptCrash: PromptCrash | undefined
   let born = 1
   const running = new Set<string>()
 
+  function limitHeaders (): Record<string, string> {
+    return limitPerS === undefined ? {} : { 'Server-Limit': String(limitPerS) }
+  }
+
   function createHeaders (req: IncomingMessage, extra: object = {}): Record<string, string> {
-    return { 'X-Request-Id': String(req.headers['x-request-id']), 'X-Server-Seal': `seal-${id}`, ...extra }
+    return { 'X-Request-Id': String(req.headers['x-request-id']), 'X-Server-Seal': `seal-${id}`, ...limitHeaders(), ...extra }
   }
 
   function writeRaw (socket: Socket, req: IncomingMessage, lines: string[], body: string): void {
@@ -211,7 +220,7 @@
 
   function sendJson (res: ServerResponse, status: number, body: object): void {
     const text = JSON.stringify(body)
-    res.writeHead(status, { 'Content-Type': 'application/json', 'Content-Length': text.length })
+    res.writeHead(status, { 'Content-Type': 'application/json', 'Content-Length': text.length, ...limitHeaders() })
     res.end(text)
   }
 
@@ -246,7 +255,7 @@
         controlCalls.push({ call, body })
         return (controlHandlers[call] ?? ((response: ServerResponse) => sendJson(response, 200, {})))(res, body)
       }
-      const request: ReceivedRequest = { method: req.method ?? '', path: req.url ?? '', headers: req.headers, body, isAborted: false }
+      const request: ReceivedRequest = { method: req.method ?? '', path: req.url ?? '', headers: req.headers, body, isAborted: false, receivedMs: performance.now() }
       requests.push(request)
       res.on('close', () => { request.isAborted = !res.writableFinished })
       const mode = modes.length > 1 ? modes.shift() as WorkerMode : modes[0] as WorkerMode
@@ -270,6 +279,7 @@
     setMode (...next) { modes = next },
     setReservableTokens (tokens) { memoryTokens = tokens },
     resetAfterEvent (event, times) { reset = { event, times } },
+    setLimit (perS) { limitPerS = perS },
     setPromptCrash (next) { promptCrash = next },
     setPrefillMs (ms) { prefillMs = ms },
     setStage (next) { stage = next as 'prefill' | 'decode' },
