Take a stream that ends inside an event as broken

Callers saw: a resumable stream whose engine sends neither a length nor chunks and dies in the middle of an event ended as complete at the event before; one that may not resume ended like a complete one.

Cause: an end of the connection without a reset counted as the end of an answer without a length, wherever it fell. Class: an end that proves nothing, taken as proof. The same in the reply: breaking off a close-delimited response closed the connection, which completes it.

Change: an end inside an event, or before the first event of an answer without a length, is a lost stream: resumed where the route allows it, else broken off; a close-delimited response is broken off with a reset. Result: two scenarios in gateway/generation.feature, both failed before.

--- a/core/stream/create_event_splitter.ts
+++ b/core/stream/create_event_splitter.ts
@@ -8,6 +8,8 @@
   push (chunk: Buffer): Buffer
   /** Returns the identifier of the last complete event that has one; undefined when there is none. */
   lastId (): string | undefined
+  /** Tells whether the bytes so far end inside an event. */
+  hasPartialEvent (): boolean
   /** Discards an incomplete event, because the connection to its source was lost. */
   reset (): void
 }
@@ -48,6 +50,7 @@
       return whole
     },
     lastId: () => currentLastId,
+    hasPartialEvent: () => partial.length > 0,
     reset () { partial = Buffer.alloc(0) }
   }
 }
--- a/gateway/_forward_stream.ts
+++ b/gateway/_forward_stream.ts
@@ -45,6 +45,7 @@
 const silenceFactor = 4
 const minFailureStatus = 500
 const minRefusalStatus = 300
+const eventEnd = '\n\n'
 /** An engine that has written this many chunks over this time in milliseconds is not crashed by the prompt that it answers. */
 const minSurvivalChunks = 8
 const minSurvivalMs = 500
@@ -64,6 +65,8 @@
     /** True while the client reads more slowly than the engine writes, so that missing data is no sign of a lost engine. */
     let isPaused = false
     let isCloseDelimited = false
+    /** Last bytes of the response, at most as many as the end of an event has. */
+    let lastBytes = ''
     let chunks = 0
     let firstDataMs = 0
     let hasSurvived = false
@@ -92,6 +95,12 @@
       else context.promptGuard.recordPossibleCrash(worker, sharedParts)
     }
 
+    /** Tells whether the response ended inside an event, or before the first one. */
+    function endsEarly (): boolean {
+      if (events !== undefined) return events.hasPartialEvent() || (isCloseDelimited && stats.bytes === 0)
+      return isCloseDelimited && lastBytes !== eventEnd
+    }
+
     function forward (chunk: Buffer): void {
       const nowMs = timer.now()
       chunks++
@@ -101,6 +110,7 @@
       else stats.pauseMs = Math.max(stats.pauseMs, Math.round(nowMs - lastDataMs))
       lastDataMs = nowMs
       stats.bytes += chunk.length
+      lastBytes = (lastBytes + chunk.toString('latin1', Math.max(0, chunk.length - eventEnd.length))).slice(-eventEnd.length)
       const forwarded = events === undefined ? chunk : events.push(chunk)
       if (forwarded.length === 0 || request.reply.write(forwarded)) return
       isPaused = true
@@ -128,6 +138,11 @@
           settle(StreamEnd.Lost, `status ${stats.status}`)
           return
         }
+        if (stats.status < minRefusalStatus && endsEarly()) {
+          recordEarlyEnd(false)
+          settle(StreamEnd.Lost, 'the stream ended inside an event')
+          return
+        }
         // The end of the connection may also be that of a crashed engine.
         if (isCloseDelimited) recordEarlyEnd(false)
         else if (stats.status < minRefusalStatus) recordSurvival()
--- a/gateway/_reply.ts
+++ b/gateway/_reply.ts
@@ -39,11 +39,13 @@
 /** Creates the reply on a response object of Node's server. */
 export function createReply (res: ServerResponse, requestId: string | undefined): Reply {
   let isOver = false
+  let isCloseDelimited = false
 
   function writeHead (response: WorkerResponse): void {
     res.sendDate = false
     // A close-delimited response stays one: any other framing would assert that it is complete, which is not known.
     if (response.isCloseDelimited) {
+      isCloseDelimited = true
       res.useChunkedEncodingByDefault = false
       res.shouldKeepAlive = false
     }
@@ -80,7 +82,9 @@
     abort () {
       if (isOver) return
       isOver = true
-      res.destroy()
+      // The end of the connection would complete such a response; only a reset shows that it was broken off.
+      if (isCloseDelimited) res.socket?.resetAndDestroy()
+      else res.destroy()
     },
     onDrain (fn) { res.once('drain', fn) },
     hasBegun: () => res.headersSent,
--- a/gateway/gateway_test.ts
+++ b/gateway/gateway_test.ts
@@ -398,6 +398,14 @@
     })
   })
 
+Then('a generation on {string} is reset at the gateway client', async function (this: World, path: string) {
+  // The reset may arrive before the head of the response.
+  await assert.rejects(async () => {
+    const response = await send(this.gatewaySite, `POST ${path}`, { headers: prompt, chunks: ['prompt'] })
+    if (!response.isComplete) throw Object.assign(new Error('cut in the response'), { code: 'ECONNRESET' })
+  }, { code: 'ECONNRESET' })
+})
+
 Given('a gateway worker {string} that is {string} to its first request', function (this: World, id: string, mode: WorkerMode) {
   workerOf(this.gatewaySite, id).setMode(mode, WorkerMode.Good)
 })
--- a/gateway/generation.feature
+++ b/gateway/generation.feature
@@ -77,3 +77,14 @@
     Then the gateway client gets the events 1 to 4, each once
     And the gateway worker "p1" saw 0 requests
     And the gateway worker "d2" saw 1 requests
+
+  # Without a length, only an end inside an event tells a broken stream from a complete one.
+  Scenario: A stream without a length that ends inside an event goes on elsewhere in one answer
+    Given the gateway decode engines are "unframed_partial_event" to the first request
+    When a gateway client requests a generation on "/resume/x"
+    Then the gateway client gets the events 1 to 4, each once
+    And a gateway engine was asked to resume after event 1
+
+  Scenario: A stream without a length that ends inside an event and may not go on elsewhere is cut
+    Given the gateway decode engines are "unframed_partial_event" to the first request
+    Then a generation on "/stream/x" is reset at the gateway client
--- a/testing/fleuve/start_worker.ts
+++ b/testing/fleuve/start_worker.ts
@@ -23,6 +23,8 @@
   TruncatedChunks = 'cut_chunks',
   /** Sends a whole body without a length, which ends with the connection. */
   CloseDelimited = 'unframed',
+  /** Sends one event of a stream without a length and part of the next one, and closes the connection without a reset. */
+  CloseDelimitedPartialEvent = 'unframed_partial_event',
   /** Sends part of a body without a length and resets the connection. */
   CloseDelimitedReset = 'unframed_reset',
   /** Responds with a header `Content-Encoding`. */
@@ -156,6 +158,10 @@
       writeRaw(req.socket, req, ['Connection: close'], responseText)
       req.socket.end()
     },
+    [WorkerMode.CloseDelimitedPartialEvent]: (req) => {
+      writeRaw(req.socket, req, ['Content-Type: text/event-stream', 'Connection: close'], 'id: 1\ndata: piece 1\n\nid: 2\nda')
+      req.socket.end()
+    },
     [WorkerMode.CloseDelimitedReset]: (req) => {
       writeRaw(req.socket, req, ['Connection: close'], 'sig')
       setTimeout(() => req.socket.resetAndDestroy(), 20)
