Split the observation of a stream from its forwarding

No change of behaviour: what the prompt guard learns of a stream moves from forwardStream to gateway/_observe_stream.ts, which a reader can follow alone.

--- a/gateway/_forward_stream.ts
+++ b/gateway/_forward_stream.ts
@@ -1,6 +1,7 @@
 /**
  * Forwards the response stream of a decode engine.
  */
+import { observeStream } from './_observe_stream.ts'
 import { sendToWorker } from './_send_to_worker.ts'
 import { StopReason } from './_types.ts'
 import type { EventSplitter } from '../core/stream/mod.ts'
@@ -46,9 +47,6 @@
 const minFailureStatus = 500
 const minRefusalStatus = 300
 const eventEnd = '\n\n'
-/** An engine that has written this many chunks over this time in milliseconds is not crashed by the prompt that it answers. */
-const minSurvivalChunks = 8
-const minSurvivalMs = 500
 
 /** Forwards one stream and returns how it ended; the client's response is completed only when the stream is complete. */
 export function forwardStream (context: GatewayContext, request: ClientRequest, options: ForwardStreamOptions): Promise<StreamResult> {
@@ -67,10 +65,7 @@
     let isCloseDelimited = false
     /** Last bytes of the response, at most as many as the end of an event has. */
     let lastBytes = ''
-    let chunks = 0
-    let firstDataMs = 0
-    let hasSurvived = false
-    const { sharedParts } = request.head
+    const observer = observeStream(context.promptGuard, worker, request.head.sharedParts)
 
     function settle (end: StreamEnd, detail: string): void {
       if (isSettled) return
@@ -82,19 +77,6 @@
       resolve({ ...stats, ranMs, end, detail, ...(firstMs === undefined ? {} : { firstMs }) })
     }
 
-    function recordSurvival (): void {
-      if (hasSurvived) return
-      hasSurvived = true
-      context.promptGuard.recordSurvival(sharedParts)
-    }
-
-    /** Records that the stream broke or ended before the engine was well into its answer. */
-    function recordEarlyEnd (isCrash: boolean): void {
-      if (hasSurvived || sharedParts.length === 0) return
-      if (isCrash) context.promptGuard.recordCrash(worker, sharedParts)
-      else context.promptGuard.recordPossibleCrash(worker, sharedParts)
-    }
-
     /** Tells whether the response ended inside an event, or before the first one. */
     function endsEarly (): boolean {
       if (events !== undefined) return events.hasPartialEvent() || (isCloseDelimited && stats.bytes === 0)
@@ -103,9 +85,7 @@
 
     function forward (chunk: Buffer): void {
       const nowMs = timer.now()
-      chunks++
-      if (chunks === 1) firstDataMs = nowMs
-      else if (chunks >= minSurvivalChunks && nowMs - firstDataMs >= minSurvivalMs) recordSurvival()
+      observer.onChunk(nowMs)
       if (firstMs === undefined) firstMs = Math.round(nowMs - request.startedMs)
       else stats.pauseMs = Math.max(stats.pauseMs, Math.round(nowMs - lastDataMs))
       lastDataMs = nowMs
@@ -139,20 +119,18 @@
           return
         }
         if (stats.status < minRefusalStatus && endsEarly()) {
-          recordEarlyEnd(false)
+          observer.onEarlyEnd(false)
           settle(StreamEnd.Lost, 'the stream ended inside an event')
           return
         }
-        // The end of the connection may also be that of a crashed engine.
-        if (isCloseDelimited) recordEarlyEnd(false)
-        else if (stats.status < minRefusalStatus) recordSurvival()
+        if (stats.status < minRefusalStatus) observer.onEnd(isCloseDelimited)
         request.reply.end()
         settle(StreamEnd.Completed, '')
       },
       onRefused: ({ reason }) => settle(StreamEnd.Refused, reason),
       onLost (reason) {
         // Without a head, the connection may have been closed before the engine began to answer.
-        if (stats.status < minRefusalStatus) recordEarlyEnd(stats.status > 0)
+        if (stats.status < minRefusalStatus) observer.onEarlyEnd(stats.status > 0)
         settle(StreamEnd.Lost, reason)
       }
     })
