Refuse a stream over its engine's limit with a code of its own

Cause: the sidecar refused such a stream with no_capacity, from which gateways conclude that the engine has no free memory. Change: limit_exceeded, and the gateway's view of the memory stays.

--- a/core/types/refusal_code.ts
+++ b/core/types/refusal_code.ts
@@ -22,7 +22,7 @@
   ModelNotServed = 'model_not_served',
   /** The latency target can no longer be met. */
   TargetMissed = 'target_missed',
-  /** The request, token or concurrency limit of the caller is exceeded. */
+  /** The request, token or concurrency limit of the caller is exceeded, or the request limit that the backend server names. */
   LimitExceeded = 'limit_exceeded',
   /** The deadline passed. */
   DeadlineExceeded = 'deadline_exceeded',
--- a/gateway/_reserve_memory.ts
+++ b/gateway/_reserve_memory.ts
@@ -95,7 +95,7 @@
 ): Promise<Result<Reservation, RefusalCode>> {
   if (!context.sidecars.isConnected(worker)) {
     // A connected sidecar keeps the limit of its engine for all gateways.
-    if (getSendDelayMs(worker, context.timer.now()) > 0) return Err(RefusalCode.NoCapacity)
+    if (getSendDelayMs(worker, context.timer.now()) > 0) return Err(RefusalCode.LimitExceeded)
     worker.pacer?.take(context.timer.now())
     return await reserveDirectly(context, request, worker, prefillEngine)
   }
--- a/sidecar/_admission_task.ts
+++ b/sidecar/_admission_task.ts
@@ -84,7 +84,7 @@
     if (!canGenerate()) return refuse(RefusalCode.Draining)
     const request = { requestId, promptTokens, maxTokens }
     if (msg.reads && prefillingUntilMs > timer.now()) return refuse(RefusalCode.TargetMissed)
-    if (pacer !== undefined && pacer.delayMs(timer.now()) > 0) return refuse(RefusalCode.NoCapacity)
+    if (pacer !== undefined && pacer.delayMs(timer.now()) > 0) return refuse(RefusalCode.LimitExceeded)
     if (!packer.admit(likelyTokens === undefined ? request : { ...request, likelyTokens }, timer.now())) return refuse(RefusalCode.NoCapacity)
     pacer?.take(timer.now())
     const call = buildReserveCall(entry.id, promptTokens + tokensPerEvent(), packing.startMs)
--- a/sidecar/sidecar.feature
+++ b/sidecar/sidecar.feature
@@ -39,6 +39,6 @@
   Scenario: A sidecar keeps the limit of its engine's request rate for all gateways, and lets it go when it ends
     Given a sidecar beside an engine of 100000 tokens with the stage "decode"
     When the engine of the sidecar limits its rate to 1 a second
-    Then the sidecar admits 1 of 8 streams that come at once, and refuses the others for "no_capacity"
+    Then the sidecar admits 1 of 8 streams that come at once, and refuses the others for "limit_exceeded"
     When the engine of the sidecar no longer limits its rate
-    Then the sidecar admits 8 of 8 streams that come at once, and refuses the others for "no_capacity"
+    Then the sidecar admits 8 of 8 streams that come at once, and refuses the others for "limit_exceeded"
