Leave an engine that answers a prefill with bytes without end

Callers saw nothing; a gateway took 18 MB in half a second from an engine that answered a prefill with a body without end, up to the timeout of the call.

Cause: the response of a prefill was collected without a bound (those of other control calls have one). Change: more than 64 KiB is a lost response. Result: the scenario in gateway/generation.feature failed before (18,202,705 bytes sent) and passes. Two scenarios for heads without end passed at once.

--- a/gateway/_prefill.ts
+++ b/gateway/_prefill.ts
@@ -22,6 +22,8 @@
 const firstEventMs = 80
 /** Share of the longest pause for which a prefill may delay the streams of its engine; the rest is for the path to the client. */
 const prefillPauseShare = 0.93
+/** Largest response to a prefill in bytes; it names a handle and some numbers. */
+const maxResponseBytes = 65_536
 /** A prefill counts as lost after this many times the expected time, plus a margin in milliseconds. */
 const timeoutFactor = 2
 const timeoutMarginMs = 150
@@ -110,6 +112,7 @@
   worker.typicalPromptTokens = smooth(worker.typicalPromptTokens, request.head.promptTokens)
   return new Promise((resolve) => {
     const chunks: Buffer[] = []
+    let bytes = 0
     let status = 0
     let isSettled = false
     const timeout = context.timer.after(timeoutMs, () => {
@@ -133,7 +136,13 @@
 
     const exchange = sendToWorker(context, request, worker, { prefill: true }, {
       onHead (head) { status = head.status },
-      onData (chunk) { chunks.push(chunk) },
+      onData (chunk) {
+        bytes += chunk.length
+        chunks.push(chunk)
+        if (bytes <= maxResponseBytes) return
+        exchange.abort()
+        settleLost(`the response is longer than ${maxResponseBytes} bytes`)
+      },
       onEnd () {
         const tookMs = context.timer.now() - startedMs - context.roundTripMs(worker.entry.zone)
         if (
--- a/gateway/gateway.feature
+++ b/gateway/gateway.feature
@@ -197,3 +197,13 @@
 
   Scenario: A gateway whose address is taken says so, and leaves nothing behind
     Then another gateway with the same addresses does not start, and names the address
+
+  Scenario: A worker that sends a head without end is left, and an idempotent request is answered by another one
+    Given gateway workers that are "endless_head" to their first request
+    When a gateway client sends "GET /safe/x"
+    Then the gateway client gets 200 with the body "signed" and a seal
+
+  Scenario: A body without end reaches the client only until the deadline, and in the client's own pace
+    Given gateway workers that are "endless_body"
+    Then a request for "GET /safe/x" is cut at the gateway client within 1200 ms
+    And the request at the gateway worker is aborted within 500 ms
--- a/gateway/gateway_test.ts
+++ b/gateway/gateway_test.ts
@@ -406,6 +406,19 @@
   }, { code: 'ECONNRESET' })
 })
 
+Then('a request for {string} is cut at the gateway client within {int} ms', async function (this: World, line: string, ms: number) {
+  const startedMs = performance.now()
+  await assert.rejects(async () => {
+    const response = await send(this.gatewaySite, line, { headers: { 'X-Request-Deadline-Ms': '600' } })
+    if (!response.isComplete) throw Object.assign(new Error('cut in the response'), { code: 'ECONNRESET' })
+  }, { code: 'ECONNRESET' })
+  assert.ok(performance.now() - startedMs < ms, `it took ${performance.now() - startedMs} ms`)
+})
+
+Then('the gateway worker {string} has sent less than {int} bytes', function (this: World, id: string, bytes: number) {
+  assert.ok(workerOf(this.gatewaySite, id).sentBytes() < bytes, `${workerOf(this.gatewaySite, id).sentBytes()} bytes`)
+})
+
 Given('a gateway worker {string} that is {string} to its first request', function (this: World, id: string, mode: WorkerMode) {
   workerOf(this.gatewaySite, id).setMode(mode, WorkerMode.Good)
 })
--- a/gateway/generation.feature
+++ b/gateway/generation.feature
@@ -88,3 +88,14 @@
   Scenario: A stream without a length that ends inside an event and may not go on elsewhere is cut
     Given the gateway decode engines are "unframed_partial_event" to the first request
     Then a generation on "/stream/x" is reset at the gateway client
+
+  Scenario: An engine that reads prompts and sends bytes without end is left at once, and the prompt is read elsewhere
+    Given a gateway worker "p1" that is "endless_body"
+    When a gateway client requests a generation on "/stream/x" with a prompt of 4000 tokens
+    Then the gateway client gets the events 1 to 4, each once
+    And the gateway worker "p1" has sent less than 2000000 bytes
+
+  Scenario: An engine that sends a head without end is left, and the stream goes on elsewhere
+    Given the gateway decode engines are "endless_head" to the first request
+    When a gateway client requests a generation on "/resume/x"
+    Then the gateway client gets the events 1 to 4, each once
--- a/testing/fleuve/start_worker.ts
+++ b/testing/fleuve/start_worker.ts
@@ -25,6 +25,10 @@
   CloseDelimited = 'unframed',
   /** Sends one event of a stream without a length and part of the next one, and closes the connection without a reset. */
   CloseDelimitedPartialEvent = 'unframed_partial_event',
+  /** Sends a response head that never ends, until the connection is closed. */
+  EndlessHead = 'endless_head',
+  /** Sends a body that never ends, until the connection is closed. */
+  EndlessBody = 'endless_body',
   /** Sends part of a body without a length and resets the connection. */
   CloseDelimitedReset = 'unframed_reset',
   /** Responds with a header `Content-Encoding`. */
@@ -63,6 +67,8 @@
   listRequests (): ReceivedRequest[]
   /** Lists the calls about memory, reports and orders: method and path, and the body. */
   listControlCalls (): Array<{ call: string, body: string }>
+  /** Returns the number of bytes sent on all connections that have closed or are open. */
+  sentBytes (): number
   /** Sets the modes of the next requests, one each; the last one stays. */
   setMode (...modes: WorkerMode[]): void
   /** Sets the memory of the worker in tokens: the largest reservation that it accepts. */
@@ -101,6 +107,16 @@
 /** Time in milliseconds from the head of an answer to the crash of the engine. */
 const crashDelayMs = 10
 
+/** Length in bytes of the pieces of a response that never ends. */
+const endlessPieceBytes = 16_384
+
+/** Writes `piece` again and again, as fast as the other side reads, until the connection is closed. */
+function writeUntilClosed (socket: Socket, piece: string): void {
+  if (socket.destroyed) return
+  if (socket.write(piece)) setImmediate(() => writeUntilClosed(socket, piece))
+  else socket.once('drain', () => writeUntilClosed(socket, piece))
+}
+
 /** Starts a worker on a free port of the loopback address. */
 export async function startWorker (options: FakeWorkerOptions): Promise<FakeWorker> {
   const { id, service, zone = 'levis', events = 3, eventMs = 5, eventBytes = 0 } = options
@@ -117,6 +133,7 @@
   let promptCrash: PromptCrash | undefined
   let born = 1
   const running = new Set<string>()
+  const sockets = new Set<Socket>()
 
   function limitHeaders (): Record<string, string> {
     return limitPerS === undefined ? {} : { 'Server-Limit': String(limitPerS) }
@@ -162,6 +179,14 @@
       writeRaw(req.socket, req, ['Content-Type: text/event-stream', 'Connection: close'], 'id: 1\ndata: piece 1\n\nid: 2\nda')
       req.socket.end()
     },
+    [WorkerMode.EndlessHead]: (req) => {
+      req.socket.write('HTTP/1.1 200 OK\r\n')
+      writeUntilClosed(req.socket, `X-More: ${'x'.repeat(endlessPieceBytes)}\r\n`)
+    },
+    [WorkerMode.EndlessBody]: (req) => {
+      writeRaw(req.socket, req, ['Connection: close'], '')
+      writeUntilClosed(req.socket, 'x'.repeat(endlessPieceBytes))
+    },
     [WorkerMode.CloseDelimitedReset]: (req) => {
       writeRaw(req.socket, req, ['Connection: close'], 'sig')
       setTimeout(() => req.socket.resetAndDestroy(), 20)
@@ -274,6 +299,7 @@
       sendStream(req, res)
     })
   })
+  server.on('connection', (socket) => sockets.add(socket))
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
   const address = `127.0.0.1:${(server.address() as AddressInfo).port}`
 
@@ -282,6 +308,7 @@
     address,
     listRequests: () => requests,
     listControlCalls: () => controlCalls,
+    sentBytes: () => [...sockets].reduce((sum, socket) => sum + socket.bytesWritten, 0),
     setMode (...next) { modes = next },
     setReservableTokens (tokens) { memoryTokens = tokens },
     resetAfterEvent (event, times) { reset = { event, times } },
