Reset a close-delimited response that is broken off, without ending it first

Cause: socket.resetAndDestroy of Node 20 ends the connection before it resets it, and the end completes a response that has no length. Change: the flag that it sets, and destroy.

--- a/gateway/_reply.ts
+++ b/gateway/_reply.ts
@@ -82,9 +82,10 @@
     abort () {
       if (isOver) return
       isOver = true
-      // The end of the connection would complete such a response; only a reset shows that it was broken off.
-      if (isCloseDelimited) res.socket?.resetAndDestroy()
-      else res.destroy()
+      // The end of the connection would complete such a response; only a reset shows that it was broken off. Node's `resetAndDestroy` ends
+      // the connection before it resets it, so the flag that it sets is set here.
+      if (isCloseDelimited && res.socket !== null) Object.assign(res.socket, { resetAndClosing: true })
+      res.destroy()
     },
     onDrain (fn) { res.once('drain', fn) },
     hasBegun: () => res.headersSent,
