Log each request whose connection closes before its response is complete

The log named only those whose client had closed the connection: a response that the gateway broke off, a connection that a limit closed and one that ended with the process looked alike, or left nothing.

'bad request' names the requests that wait on that connection, and 'idle connection closed late' shows a pause of the process across an idle limit. No decision changes: the listener closes idle connections as Node did.

--- a/gateway/_client_server.ts
+++ b/gateway/_client_server.ts
@@ -5,6 +5,7 @@
 import { chooseTarget, RequestKind } from '../core/route/mod.ts'
 import { Count, Latency } from '../metrics/mod.ts'
 import { decodeRequestHead } from '../platform/mod.ts'
+import { observeConnections } from './_observe_connections.ts'
 import { createReply } from './_reply.ts'
 import { serveGeneration } from './_serve_generation.ts'
 import { servePlain } from './_serve_plain.ts'
@@ -62,6 +63,7 @@
   const server = createServer({ keepAlive: true, noDelay: true, connectionsCheckingInterval: 500 }, onRequest)
   server.requestTimeout = 0
   server.on('clientError', onClientError)
+  const observer = observeConnections(context, server)
 
   function onClientError (err: NodeJS.ErrnoException, socket: Socket): void {
     if (err.code === 'ECONNRESET' || !socket.writable) {
@@ -69,16 +71,17 @@
       return
     }
     const status = clientErrors[err.code ?? ''] ?? 400
-    log.info({ status, reason: err.code }, 'bad request')
+    log.info({ status, reason: err.code, unanswered: observer.unanswered(socket) }, 'bad request')
     socket.end(`HTTP/1.1 ${status} ${statusTexts[status]}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
   }
 
   function onRequest (req: IncomingMessage, res: ServerResponse): void {
     inFlight++
     res.once('close', () => { inFlight-- })
+    const head = decodeRequestHead(req.rawHeaders)
+    const reply = createReply(res, head.requestId)
+    observer.watch({ req, res, reply, requestId: head.requestId })
     whenDirectoryReady(timer.now(), () => {
-      const head = decodeRequestHead(req.rawHeaders)
-      const reply = createReply(res, head.requestId)
       try {
         accept(req, res, head, reply)
       } catch (err) {
@@ -205,6 +208,7 @@
     server,
     inFlight: () => inFlight,
     setLimits (limits) {
+      observer.setIdleTimeout(limits.idleTimeoutMs)
       server.headersTimeout = limits.headerTimeoutMs
       server.keepAliveTimeout = limits.idleTimeoutMs
       // Node reads this limit for each new connection, but its types declare it only as an option of the constructor.
--- a/metrics/create_prometheus_metrics.ts
+++ b/metrics/create_prometheus_metrics.ts
@@ -36,7 +36,9 @@
   /** Crashes of engines just after a request had begun, as this process observed them, by service. */
   EngineCrashes = 'engine_crashes_total',
   /** Calls to the configuration store, by result. */
-  StoreReads = 'store_reads_total'
+  StoreReads = 'store_reads_total',
+  /** Connections of clients that closed while a request had no complete response, by the side that closed them. */
+  Unanswered = 'requests_unanswered_total'
 }
 
 const labelNames: { readonly [C in Count]: readonly string[] } = {
@@ -47,7 +49,8 @@
   [Count.RetriesDenied]: ['service'],
   [Count.StreamsLost]: ['phase'],
   [Count.EngineCrashes]: ['service'],
-  [Count.StoreReads]: ['result']
+  [Count.StoreReads]: ['result'],
+  [Count.Unanswered]: ['closed_by']
 }
 
 const helpTexts: { readonly [M in Count | Latency]: string } = {
@@ -59,6 +62,7 @@
   [Count.StreamsLost]: 'Streams of engines that broke, by phase',
   [Count.EngineCrashes]: 'Crashes of engines just after a request had begun, by service',
   [Count.StoreReads]: 'Calls to the store by result',
+  [Count.Unanswered]: 'Requests whose connection closed before their response was complete, by the side that closed it',
   [Latency.Request]: 'Time from a request to its final answer in ms',
   [Latency.FirstEvent]: 'Time from a request to the first event in ms',
   [Latency.Pause]: 'Longest pause of a stream in ms',
