Read on for a moment when a connection closes behind its last response

A client that still sent its request when the gateway refused it (a route that a change of the configuration had removed, 404; a service without workers or a process that stops, 503; a body that is too large, 413) could get neither the refusal nor anything else.

Cause: Node closes the socket as soon as the last response is written. Bytes that arrive later reset the connection, and a reset discards what the client has not read yet. Class: closing a connection while its peer still writes.

The gateway sends the end of its side and reads on until the client has closed its side, for 1 s at most. The handling of connections moves to a module of its own.

--- /dev/null
+++ b/gateway/_client_connections.ts
@@ -0,0 +1,133 @@
+/**
+ * Closes the connections of clients, so that no request that has been read loses its response, and records how they close.
+ */
+import { Count } from '../metrics/mod.ts'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
+import type { Reply } from './_reply.ts'
+import type { GatewayContext } from './_types.ts'
+
+/** A request with its response. */
+export interface ConnectionRequest {
+  req: IncomingMessage
+  res: ServerResponse
+  reply: Reply
+  requestId: string | undefined
+}
+
+/** The connections of clients to a server. */
+export interface ClientConnections {
+  /** Observes a request until its connection closes or its response is complete. */
+  admit (request: ConnectionRequest): void
+  /** Sets the idle time in milliseconds after which a connection is closed. */
+  setIdleTimeout (ms: number): void
+}
+
+/** Names the sides that can close a connection. */
+enum ClosedBy {
+  Client = 'client',
+  /** The gateway broke the response off. */
+  Gateway = 'gateway',
+  /** A limit on the connection, or the end of the process. */
+  Server = 'server'
+}
+
+interface ConnectionState {
+  /** Requests without a complete response. */
+  open: Set<ConnectionRequest>
+  /** Time in milliseconds since which no request is open. */
+  idleSinceMs: number
+  isClosing: boolean
+}
+
+/** Lateness in milliseconds of the end of an idle connection that shows a pause of the process. */
+const minLatenessMs = 100
+/** Time in milliseconds for which Node keeps an idle connection beyond the limit. */
+const idleMarginMs = 1_000
+/** Time in milliseconds for which a connection is read after its last response; closing one with unread bytes resets it, and the response may be lost. */
+const lingerMs = 1_000
+
+const clientErrors: { readonly [code: string]: number } = { HPE_HEADER_OVERFLOW: 431, ERR_HTTP_REQUEST_TIMEOUT: 408 }
+const statusTexts: { readonly [status: number]: string } = {
+  400: 'Bad Request', 408: 'Request Timeout', 431: 'Request Header Fields Too Large'
+}
+
+/** Takes over how a server closes the connections of its clients. */
+export function createClientConnections (context: GatewayContext, server: Server): ClientConnections {
+  const { timer, log, metrics, directory } = context
+  const states = new WeakMap<Socket, ConnectionState>()
+  let idleTimeoutMs = 0
+
+  function stateOf (socket: Socket): ConnectionState {
+    const known = states.get(socket)
+    if (known !== undefined) return known
+    const state = { open: new Set<ConnectionRequest>(), idleSinceMs: timer.now(), isClosing: false }
+    states.set(socket, state)
+    return state
+  }
+
+  /** Sends what is buffered, and reads on until the client has closed its side. */
+  function closeInOrder (socket: Socket): void {
+    const state = stateOf(socket)
+    if (state.isClosing) return
+    state.isClosing = true
+    socket.end()
+    const timeout = timer.after(lingerMs, () => socket.destroy())
+    socket.once('close', () => timeout.cancel())
+  }
+
+  function refuse (socket: Socket, state: ConnectionState, code: string | undefined): void {
+    const status = clientErrors[code ?? ''] ?? 400
+    log.info({ status, reason: code }, 'bad request')
+    socket.write(`HTTP/1.1 ${status} ${statusTexts[status]}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
+    closeInOrder(socket)
+  }
+
+  function onClientError (err: NodeJS.ErrnoException, socket: Socket): void {
+    const state = stateOf(socket)
+    if (err.code === 'ECONNRESET' || (!socket.writable && !state.isClosing)) {
+      socket.destroy()
+      return
+    }
+    if (state.isClosing) return
+    refuse(socket, state, err.code)
+  }
+
+  function onIdle (socket: Socket): void {
+    const lateMs = Math.round(timer.now() - stateOf(socket).idleSinceMs - idleTimeoutMs - idleMarginMs)
+    if (lateMs > minLatenessMs) log.warn({ lateMs }, 'idle connection closed late')
+    socket.destroy()
+  }
+
+  function onClose ({ res, reply, req, requestId }: ConnectionRequest, startedMs: number, version: number | undefined): void {
+    const { socket } = req
+    const isByClient = socket.readableEnded || socket.errored !== null
+    const closedBy = reply.isFinished() ? ClosedBy.Gateway : isByClient ? ClosedBy.Client : ClosedBy.Server
+    const tookMs = Math.round(timer.now() - startedMs)
+    const versions = { version, versionNow: directory.routeTable()?.version }
+    log.warn({ request: requestId, closedBy, tookMs, hasBegun: res.headersSent, ...versions }, 'closed without a complete response')
+    metrics.count(Count.Unanswered, { closed_by: closedBy })
+  }
+
+  server.on('clientError', onClientError)
+  server.on('timeout', onIdle)
+  // Node closes a connection after its last response by this method, which would not wait for what the client still sends.
+  server.on('connection', (socket) => { socket.destroySoon = () => closeInOrder(socket) })
+
+  return {
+    admit (request) {
+      const { req, res } = request
+      const { socket } = req
+      const state = stateOf(socket)
+      const startedMs = timer.now()
+      const version = directory.routeTable()?.version
+      state.open.add(request)
+      res.once('close', () => {
+        state.open.delete(request)
+        state.idleSinceMs = timer.now()
+        if (!res.writableFinished) onClose(request, startedMs, version)
+      })
+    },
+    setIdleTimeout (ms) { idleTimeoutMs = ms }
+  }
+}
--- a/gateway/_client_server.ts
+++ b/gateway/_client_server.ts
@@ -5,13 +5,12 @@
 import { chooseTarget, RequestKind } from '../core/route/mod.ts'
 import { Count, Latency } from '../metrics/mod.ts'
 import { decodeRequestHead } from '../platform/mod.ts'
-import { observeConnections } from './_observe_connections.ts'
+import { createClientConnections } from './_client_connections.ts'
 import { createReply } from './_reply.ts'
 import { serveGeneration } from './_serve_generation.ts'
 import { servePlain } from './_serve_plain.ts'
 import { StopReason } from './_types.ts'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
-import type { Socket } from 'node:net'
 import type { RequestHead } from '../platform/mod.ts'
 import type { ClientLimits, RouteRule } from '../core/route/mod.ts'
 import type { Reply } from './_reply.ts'
@@ -48,11 +47,6 @@
 /** Lowest status that is logged as a failure. */
 const minFailureStatus = 400
 
-const clientErrors: { readonly [code: string]: number } = { HPE_HEADER_OVERFLOW: 431, ERR_HTTP_REQUEST_TIMEOUT: 408 }
-const statusTexts: { readonly [status: number]: string } = {
-  400: 'Bad Request', 408: 'Request Timeout', 431: 'Request Header Fields Too Large'
-}
-
 /** Creates the server for clients; the caller makes it listen. */
 export function createClientServer (context: GatewayContext): ClientServer {
   const { timer, log, directory } = context
@@ -62,25 +56,14 @@
   let exitMs = Infinity
   const server = createServer({ keepAlive: true, noDelay: true, connectionsCheckingInterval: 500 }, onRequest)
   server.requestTimeout = 0
-  server.on('clientError', onClientError)
-  const observer = observeConnections(context, server)
-
-  function onClientError (err: NodeJS.ErrnoException, socket: Socket): void {
-    if (err.code === 'ECONNRESET' || !socket.writable) {
-      socket.destroy()
-      return
-    }
-    const status = clientErrors[err.code ?? ''] ?? 400
-    log.info({ status, reason: err.code, unanswered: observer.unanswered(socket) }, 'bad request')
-    socket.end(`HTTP/1.1 ${status} ${statusTexts[status]}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
-  }
+  const connections = createClientConnections(context, server)
 
   function onRequest (req: IncomingMessage, res: ServerResponse): void {
-    inFlight++
-    res.once('close', () => { inFlight-- })
     const head = decodeRequestHead(req.rawHeaders)
     const reply = createReply(res, head.requestId)
-    observer.watch({ req, res, reply, requestId: head.requestId })
+    connections.admit({ req, res, reply, requestId: head.requestId })
+    inFlight++
+    res.once('close', () => { inFlight-- })
     whenDirectoryReady(timer.now(), () => {
       try {
         accept(req, res, head, reply)
@@ -208,7 +191,7 @@
     server,
     inFlight: () => inFlight,
     setLimits (limits) {
-      observer.setIdleTimeout(limits.idleTimeoutMs)
+      connections.setIdleTimeout(limits.idleTimeoutMs)
       server.headersTimeout = limits.headerTimeoutMs
       server.keepAliveTimeout = limits.idleTimeoutMs
       // Node reads this limit for each new connection, but its types declare it only as an option of the constructor.
--- a/testing/fleuve/start_worker.ts
+++ b/testing/fleuve/start_worker.ts
@@ -9,6 +9,8 @@
 export enum WorkerMode {
   /** Responds completely, and an engine streams. */
   Good = 'good',
+  /** Responds completely after 300 ms. */
+  Slow = 'slow',
   /** Refuses with status 503 and states that the request has not run. */
   Full = 'full',
   /** Refuses like `Full`, without naming the request that it refuses. */
@@ -123,6 +125,7 @@
 const dribbleMs = 100
 
 /** Length in bytes of the pieces of a response that never ends. */
+const slowMs = 300
 const endlessPieceBytes = 16_384
 
 /** Writes `piece` again and again, as fast as the other side reads, until the connection is closed. */
@@ -169,6 +172,7 @@
       res.writeHead(200, createHeaders(req, { 'Content-Length': responseText.length }))
       res.end(responseText)
     },
+    [WorkerMode.Slow]: (req, res) => { setTimeout(() => responders[WorkerMode.Good](req, res), slowMs) },
     [WorkerMode.Full]: (req, res) => {
       res.writeHead(503, { 'X-Not-Executed': '1', 'X-Request-Id': String(req.headers['x-request-id']), 'Content-Length': 0 })
       res.end()
