Send the response that is due before a connection with bad bytes ends

A client with a request in flight got the 400 or 431 that was meant for bytes behind its request, and never its own response (LOST). And a request whose head was completed behind its 408 was run although the client had been told that it was not (REFUSED).

Cause: a parser error was answered at once, whatever was due on the connection; and Node parses on after that answer, so that what followed was served like any other request.

Evidence: on the code before, the client of a sound request got 400 then 200, or 431 alone; the worker saw the request behind the 408. The three scenarios fail there.

While a response is due, the connection ends behind it, and the bad bytes get no answer. Nothing is served that comes behind the last answer of a connection.

--- a/gateway/_client_connections.ts
+++ b/gateway/_client_connections.ts
@@ -17,8 +17,8 @@
 
 /** The connections of clients to a server. */
 export interface ClientConnections {
-  /** Observes a request until its connection closes or its response is complete. */
-  admit (request: ConnectionRequest): void
+  /** Admits a request; returns false when its connection has had its last response, so that the request must not be served. */
+  admit (request: ConnectionRequest): boolean
   /** Sets the idle time in milliseconds after which a connection is closed. */
   setIdleTimeout (ms: number): void
 }
@@ -37,6 +37,8 @@
   open: Set<ConnectionRequest>
   /** Time in milliseconds since which no request is open. */
   idleSinceMs: number
+  /** True when no further request of this connection is served. */
+  isLast: boolean
   isClosing: boolean
 }
 
@@ -61,7 +63,7 @@
   function stateOf (socket: Socket): ConnectionState {
     const known = states.get(socket)
     if (known !== undefined) return known
-    const state = { open: new Set<ConnectionRequest>(), idleSinceMs: timer.now(), isClosing: false }
+    const state = { open: new Set<ConnectionRequest>(), idleSinceMs: timer.now(), isLast: false, isClosing: false }
     states.set(socket, state)
     return state
   }
@@ -69,6 +71,7 @@
   /** Sends what is buffered, and reads on until the client has closed its side. */
   function closeInOrder (socket: Socket): void {
     const state = stateOf(socket)
+    state.isLast = true
     if (state.isClosing) return
     state.isClosing = true
     socket.end()
@@ -76,9 +79,19 @@
     socket.once('close', () => timeout.cancel())
   }
 
+  /** Closes a connection behind the responses that are due on it. */
+  function closeAfterResponses (socket: Socket, state: ConnectionState): void {
+    state.isLast = true
+    for (const { res } of state.open) {
+      if (!res.headersSent) res.shouldKeepAlive = false
+      res.once('finish', () => { if (state.open.size <= 1) closeInOrder(socket) })
+    }
+  }
+
   function refuse (socket: Socket, state: ConnectionState, code: string | undefined): void {
     const status = clientErrors[code ?? ''] ?? 400
     log.info({ status, reason: code }, 'bad request')
+    state.isLast = true
     socket.write(`HTTP/1.1 ${status} ${statusTexts[status]}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
     closeInOrder(socket)
   }
@@ -89,7 +102,13 @@
       socket.destroy()
       return
     }
-    if (state.isClosing) return
+    if (state.isLast) return
+    if (state.open.size > 0) {
+      const unanswered = [...state.open].map(({ requestId }) => requestId)
+      log.info({ reason: err.code, unanswered }, 'bad request behind one without a response')
+      closeAfterResponses(socket, state)
+      return
+    }
     refuse(socket, state, err.code)
   }
 
@@ -119,6 +138,7 @@
       const { req, res } = request
       const { socket } = req
       const state = stateOf(socket)
+      if (state.isLast) return false
       const startedMs = timer.now()
       const version = directory.routeTable()?.version
       state.open.add(request)
@@ -127,6 +147,7 @@
         state.idleSinceMs = timer.now()
         if (!res.writableFinished) onClose(request, startedMs, version)
       })
+      return true
     },
     setIdleTimeout (ms) { idleTimeoutMs = ms }
   }
--- a/gateway/_client_server.ts
+++ b/gateway/_client_server.ts
@@ -61,7 +61,11 @@
   function onRequest (req: IncomingMessage, res: ServerResponse): void {
     const head = decodeRequestHead(req.rawHeaders)
     const reply = createReply(res, head.requestId)
-    connections.admit({ req, res, reply, requestId: head.requestId })
+    if (!connections.admit({ req, res, reply, requestId: head.requestId })) {
+      log.info({ request: head.requestId }, 'not served: it came behind the last response of its connection')
+      req.resume()
+      return
+    }
     inFlight++
     res.once('close', () => { inFlight-- })
     whenDirectoryReady(timer.now(), () => {
--- a/gateway/client_connections.feature
+++ b/gateway/client_connections.feature
@@ -3,6 +3,25 @@
   Background:
     Given a gateway site with the plain workers "w1"
 
+  Scenario Outline: The response to a request in flight is not replaced by an answer to <what> behind it
+    Given gateway workers that are "slow"
+    When a raw gateway client writes a request and 50 ms later <what>
+    Then the raw gateway client gets 1 response with 200 and the body "signed" within 2000 ms
+    And the connection of the raw gateway client ends without a reset
+    And the gateway workers saw 1 requests
+
+    Examples:
+      | what                     |
+      | no protocol              |
+      | a large header           |
+
+  Scenario: A request that is completed behind the refusal of its head does not run
+    When a raw gateway client writes half a head
+    Then the raw gateway client gets 1 response with 408 within 2500 ms
+    When the raw gateway client writes the other half
+    And 300 ms pass at the gateway
+    Then the gateway workers saw 0 requests
+
   Scenario Outline: A refusal reaches a client that still sends <what>
     When a raw gateway client writes <what> and 100 ms later the rest, before it reads
     Then the raw gateway client gets 1 response with <status> within 1500 ms
