Read a connection once more before a limit closes it, and keep to a raised idle limit

A request that had arrived whole on an idle connection was destroyed unread after a pause of the process, and one whose head was complete got 408. After the operator had raised the idle limit, connections were still closed at the old one while clients used them by the new one. Callers saw a closed connection, neither an answer nor a refusal.

Cause: Node runs expired timers before it reads sockets, so the timer of a connection wins over the bytes that lie in it. And the timer of an idle connection is that of its last response.

The loop is held up in the check phase, so that the timers come before the reads.

A limit that expires is judged again behind the next poll of the sockets, and an idle connection by the limit in force then. Late closings are logged.

--- a/gateway/_client_connections.ts
+++ b/gateway/_client_connections.ts
@@ -35,6 +35,8 @@
 interface ConnectionState {
   /** Requests without a complete response. */
   open: Set<ConnectionRequest>
+  /** Number of requests so far. */
+  requests: number
   /** Time in milliseconds since which no request is open. */
   idleSinceMs: number
   /** True when no further request of this connection is served. */
@@ -44,7 +46,7 @@
 
 /** Lateness in milliseconds of the end of an idle connection that shows a pause of the process. */
 const minLatenessMs = 100
-/** Time in milliseconds for which Node keeps an idle connection beyond the limit. */
+/** Time in milliseconds beyond the idle limit for which a connection stays open, because a client may use it until its own timer expires. */
 const idleMarginMs = 1_000
 /** Time in milliseconds for which a connection is read after its last response; closing one with unread bytes resets it, and the response may be lost. */
 const lingerMs = 1_000
@@ -63,7 +65,7 @@
   function stateOf (socket: Socket): ConnectionState {
     const known = states.get(socket)
     if (known !== undefined) return known
-    const state = { open: new Set<ConnectionRequest>(), idleSinceMs: timer.now(), isLast: false, isClosing: false }
+    const state = { open: new Set<ConnectionRequest>(), requests: 0, idleSinceMs: timer.now(), isLast: false, isClosing: false }
     states.set(socket, state)
     return state
   }
@@ -109,13 +111,30 @@
       closeAfterResponses(socket, state)
       return
     }
-    refuse(socket, state, err.code)
+    if (err.code !== 'ERR_HTTP_REQUEST_TIMEOUT') {
+      refuse(socket, state, err.code)
+      return
+    }
+    // Expired timers run before sockets are read, so the rest of the head may have arrived already.
+    const { requests } = state
+    setImmediate(() => { if (state.requests === requests && !socket.destroyed) refuse(socket, state, err.code) })
   }
 
   function onIdle (socket: Socket): void {
-    const lateMs = Math.round(timer.now() - stateOf(socket).idleSinceMs - idleTimeoutMs - idleMarginMs)
-    if (lateMs > minLatenessMs) log.warn({ lateMs }, 'idle connection closed late')
-    socket.destroy()
+    const state = stateOf(socket)
+    const leftMs = state.idleSinceMs + idleTimeoutMs + idleMarginMs - timer.now()
+    // The limit may have been raised since the timer was set.
+    if (leftMs >= 1) {
+      socket.setTimeout(leftMs)
+      return
+    }
+    const { bytesRead } = socket
+    setImmediate(() => {
+      // As above, a request may have arrived before the timer ran.
+      if (socket.destroyed || state.open.size > 0 || socket.bytesRead !== bytesRead) return
+      if (leftMs < -minLatenessMs) log.warn({ lateMs: Math.round(-leftMs) }, 'idle connection closed late')
+      socket.destroy()
+    })
   }
 
   function onClose ({ res, reply, req, requestId }: ConnectionRequest, startedMs: number, version: number | undefined): void {
@@ -141,6 +160,7 @@
       if (state.isLast) return false
       const startedMs = timer.now()
       const version = directory.routeTable()?.version
+      state.requests++
       state.open.add(request)
       res.once('close', () => {
         state.open.delete(request)
--- a/gateway/client_connections.feature
+++ b/gateway/client_connections.feature
@@ -33,6 +33,23 @@
       | a body that is too large             | 413    |
       | bytes that are no protocol           | 400    |
 
+  Scenario: A request that has arrived before its idle connection is closed is answered
+    Given a gateway idle limit of 300 ms
+    When a raw gateway client sends a request, and the next one while the process is stopped across the idle limit
+    Then the raw gateway client gets 2 responses with 200 within 1500 ms
+
+  Scenario: A connection stays open for the idle limit in force when that was raised
+    Given a gateway idle limit of 300 ms
+    When a raw gateway client sends a request
+    And the gateway idle limit is raised to 3000 ms
+    And 2200 ms pass at the gateway
+    And the raw gateway client sends the next request
+    Then the raw gateway client gets 2 responses with 200 within 1500 ms
+
+  Scenario: A head that is complete before its limit is checked is served
+    When a raw gateway client writes half a head, and the rest while the process is stopped across the limit for heads
+    Then the raw gateway client gets 1 response with 200 within 1500 ms
+
   Scenario: An idle connection is closed
     Given a gateway idle limit of 300 ms
     When a raw gateway client sends a request
