Answer a request at its deadline, whatever error its handling has met

A request whose handling ended in an error outside of the one guarded place got no response at all: the head of a worker's response that Node refuses to write, an error in the handler of its body, or an answer inside the gateway that never comes. The client waited until it gave up (LOST).

Cause: processes go on after an unexpected error, but the reply counted as over before its head was written, and nothing ended a request whose handler was gone. Class: an obligation that lives only in the code that may fail.

A reply is over only once it has been written; the handler of the body is guarded like the rest; and a request without a response 450 ms after its deadline is ended with 500, or reset when its response has begun, and logged.

--- a/gateway/_client_server.ts
+++ b/gateway/_client_server.ts
@@ -44,6 +44,8 @@
 const streamAcceptMs = 3_000
 /** Time in milliseconds from the exit of a process until its successor serves. */
 const restartMs = 1_000
+/** Time in milliseconds after its deadline at which a request without a response is ended: a call about memory may be awaited until then. */
+const unansweredMarginMs = 450
 /** Lowest status that is logged as a failure. */
 const minFailureStatus = 400
 
@@ -129,8 +131,13 @@
       for (const fn of stopHandlers.splice(0)) fn(reason)
     }
     const deadlineTimer = timer.after(deadlineMs - timer.now(), () => stop(StopReason.DeadlineExceeded))
+    // The part that serves a request ends it when it stops, unless an error has ended that part first.
+    const unansweredTimer = timer.after(deadlineMs + unansweredMarginMs - timer.now(), () => {
+      if (!reply.isFinished()) failUnexpectedly(reply, head.requestId, new Error('no response by the deadline'))
+    })
     res.once('close', () => {
       deadlineTimer.cancel()
+      unansweredTimer.cancel()
       if (!res.writableFinished) stop(StopReason.ClientDisconnected)
     })
     const onStop = (fn: (reason: StopReason) => void): void => {
@@ -139,7 +146,7 @@
     }
     let isReadingBody = true
     onStop((reason) => { if (isReadingBody && reason === StopReason.DeadlineExceeded) refuse(408, 'body_too_slow') })
-    readBody(req, table.limits.maxBodyBytes, (body) => {
+    const onBody = (body: Buffer | undefined): void => {
       isReadingBody = false
       if (stopReason !== undefined) return
       if (body === undefined) return refuse(413, 'body_too_large')
@@ -159,6 +166,13 @@
       }
       context.retryBudget(service.name).recordRequest(timer.now())
       serve(request).catch((err) => failUnexpectedly(reply, request.requestId, err))
+    }
+    readBody(req, table.limits.maxBodyBytes, (body) => {
+      try {
+        onBody(body)
+      } catch (err) {
+        failUnexpectedly(reply, head.requestId, err)
+      }
     })
   }
 
--- a/gateway/_reply.ts
+++ b/gateway/_reply.ts
@@ -62,17 +62,18 @@
   return {
     sendLocal (response) {
       if (isOver) return
-      isOver = true
       const body = Buffer.from(JSON.stringify({ error: response.reason }))
       const fields = { ...(requestId === undefined ? {} : { requestId }), retryAfterMs: response.retryAfterMs }
       const headers = encodeLocalReplyHeaders(response.retryAfterMs === undefined ? { requestId } as { requestId?: string } : fields as object)
       res.writeHead(response.status, [...headers, 'Content-Length', String(body.length)])
+      isOver = true
       res.end(body)
     },
     sendWhole (response, body) {
       if (isOver) return
-      isOver = true
+      // A head that cannot be written leaves the reply open, so that another one can take its place.
       writeHead(response)
+      isOver = true
       res.end(body)
     },
     begin (response) {
