Close the connections of the entry as the gateway does

Callers of the product's own interface met the same faults: the response to a call in flight was replaced by the 400 meant for bytes behind it, a 413 was lost by a reset while the caller still sent its body, and a call whose handler threw got a closed connection in place of a response.

The handling of connections moves from the gateway to http/, and both servers use it.

--- a/entry/_http_server.ts
+++ b/entry/_http_server.ts
@@ -3,10 +3,13 @@
  */
 import { createServer } from 'node:http'
 import { Err, Ok } from '../core/results/mod.ts'
-import { createClientError, sendRefusal } from './_refusals.ts'
+import { manageConnections } from '../http/mod.ts'
+import { createClientError, createHandlerError, sendRefusal } from './_refusals.ts'
 import type { AddressInfo } from 'node:net'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Result } from '../core/results/mod.ts'
+import type { Log } from '../log/mod.ts'
+import type { Timer } from '../timer/mod.ts'
 import type { HttpRefusal } from './_refusals.ts'
 
 /** A caller's HTTP request and its response, as passed to handlers. */
@@ -36,6 +39,8 @@
   routes: HttpRoute[]
   maxHeaderBytes: number
   nextRequestId: () => string
+  timer: Timer
+  log: Log
   /** Called with the error of a handler that threw, which is a bug in this process. */
   onHandlerError: (requestId: string, err: unknown) => void
 }
@@ -65,8 +70,7 @@
  * Starts the server.
  */
 export function startHttpServer (options: HttpServerOptions): Promise<Result<HttpServer, string>> {
-  async function serve (req: IncomingMessage, res: ServerResponse): Promise<void> {
-    const requestId = options.nextRequestId()
+  async function serve (req: IncomingMessage, res: ServerResponse, requestId: string): Promise<void> {
     res.setHeader('x-request-id', requestId)
     const url = req.url ?? '/'
     const path = url.split('?', 1)[0] ?? '/'
@@ -82,11 +86,19 @@
     keepAliveTimeout: keepAliveTimeoutMs,
     noDelay: true
   })
+  const { timer, log } = options
+  const connections = manageConnections(server, { timer, log, idleTimeoutMs: keepAliveTimeoutMs })
   server.on('request', (req, res) => {
+    const requestId = options.nextRequestId()
+    const admitted = connections.admit({ req, res, requestId }, ({ requestId: request, ...fields }) => {
+      log.warn({ request, ...fields }, 'closed without a complete response')
+    })
+    if (!admitted) return
     res.on('error', () => {})
-    serve(req, res).catch((err: unknown) => {
-      options.onHandlerError(String(res.getHeader('x-request-id')), err)
-      res.destroy()
+    serve(req, res, requestId).catch((err: unknown) => {
+      options.onHandlerError(requestId, err)
+      if (res.headersSent) res.destroy()
+      else sendRefusal(res, createHandlerError())
     })
   })
   return new Promise((resolve) => {
--- a/entry/_refusals.ts
+++ b/entry/_refusals.ts
@@ -68,6 +68,13 @@
   return { status, code, message, outcome: Outcome.NotRun, param }
 }
 
+/**
+ * Creates the refusal of a call whose handling met an error of this process; whether it has run is unknown.
+ */
+export function createHandlerError (): HttpRefusal {
+  return { status: 500, code: 'internal_error', message: 'the call met an error in this process', outcome: Outcome.Unknown }
+}
+
 /**
  * Builds the OpenAI error body of a refusal.
  */
--- a/entry/start_entry.ts
+++ b/entry/start_entry.ts
@@ -254,6 +254,8 @@
     routes,
     maxHeaderBytes,
     nextRequestId: () => `${name}-${randomBytes(requestIdBytes).toString('base64url')}`,
+    timer,
+    log: base.log,
     onHandlerError: (requestId, err) => base.log.error({ requestId, err }, 'handler failed')
   })
   if (http.err) {
--- a/gateway/_client_server.ts
+++ b/gateway/_client_server.ts
@@ -4,13 +4,14 @@
 import { createServer } from 'node:http'
 import { chooseTarget, RequestKind } from '../core/route/mod.ts'
 import { Count, Latency } from '../metrics/mod.ts'
+import { ClosedBy, manageConnections } from '../http/mod.ts'
 import { decodeRequestHead } from '../platform/mod.ts'
-import { createClientConnections } from './_client_connections.ts'
 import { createReply } from './_reply.ts'
 import { serveGeneration } from './_serve_generation.ts'
 import { servePlain } from './_serve_plain.ts'
 import { StopReason } from './_types.ts'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { UnansweredRequest } from '../http/mod.ts'
 import type { RequestHead } from '../platform/mod.ts'
 import type { ClientLimits, RouteRule } from '../core/route/mod.ts'
 import type { Reply } from './_reply.ts'
@@ -58,16 +59,14 @@
   let exitMs = Infinity
   const server = createServer({ keepAlive: true, noDelay: true, connectionsCheckingInterval: 500 }, onRequest)
   server.requestTimeout = 0
-  const connections = createClientConnections(context, server)
+  const connections = manageConnections(server, { timer, log, idleTimeoutMs: server.keepAliveTimeout })
 
   function onRequest (req: IncomingMessage, res: ServerResponse): void {
     const head = decodeRequestHead(req.rawHeaders)
     const reply = createReply(res, head.requestId)
-    if (!connections.admit({ req, res, reply, requestId: head.requestId })) {
-      log.info({ request: head.requestId }, 'not served: it came behind the last response of its connection')
-      req.resume()
-      return
-    }
+    const version = directory.routeTable()?.version
+    const onUnanswered = (unanswered: UnansweredRequest): void => logUnanswered(unanswered, reply, version)
+    if (!connections.admit({ req, res, requestId: head.requestId }, onUnanswered)) return
     inFlight++
     res.once('close', () => { inFlight-- })
     whenDirectoryReady(timer.now(), () => {
@@ -79,6 +78,14 @@
     })
   }
 
+  /** Records a request whose connection closed before its response was complete, with the version of the rules at its acceptance. */
+  function logUnanswered (unanswered: UnansweredRequest, reply: Reply, version: number | undefined): void {
+    const { requestId: request, closedBy: side, ...fields } = unanswered
+    const closedBy = reply.isFinished() ? ClosedBy.Process : side
+    log.warn({ request, closedBy, ...fields, version, versionNow: directory.routeTable()?.version }, 'closed without a complete response')
+    context.metrics.count(Count.Unanswered, { closed_by: closedBy })
+  }
+
   /** Ends a request that met an error which no other part of the gateway expects; the worker may have run it. */
   function failUnexpectedly (reply: Reply, requestId: string | undefined, err: unknown): void {
     log.error({ requestId, err }, 'handler failed')
--- a/gateway/_client_connections.ts
+++ b/http/manage_connections.ts
@@ -1,37 +1,57 @@
 /**
- * Closes the connections of clients, so that no request that has been read loses its response, and records how they close.
+ * The connections of an HTTP server: how they end, and which of their requests are served.
  */
-import { Count } from '../metrics/mod.ts'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
-import type { Reply } from './_reply.ts'
-import type { GatewayContext } from './_types.ts'
+import type { Log } from '../log/mod.ts'
+import type { Timer } from '../timer/mod.ts'
 
 /** A request with its response. */
 export interface ConnectionRequest {
   req: IncomingMessage
   res: ServerResponse
-  reply: Reply
+  /** Identifier of the request; undefined when the client has sent none. */
   requestId: string | undefined
 }
 
-/** The connections of clients to a server. */
-export interface ClientConnections {
-  /** Admits a request; returns false when its connection has had its last response, so that the request must not be served. */
-  admit (request: ConnectionRequest): boolean
-  /** Sets the idle time in milliseconds after which a connection is closed. */
-  setIdleTimeout (ms: number): void
-}
-
 /** Names the sides that can close a connection. */
-enum ClosedBy {
+export enum ClosedBy {
   Client = 'client',
-  /** The gateway broke the response off. */
-  Gateway = 'gateway',
+  /** The process broke the response off. */
+  Process = 'process',
   /** A limit on the connection, or the end of the process. */
   Server = 'server'
 }
 
+/** Describes a request whose connection closed before its response was complete. */
+export interface UnansweredRequest {
+  requestId: string | undefined
+  closedBy: ClosedBy
+  /** Time in milliseconds from the head of the request to the close. */
+  tookMs: number
+  /** True when the head of the response had been sent. */
+  hasBegun: boolean
+}
+
+/** Configures the connections of a server. */
+export interface ManageConnectionsOptions {
+  timer: Timer
+  log: Log
+  /** Idle time in milliseconds after which a connection is closed; `setIdleTimeout` changes it. */
+  idleTimeoutMs: number
+}
+
+/** The connections of a server. */
+export interface ConnectionManager {
+  /**
+   * Admits a request; returns false when its connection has had its last response, so that the request must not be served.
+   * `onUnanswered` is called when the connection closes before the response is complete.
+   */
+  admit (request: ConnectionRequest, onUnanswered: (unanswered: UnansweredRequest) => void): boolean
+  /** Sets the idle time in milliseconds after which a connection is closed. */
+  setIdleTimeout (ms: number): void
+}
+
 interface ConnectionState {
   /** Requests without a complete response. */
   open: Set<ConnectionRequest>
@@ -56,11 +76,27 @@
   400: 'Bad Request', 408: 'Request Timeout', 431: 'Request Header Fields Too Large'
 }
 
-/** Takes over how a server closes the connections of its clients. */
-export function createClientConnections (context: GatewayContext, server: Server): ClientConnections {
-  const { timer, log, metrics, directory } = context
+/**
+ * Takes over how a server closes its connections, so that no request that has been read loses its response.
+ *
+ * A connection is read on for a moment after its last response, ends behind the responses that are due when bad bytes follow a
+ * request, and is read once more before a limit closes it.
+ *
+ * @param server the server, before it accepts connections
+ * @param options the timer, the log and the idle limit
+ * @returns the connections; each request must be admitted before it is served
+ *
+ * @example
+ * ```ts
+ * import { manageConnections } from 'briarloom/http'
+ *
+ * console.assert(typeof manageConnections === 'function')
+ * ```
+ */
+export function manageConnections (server: Server, options: ManageConnectionsOptions): ConnectionManager {
+  const { timer, log } = options
   const states = new WeakMap<Socket, ConnectionState>()
-  let idleTimeoutMs = 0
+  let { idleTimeoutMs } = options
 
   function stateOf (socket: Socket): ConnectionState {
     const known = states.get(socket)
@@ -137,14 +173,9 @@
     })
   }
 
-  function onClose ({ res, reply, req, requestId }: ConnectionRequest, startedMs: number, version: number | undefined): void {
-    const { socket } = req
-    const isByClient = socket.readableEnded || socket.errored !== null
-    const closedBy = reply.isFinished() ? ClosedBy.Gateway : isByClient ? ClosedBy.Client : ClosedBy.Server
-    const tookMs = Math.round(timer.now() - startedMs)
-    const versions = { version, versionNow: directory.routeTable()?.version }
-    log.warn({ request: requestId, closedBy, tookMs, hasBegun: res.headersSent, ...versions }, 'closed without a complete response')
-    metrics.count(Count.Unanswered, { closed_by: closedBy })
+  function findCloser ({ req, res }: ConnectionRequest): ClosedBy {
+    if (req.socket.readableEnded || req.socket.errored !== null) return ClosedBy.Client
+    return res.destroyed && !req.socket.destroyed ? ClosedBy.Process : ClosedBy.Server
   }
 
   server.on('clientError', onClientError)
@@ -153,19 +184,22 @@
   server.on('connection', (socket) => { socket.destroySoon = () => closeInOrder(socket) })
 
   return {
-    admit (request) {
-      const { req, res } = request
-      const { socket } = req
-      const state = stateOf(socket)
-      if (state.isLast) return false
+    admit (request, onUnanswered) {
+      const { req, res, requestId } = request
+      const state = stateOf(req.socket)
+      if (state.isLast) {
+        log.info({ request: requestId }, 'not served: it came behind the last response of its connection')
+        req.resume()
+        return false
+      }
       const startedMs = timer.now()
-      const version = directory.routeTable()?.version
       state.requests++
       state.open.add(request)
       res.once('close', () => {
         state.open.delete(request)
         state.idleSinceMs = timer.now()
-        if (!res.writableFinished) onClose(request, startedMs, version)
+        if (res.writableFinished) return
+        onUnanswered({ requestId, closedBy: findCloser(request), tookMs: Math.round(timer.now() - startedMs), hasBegun: res.headersSent })
       })
       return true
     },
