Listen to a silent stream until another engine is certain

Cause: gateway/_forward_stream.ts took silence for loss. It aborted the exchange after four longest pauses without data, and only then looked whether attempts, the budget for repeated sends and memory elsewhere allowed another one. When they did not, the client had lost what the gateway still had.

Change: a stream that falls silent is still listened to while the next attempt is prepared (_watch_silence.ts, _prepare_attempt.ts): attempts left, budget left, memory reserved, then the repeated send taken from the budget, then the prompt prefilled. Only when all that stands is the first exchange aborted, in the same step in which the second one is sent, so that no two engines keep running the request. If the stream goes on before, the search is cancelled and what it reserved or cached is freed; the repeated send stays taken, since a prefill may have reached an engine. Without a replacement the search is repeated and the stream listened to until the client's deadline or the route's timeout. A stream that sends bytes but completes no event is silent after twice that time and is treated alike. A later start under the identity or at the address of the engine ends the attempt at once (core/fleet findSuccessor), as a reset does. A search that is under way when the connection breaks is used for the next attempt.

The bounds are in core/stream (createSilenceDetector), tested on the manual timer. 'stream silent' says whether the sidecar is connected and how old its report is; 'stream goes on' and the detail of 'attempt failed' say what decided. New counter streams_silent_total.

--- a/core/fleet/mod.ts
+++ b/core/fleet/mod.ts
@@ -4,6 +4,7 @@
 export { chooseWorker } from './choose_worker.ts'
 export { getSendDelayMs } from './get_send_delay_ms.ts'
 export { createFleet } from './create_fleet.ts'
+export { findSuccessor } from './find_successor.ts'
 export { smooth } from './smooth.ts'
 export { stageOf } from './stage_of.ts'
 export { Stage, WorkerState } from './_types.ts'
--- a/gateway/_forward_stream.ts
+++ b/gateway/_forward_stream.ts
@@ -4,16 +4,19 @@
 import { observeStream } from './_observe_stream.ts'
 import { sendToWorker } from './_send_to_worker.ts'
 import { StopReason } from './_types.ts'
+import { watchSilence } from './_watch_silence.ts'
 import type { EventSplitter } from '../core/stream/mod.ts'
+import type { PreparedAttempt } from './_prepare_attempt.ts'
 import type { Reservation } from './_reserve_memory.ts'
 import type { ClientRequest, GatewayContext } from './_types.ts'
+import type { SeekReplacement } from './_watch_silence.ts'
 
 /** Ways in which a stream can end. */
 export enum StreamEnd {
   Completed = 'answered',
   /** The engine has not run the request. */
   Refused = 'refused',
-  /** The connection broke, or the engine failed or stopped sending; the request may have run. */
+  /** The connection broke, the engine failed, or another one goes on with the silent stream; the request may have run. */
   Lost = 'lost',
   Stopped = 'stopped'
 }
@@ -31,6 +34,8 @@
   ranMs: number
   /** Longest pause in milliseconds between two chunks of the stream. */
   pauseMs: number
+  /** The next attempt, which was prepared, or was being prepared, while the stream was silent; absent when none was sought. */
+  next?: Promise<PreparedAttempt | undefined>
 }
 
 /** Configures the forwarding of a stream. */
@@ -38,14 +43,18 @@
   reservation: Reservation
   /** Address and handle of the KV cache of the prompt; absent when the decode engine runs the prefill itself. */
   kvSource?: { address: string, handle: string }
-  /** Set for a stream that may resume at another engine: it passes on only complete events and records the last one. */
-  events?: EventSplitter
+  /** Set for a stream that may resume at another engine. */
+  resumption?: Resumption
+}
+
+/** What a stream needs to resume at another engine. */
+export interface Resumption {
+  /** Passes on only complete events and records the last one. */
+  events: EventSplitter
+  /** Seeks another engine while the stream is silent. */
+  seek: SeekReplacement
 }
 
-/** A stream without data for this many times the longest pause of its route is lost; clients disconnect after eight times. */
-const silenceFactor = 4
-/** A stream that sends data but completes no event is lost after this many times the time without data. */
-const partialEventFactor = 2
 const minFailureStatus = 500
 const minRefusalStatus = 300
 const eventEnd = '\n\n'
@@ -53,7 +62,8 @@
 /** Forwards one stream and returns how it ended; the client's response is completed only when the stream is complete. */
 export function forwardStream (context: GatewayContext, request: ClientRequest, options: ForwardStreamOptions): Promise<StreamResult> {
   const { timer } = context
-  const { reservation, kvSource, events } = options
+  const { reservation, kvSource, resumption } = options
+  const events = resumption?.events
   const { worker } = reservation
   worker.ownTokens += reservation.tokens
   return new Promise((resolve) => {
@@ -61,10 +71,7 @@
     let firstMs: number | undefined
     const sentMs = timer.now()
     let lastDataMs = sentMs
-    let lastEventMs = sentMs
     let isSettled = false
-    /** True while the client reads more slowly than the engine writes, so that missing data is no sign of a lost engine. */
-    let isPaused = false
     let isCloseDelimited = false
     /** True when the client has a part of the stream, so that only the events that follow it may be forwarded. */
     const isContinued = request.reply.hasBegun()
@@ -72,14 +79,31 @@
     let lastBytes = ''
     const observer = observeStream(context.promptGuard, worker, request.head.sharedParts)
 
-    function settle (end: StreamEnd, detail: string): void {
+    const watch = resumption === undefined
+      ? undefined
+      : watchSilence(context, request, {
+        worker,
+        seek: resumption.seek,
+        onReplaced (attempt, detail) {
+          exchange.abort()
+          settle(StreamEnd.Lost, detail, Promise.resolve(attempt))
+        },
+        onLost (detail) {
+          exchange.abort()
+          settle(StreamEnd.Lost, detail)
+        }
+      })
+
+    /** Ends the attempt; `replacement` is the next one when it is ready. */
+    function settle (end: StreamEnd, detail: string, replacement?: Promise<PreparedAttempt>): void {
       if (isSettled) return
       isSettled = true
-      silenceTimer?.cancel()
+      const next = replacement ?? (end === StreamEnd.Lost || end === StreamEnd.Refused ? watch?.takeSearch() : undefined)
+      watch?.end()
       worker.ownTokens -= reservation.tokens
       context.sidecars.reportStreamEnd(worker, request.requestId, end === StreamEnd.Completed)
       const ranMs = Math.round(timer.now() - sentMs)
-      resolve({ ...stats, ranMs, end, detail, ...(firstMs === undefined ? {} : { firstMs }) })
+      resolve({ ...stats, ranMs, end, detail, ...(firstMs === undefined ? {} : { firstMs }), ...(next === undefined ? {} : { next }) })
     }
 
     /** Tells whether the response ended inside an event, or before the first one. */
@@ -107,14 +131,13 @@
         settle(StreamEnd.Lost, `an event after ${events.lastId()} was sent again`)
         return
       }
-      if (forwarded.length > 0) lastEventMs = nowMs
+      watch?.onData(forwarded.length > 0)
       if (forwarded.length === 0 || request.reply.write(forwarded)) return
-      isPaused = true
+      watch?.suspend()
       exchange.pause()
       request.reply.onDrain(() => {
-        isPaused = false
         lastDataMs = timer.now()
-        lastEventMs = lastDataMs
+        watch?.resume()
         exchange.resume()
       })
     }
@@ -151,15 +174,6 @@
         settle(StreamEnd.Lost, reason)
       }
     })
-    const silenceTimeoutMs = silenceFactor * request.route.longestPauseMs
-    const silenceTimer = events === undefined
-      ? undefined
-      : timer.every(silenceTimeoutMs / silenceFactor, () => {
-        const nowMs = timer.now()
-        if (isPaused || (nowMs - lastDataMs < silenceTimeoutMs && nowMs - lastEventMs < partialEventFactor * silenceTimeoutMs)) return
-        exchange.abort()
-        settle(StreamEnd.Lost, `no data for ${Math.round(nowMs - lastDataMs)} ms, no event for ${Math.round(nowMs - lastEventMs)} ms`)
-      })
     request.onStop((reason) => {
       if (isSettled) return
       exchange.abort()
--- a/gateway/_serve_generation.ts
+++ b/gateway/_serve_generation.ts
@@ -1,16 +1,16 @@
 /**
  * Serves generations: reserves memory at a decode engine, then has the prompt prefilled, then forwards the stream.
  */
-import { RefusalCode } from '../core/types/mod.ts'
 import { createEventSplitter } from '../core/stream/mod.ts'
 import { Count } from '../metrics/mod.ts'
 import { forwardStream, StreamEnd } from './_forward_stream.ts'
-import { reserveAtEngine, releaseReservation, reserveMemory } from './_reserve_memory.ts'
-import { freeKvCache, prefillWithRetry } from './_prefill.ts'
+import { prepareAttempt, releaseAttempt } from './_prepare_attempt.ts'
+import { reserveAtEngine } from './_reserve_memory.ts'
 import { StopReason } from './_types.ts'
 import type { EventSplitter } from '../core/stream/mod.ts'
+import type { Worker } from '../core/fleet/mod.ts'
 import type { StreamResult } from './_forward_stream.ts'
-import type { Reservation } from './_reserve_memory.ts'
+import type { PreparedAttempt } from './_prepare_attempt.ts'
 import type { RequestResult, ClientRequest, GatewayContext } from './_types.ts'
 
 /** Delay in milliseconds after which a client may retry when an engine has refused its request. */
@@ -36,55 +36,31 @@
 export async function serveGeneration (context: GatewayContext, request: ClientRequest): Promise<RequestResult> {
   const state: GenerationState = { attempts: 0, exclude: new Set(), mayHaveRun: false }
   if (request.route.mayResume) state.events = createEventSplitter(request.head.lastEventId)
+  let prepared: PreparedAttempt | undefined
   for (;;) {
-    const startedMs = context.timer.now()
-    if (isQuarantined(context, request)) return failRequest(context, request, state, 'prompt_quarantined')
-    const reservation = await reserveMemory(context, request, state.exclude)
-    const reservedAtMs = context.timer.now()
-    context.metrics.count(Count.Reservations, { result: reservation === undefined ? 'refused' : 'taken' })
-    if (reservation === undefined) return failRequest(context, request, state, 'no_memory')
-    const { worker, prefillEngine, tokens } = reservation
-    const capacityFields = worker.capacity === undefined
-      ? {}
-      : { roomTokens: worker.capacity.freeTokens, roomAgeMs: Math.round(reservedAtMs - worker.capacity.receivedAtMs) }
-    const waitedMs = Math.round(reservedAtMs - startedMs)
-    context.log.info({
-      request: request.requestId, worker: worker.entry.id, reader: prefillEngine?.entry.id, tokens, waitedMs, ...capacityFields
-    }, 'reserved')
-    // Other requests may have crashed engines while this one waited.
-    const { kvCache, isRefused } = isQuarantined(context, request)
-      ? { kvCache: undefined, isRefused: false }
-      : await prefillWithRetry(context, request, prefillEngine)
-    const isHeldBack = isQuarantined(context, request)
-    const isOverBudget = isRefused && !context.retryBudget(request.service.name).take(context.timer.now())
-    if (isHeldBack || isOverBudget || request.stopReason() !== undefined) {
-      releaseReservation(context, reservation, request.requestId)
-      if (kvCache !== undefined) freeKvCache(context, kvCache.worker, kvCache.handle)
-      const reason = isHeldBack ? 'prompt_quarantined' : RefusalCode.RetryBudgetExhausted
-      return failRequest(context, request, state, request.stopReason() ?? reason)
+    if (prepared === undefined) {
+      const result = await prepareAttempt(context, request, { exclude: state.exclude, takesRetry: false })
+      if (result.err) return failRequest(context, request, state, result.val)
+      prepared = result.val
     }
-    const prefilledAtMs = context.timer.now()
+    const { reservation: { worker }, kvCache, holdMs, prefillMs } = prepared
     state.attempts++
-    const kvSource = kvCache === undefined ? undefined : { address: kvCache.worker.entry.address, handle: kvCache.handle }
-    const result = await forwardWithFallback(context, request, state, reservation, kvSource)
-    const fields = {
-      ...result,
-      holdMs: Math.round(reservedAtMs - startedMs),
-      prefillMs: Math.round(prefilledAtMs - reservedAtMs),
-      prefilled: kvCache?.worker.entry.id
-    }
+    const { next, ...result } = await forwardWithFallback(context, request, state, prepared)
+    const fields = { ...result, holdMs, prefillMs, prefilled: kvCache?.worker.entry.id }
     state.mayHaveRun ||= result.end === StreamEnd.Lost
     if (result.end === StreamEnd.Completed || result.end === StreamEnd.Stopped) {
       return { ...fields, reason: result.detail || result.end, attempts: state.attempts }
     }
-    const { end, status, detail, bytes, ranMs } = result
-    const parts = request.head.sharedParts.join(' ')
-    context.log.warn({
-      request: request.requestId, attempt: state.attempts, worker: worker.entry.id, end, status, detail, bytes, ranMs, parts
-    }, 'attempt failed')
-    if (end === StreamEnd.Lost) context.metrics.count(Count.StreamsLost, { phase: bytes === 0 ? 'start' : 'midway' })
-    if (kvCache !== undefined && end === StreamEnd.Refused) context.metrics.count(Count.WastedPrefillTokens, {}, request.head.promptTokens)
-    if (!tryTakeRetry(context, request, state, result)) return { ...fields, ...failRequest(context, request, state, result.end) }
+    recordFailedAttempt(context, request, state, prepared, result)
+    prepared = await next
+    if (prepared !== undefined && request.stopReason() !== undefined) {
+      releaseAttempt(context, request, prepared)
+      return { ...fields, ...failRequest(context, request, state, result.end) }
+    }
+    // The retry of an attempt that was prepared during a silence has been taken from the budget already.
+    if (prepared === undefined && !tryTakeRetry(context, request, state, result)) {
+      return { ...fields, ...failRequest(context, request, state, result.end) }
+    }
     context.metrics.count(Count.Retries, { service: request.service.name })
     context.log.warn({ request: request.requestId, afterEvent: state.events?.lastId(), attempts: state.attempts }, 'resuming')
     state.exclude.add(worker.entry.id)
@@ -92,25 +68,44 @@
   }
 }
 
-function isQuarantined (context: GatewayContext, request: ClientRequest): boolean {
-  return context.promptGuard.find(request.head.sharedParts) !== undefined
+function recordFailedAttempt (
+  context: GatewayContext, request: ClientRequest, state: GenerationState, { reservation, kvCache }: PreparedAttempt, result: StreamResult
+): void {
+  const { end, status, detail, bytes, ranMs } = result
+  const parts = request.head.sharedParts.join(' ')
+  context.log.warn({
+    request: request.requestId, attempt: state.attempts, worker: reservation.worker.entry.id, end, status, detail, bytes, ranMs, parts
+  }, 'attempt failed')
+  if (end === StreamEnd.Lost) context.metrics.count(Count.StreamsLost, { phase: bytes === 0 ? 'start' : 'midway' })
+  if (kvCache !== undefined && end === StreamEnd.Refused) context.metrics.count(Count.WastedPrefillTokens, {}, request.head.promptTokens)
+}
+
+/** Prepares the attempt that goes on with a silent stream, if the attempts and the retry budget allow one. */
+async function seekReplacement (
+  context: GatewayContext, search: ClientRequest, state: GenerationState, silent: Worker
+): Promise<PreparedAttempt | undefined> {
+  if (state.attempts >= search.route.maxAttempts) return undefined
+  if (context.retryBudget(search.service.name).remaining(context.timer.now()) < 1) return undefined
+  const exclude = new Set([...state.exclude, silent.entry.id])
+  const result = await prepareAttempt(context, search, { exclude, takesRetry: true })
+  return result.ok ? result.val : undefined
 }
 
 /** Forwards a stream. When the engine refuses it with a KV cache to fetch, the same engine is asked once more, to run the prefill itself. */
 async function forwardWithFallback (
-  context: GatewayContext,
-  request: ClientRequest,
-  state: GenerationState,
-  reservation: Reservation,
-  kvSource: { address: string, handle: string } | undefined
+  context: GatewayContext, request: ClientRequest, state: GenerationState, { reservation, kvCache }: PreparedAttempt
 ): Promise<StreamResult> {
-  const events = state.events === undefined ? {} : { events: state.events }
-  if (kvSource === undefined) return await forwardStream(context, request, { reservation, ...events })
-  const result = await forwardStream(context, request, { reservation, kvSource, ...events })
-  if (result.end !== StreamEnd.Refused || !context.retryBudget(request.service.name).take(context.timer.now())) return result
+  const { worker, prefillEngine } = reservation
+  const seek = (search: ClientRequest): Promise<PreparedAttempt | undefined> => seekReplacement(context, search, state, worker)
+  const resumption = state.events === undefined ? {} : { resumption: { events: state.events, seek } }
+  if (kvCache === undefined) return await forwardStream(context, request, { reservation, ...resumption })
+  const kvSource = { address: kvCache.worker.entry.address, handle: kvCache.handle }
+  const result = await forwardStream(context, request, { reservation, kvSource, ...resumption })
+  if (result.end !== StreamEnd.Refused || result.next !== undefined) return result
+  if (!context.retryBudget(request.service.name).take(context.timer.now())) return result
   // The KV cache is gone, so the decode engine that was to fetch it runs the prefill itself; no other engine is asked.
-  const renewed = await reserveAtEngine(context, request, reservation.worker, reservation.prefillEngine)
-  return renewed.err ? result : await forwardStream(context, request, { reservation: renewed.val, ...events })
+  const renewed = await reserveAtEngine(context, request, worker, prefillEngine)
+  return renewed.err ? result : await forwardStream(context, request, { reservation: renewed.val, ...resumption })
 }
 
 /** Takes a retry from the budget when a stream may resume at another engine, within its attempts and its deadline; returns whether it may. */
--- a/gateway/_types.ts
+++ b/gateway/_types.ts
@@ -57,7 +57,9 @@
 /** Reasons for stopping a request before its response is complete. */
 export enum StopReason {
   ClientDisconnected = 'client_left',
-  DeadlineExceeded = 'time_up'
+  DeadlineExceeded = 'time_up',
+  /** The search for another engine is over, because the silent stream goes on. */
+  StreamGoesOn = 'stream_goes_on'
 }
 
 /** The result of a request, for the log. */
--- a/metrics/create_prometheus_metrics.ts
+++ b/metrics/create_prometheus_metrics.ts
@@ -33,6 +33,8 @@
   RetriesDenied = 'retries_denied_total',
   /** Streams of engines that broke, by phase: before their first event (`start`) or after it (`midway`). */
   StreamsLost = 'streams_lost_total',
+  /** Times at which a stream that may resume elsewhere fell silent, by service. */
+  StreamsSilent = 'streams_silent_total',
   /** Crashes of engines just after a request had begun, as this process observed them, by service. */
   EngineCrashes = 'engine_crashes_total',
   /** Calls to the configuration store, by result. */
@@ -46,6 +48,7 @@
   [Count.WastedPrefillTokens]: [],
   [Count.RetriesDenied]: ['service'],
   [Count.StreamsLost]: ['phase'],
+  [Count.StreamsSilent]: ['service'],
   [Count.EngineCrashes]: ['service'],
   [Count.StoreReads]: ['result']
 }
@@ -57,6 +60,7 @@
   [Count.WastedPrefillTokens]: 'Prompt tokens read and not used',
   [Count.RetriesDenied]: 'Repeated sends that the shared bound did not allow by service',
   [Count.StreamsLost]: 'Streams of engines that broke, by phase',
+  [Count.StreamsSilent]: 'Silences of streams that may resume elsewhere, by service',
   [Count.EngineCrashes]: 'Crashes of engines just after a request had begun, by service',
   [Count.StoreReads]: 'Calls to the store by result',
   [Latency.Request]: 'Time from a request to its final answer in ms',
--- a/testing/fleuve/mod.ts
+++ b/testing/fleuve/mod.ts
@@ -3,7 +3,7 @@
  */
 export { buildConfiguration, startSite } from './start_site.ts'
 export { startStore, StoreMode } from './start_store.ts'
-export { startWorker, WorkerMode } from './start_worker.ts'
+export { SilencePoint, startWorker, WorkerMode } from './start_worker.ts'
 export type { Site, SiteOptions } from './start_site.ts'
 export type { FakeStore } from './start_store.ts'
-export type { FakeWorker, FakeWorkerOptions, ReceivedRequest } from './start_worker.ts'
+export type { FakeWorker, FakeWorkerOptions, ReceivedRequest, Silence } from './start_worker.ts'
--- a/testing/fleuve/start_worker.ts
+++ b/testing/fleuve/start_worker.ts
@@ -47,6 +47,29 @@
   OtherResponse = 'extra'
 }
 
+/** Names where a worker falls silent and then goes on. */
+export enum SilencePoint {
+  /** Before the head of a response. */
+  BeforeHead = 'before the head',
+  /** Between the head of a stream and its first event. */
+  BeforeFirstEvent = 'before the first event',
+  /** Behind the second event of a stream. */
+  BetweenEvents = 'between two events',
+  /** Inside the third event of a stream. */
+  InsideEvent = 'inside an event',
+  /** Before the response to a prefill. */
+  Prefill = 'before the response to a prefill',
+  /** Before the response to a call that reserves memory. */
+  Reservation = 'before the response to a reservation'
+}
+
+/** Describes a silence of a worker. */
+export interface Silence {
+  point: SilencePoint
+  /** Duration in milliseconds. */
+  ms: number
+}
+
 /** Describes a request that the worker received. */
 export interface ReceivedRequest {
   method: string
@@ -55,8 +78,9 @@
   body: string
   /** True once the connection closed before the response was complete. */
   isAborted: boolean
-  /** Time in milliseconds on the monotonic clock. */
+  /** Times in milliseconds on the monotonic clock. */
   receivedMs: number
+  abortedMs?: number
 }
 
 /** Describes the crash of an engine under a part of a prompt. */
@@ -93,6 +117,8 @@
   setLimit (perS: number | undefined): void
   /** Makes an engine crash under a part of a prompt; undefined ends that. */
   setPromptCrash (crash: PromptCrash | undefined): void
+  /** Makes the worker fall silent once in each response and then go on; undefined ends that. */
+  setSilence (silence: Silence | undefined): void
   /** Sets the time in milliseconds that a prefill takes. */
   setPrefillMs (ms: number): void
   /** Returns the entry that the worker writes to the store, as JSON; `fields` replace its fields. */
@@ -116,6 +142,8 @@
 }
 
 const responseText = 'signed'
+/** Number of the event behind which, or inside whose successor, a stream falls silent. */
+const silentAfterEvent = 2
 /** Time in milliseconds from the head of an answer to the crash of the engine. */
 const crashDelayMs = 10
 
@@ -147,6 +175,7 @@
   let reset = { event: 0, times: 0 }
   let limitPerS: number | undefined
   let promptCrash: PromptCrash | undefined
+  let silence: Silence | undefined
   let born = 1
   const running = new Set<string>()
   const sockets = new Set<Socket>()
@@ -262,31 +291,61 @@
 
   function sendStream (req: IncomingMessage, res: ServerResponse): void {
     if (promptCrash !== undefined && hasPart(req, promptCrash.part)) return crash(req, res, promptCrash)
+    if (res.destroyed) return
     const first = Number(req.headers['last-event-id'] ?? 0)
     running.add(String(req.headers['x-request-id']))
     res.writeHead(200, createHeaders(req, { 'Content-Type': 'text/event-stream' }))
+    res.flushHeaders()
     let event = first
-    const timer = setInterval(() => {
+    let timer: ReturnType<typeof setTimeout>
+
+    function buildEvent (id: number): string { return `id: ${id}\ndata: piece ${id}${'.'.repeat(eventBytes)}\n\n` }
+
+    function sendNext (): void {
       event++
-      res.write(`id: ${event}\ndata: piece ${event}${'.'.repeat(eventBytes)}\n\n`)
+      res.write(buildEvent(event))
       if (reset.times > 0 && event === reset.event) {
         reset.times--
-        clearInterval(timer)
         // The connection is reset after part of the next event, as when an engine process dies.
         res.write(`id: ${event + 1}\nda`)
         setTimeout(() => res.socket?.resetAndDestroy(), eventMs)
         return
       }
-      if (event < events) return
-      clearInterval(timer)
-      res.end()
-    }, eventMs)
+      if (event >= events) {
+        res.end()
+        return
+      }
+      const isInside = silence?.point === SilencePoint.InsideEvent && event === silentAfterEvent
+      if (isInside) sendInPieces(silence?.ms ?? 0)
+      else timer = setTimeout(sendNext, eventMs + (event === silentAfterEvent ? silenceMs(SilencePoint.BetweenEvents) : 0))
+    }
+
+    /** Sends the next event with a silence inside it. */
+    function sendInPieces (ms: number): void {
+      const text = buildEvent(++event)
+      res.write(text.slice(0, 8))
+      timer = setTimeout(() => {
+        res.write(text.slice(8))
+        timer = setTimeout(sendNext, eventMs)
+      }, ms)
+    }
+
+    timer = setTimeout(sendNext, eventMs + silenceMs(SilencePoint.BeforeFirstEvent))
     res.on('close', () => {
-      clearInterval(timer)
+      clearTimeout(timer)
       running.delete(String(req.headers['x-request-id']))
     })
   }
 
+  /** Returns the duration in milliseconds of the silence at a point of a response. */
+  function silenceMs (point: SilencePoint): number { return silence?.point === point ? silence.ms : 0 }
+
+  function afterSilence (point: SilencePoint, fn: () => void): void {
+    const ms = silenceMs(point)
+    if (ms === 0) fn()
+    else setTimeout(fn, ms)
+  }
+
   function sendJson (res: ServerResponse, status: number, body: object): void {
     const text = JSON.stringify(body)
     res.writeHead(status, { 'Content-Type': 'application/json', 'Content-Length': text.length, ...limitHeaders() })
@@ -310,7 +369,7 @@
     'POST /v1/hold-take': (res, body) => {
       const { tokens } = JSON.parse(body)
       if (tokens > memoryTokens) return sendJson(res, 503, {})
-      sendJson(res, 200, { hold: `hold-${++reservations}` })
+      afterSilence(SilencePoint.Reservation, () => sendJson(res, 200, { hold: `hold-${++reservations}` }))
     }
   }
 
@@ -326,17 +385,21 @@
       }
       const request: ReceivedRequest = { method: req.method ?? '', path: req.url ?? '', headers: req.headers, body, isAborted: false, receivedMs: performance.now() }
       requests.push(request)
-      res.on('close', () => { request.isAborted = !res.writableFinished })
+      res.on('close', () => {
+        request.isAborted = !res.writableFinished
+        if (request.isAborted) request.abortedMs = performance.now()
+      })
       const mode = modes.length > 1 ? modes.shift() as WorkerMode : modes[0] as WorkerMode
       if (resumeMode !== undefined && req.headers['last-event-id'] !== undefined) return responders[resumeMode](req, res)
-      if (mode !== WorkerMode.Good || stage === undefined) return responders[mode](req, res)
+      if (mode !== WorkerMode.Good) return responders[mode](req, res)
+      if (stage === undefined) return afterSilence(SilencePoint.BeforeHead, () => responders[mode](req, res))
       if (req.headers['x-stage'] === 'prefill') {
         const handle = { kv_cache_handle: `kv-${requests.length}`, tokens: 10, version: 1 }
         res.setHeader('X-Request-Id', String(req.headers['x-request-id']))
-        setTimeout(() => sendJson(res, 200, handle), prefillMs)
+        setTimeout(() => sendJson(res, 200, handle), prefillMs + silenceMs(SilencePoint.Prefill))
         return
       }
-      sendStream(req, res)
+      afterSilence(SilencePoint.BeforeHead, () => sendStream(req, res))
     })
   })
   server.on('connection', (socket) => sockets.add(socket))
@@ -355,6 +418,7 @@
     resetAfterEvent (event, times) { reset = { event, times } },
     setLimit (perS) { limitPerS = perS },
     setPromptCrash (next) { promptCrash = next },
+    setSilence (next) { silence = next },
     setPrefillMs (ms) { prefillMs = ms },
     setStage (next) { stage = next as 'prefill' | 'decode' },
     buildEntry: (fields = {}) => JSON.stringify({
