Show what silence of a sidecar costs a generation

Scenarios only. A stream whose engine falls silent while the sidecars refuse memory elsewhere goes on, and the log says that the sidecar of the silent engine is connected.

--- a/gateway/silent_engine.feature
+++ b/gateway/silent_engine.feature
@@ -92,3 +92,17 @@
     And the gateway response has a Retry-After header: yes
     When a gateway client requests a generation on "/resume/x"
     Then the gateway client gets the events 1 to 8, each once
+
+  Scenario: A sidecar that is silent to a reservation is passed over
+    Given the sidecars of the gateway engines are silent to reservations at "d1" and grant them at "d2"
+    When a gateway client requests a generation on "/resume/x"
+    Then the gateway client gets the events 1 to 8, each once
+    And the gateway worker "d1" saw 0 requests
+
+  Scenario: A stream goes on after a silence when the sidecars refuse memory elsewhere
+    Given the sidecars of the gateway engines refuse reservations at "d2" and grant them at "d1"
+    And the gateway engines fall silent between two events for 1700 ms
+    When a gateway client requests a generation on "/resume/x"
+    Then the gateway client gets the events 1 to 8, each once
+    And the gateway engines saw 1 decode
+    And the gateway logged '"hasSidecar":true'
--- a/gateway/silent_engine_test.ts
+++ b/gateway/silent_engine_test.ts
@@ -3,8 +3,11 @@
  */
 import assert from 'node:assert/strict'
 import { Given, Then, When } from '@cucumber/cucumber'
+import { RefusalCode } from '../core/types/mod.ts'
+import { listen, MessageKind } from '../wire/mod.ts'
 import { open, send, sleep, until } from './gateway_test.ts'
 import type { FakeWorker, SilencePoint, Site } from '../testing/fleuve/mod.ts'
+import type { Listener } from '../wire/mod.ts'
 
 type Response = Awaited<ReturnType<typeof send>>
 
@@ -13,6 +16,8 @@
   response: Response
   responses: Response[]
   tookMs: number
+  /** Closed by the steps of the gateway. */
+  sidecar?: Listener
 }
 
 const prompt = { 'X-Model': 'm', 'X-Token-Counts': '100,40', 'X-Length-Hint': '30', 'X-Request-Deadline-Ms': '3000' }
@@ -61,6 +66,36 @@
   }, 1)
 })
 
+/** Starts a sidecar of all engines that grants reservations at one of them and passes over or refuses those at another one. */
+async function startSidecars (world: World, grantingId: string, otherId: string, refuses: boolean): Promise<void> {
+  const capacity = { reads: false, waiting: 0, senders: 1 }
+  const listener = await listen({
+    host: '127.0.0.1',
+    port: world.gatewaySite.settings.internalPort,
+    firstMessageTimeoutMs: 0,
+    onConnection (connection) {
+      // The engine that is to be asked first has most memory.
+      const rooms = { [grantingId]: refuses ? 50_000 : 40_000, [otherId]: refuses ? 40_000 : 50_000 }
+      for (const [workerId, roomTokens] of Object.entries(rooms)) connection.send({ kind: MessageKind.EngineCapacity, workerId, roomTokens, ...capacity })
+      connection.onMessage((msg) => {
+        if (msg.kind !== MessageKind.Admit) return
+        const { requestId, attempt, workerId } = msg
+        if (workerId === grantingId) connection.send({ kind: MessageKind.Admitted, requestId, attempt, hold: 'hold-1' })
+        else if (refuses) connection.send({ kind: MessageKind.Refused, requestId, attempt, code: RefusalCode.NoCapacity, retryAfterMs: 0 })
+      })
+    }
+  })
+  world.sidecar = listener.unwrap()
+  await until(() => world.gatewaySite.readLog().includes('sidecar connected'), 1500, 'a connection to the sidecar')
+  await sleep(50)
+}
+
+Given('the sidecars of the gateway engines are silent to reservations at {string} and grant them at {string}',
+  async function (this: World, otherId: string, grantingId: string) { await startSidecars(this, grantingId, otherId, false) })
+
+Given('the sidecars of the gateway engines refuse reservations at {string} and grant them at {string}',
+  async function (this: World, otherId: string, grantingId: string) { await startSidecars(this, grantingId, otherId, true) })
+
 When('{int} gateway clients request a generation on {string} together', async function (this: World, count: number, path: string) {
   this.responses = await Promise.all(Array.from({ length: count }, () => requestGeneration(this, path)))
 })
