Wait for a stalled stream that nothing else can go on with

Cause: the stall timer of core/request cancelled the attempt first and looked for another one afterwards.

Evidence: three of four new examples in request.feature fail on the code before: 'cancel d3/1, break unknown' in place of 'emit 2 1, end 3' (no other backend server), and 'refuse unknown' in place of the answer (no other backend server; retry budget used up). The fourth, a stream that stays silent until the deadline, passes on both.

Change: a stream without progress is left only when an attempt, a decode backend server and, before its first token, a retry are left for it; else the check is repeated after another stall timeout, until the deadline. A lost connection, a failure that the agent reports and a stall before the decode are handled as before.

Not covered: a backend server that is chosen and then refuses; the first attempt is cancelled by then, since one request has one attempt at a time.

--- a/core/request/_recovery.ts
+++ b/core/request/_recovery.ts
@@ -3,7 +3,7 @@
  */
 import { RefusalCode, Role } from '../types/mod.ts'
 import { reservePolicies } from './_reserve_policies.ts'
-import { sendCancel, cancelAttempt, enterPhase, failRequest, sendPrefill, sendReserve, setTimer } from './_state.ts'
+import { sendCancel, cancelAttempt, countPromptTokens, enterPhase, failRequest, sendPrefill, sendReserve, setTimer } from './_state.ts'
 import { RequestPhase, RequestTimer } from './_types.ts'
 import type { RequestState } from './_state.ts'
 
@@ -24,11 +24,36 @@
     failRequest(state, code, 1000)
     return
   }
+  beginNextAttempt(state, nowMs)
+}
+
+function beginNextAttempt (state: RequestState, nowMs: number): void {
   state.attempt += 1
   enterPhase(state, RequestPhase.Preparing, nowMs)
   reservePolicies[state.options.policy].begin(state, nowMs)
 }
 
+/**
+ * Handles a stream without progress. Silence does not show that the engine has stopped, so the stream is left only when an attempt, a
+ * retry and a backend server for it are left; else it is waited for, until the deadline.
+ */
+export function handleStalledStream (state: RequestState, agent: string, nowMs: number): void {
+  if (!canMoveFrom(state, agent) || !canRetry(state, nowMs)) {
+    setTimer(state, RequestTimer.Stall, state.stepTimeoutMs)
+    return
+  }
+  cancelAttempt(state)
+  state.excludedBackends.add(agent)
+  state.answer.dropPendingBatches()
+  beginNextAttempt(state, nowMs)
+}
+
+/** Tells whether an attempt and a decode backend server other than the given one are left. */
+function canMoveFrom (state: RequestState, agent: string): boolean {
+  if (state.attempt >= state.options.maxAttempts) return false
+  return state.ports.chooseBackend(Role.Decode, countPromptTokens(state), [...state.excludedBackends, agent], undefined).ok
+}
+
 /** Handles a lost connection to an agent. */
 export function handleAgentLost (state: RequestState, agent: string, nowMs: number): void {
   if (state.phase === RequestPhase.Streaming && state.decode?.agent === agent) {
--- a/core/request/_state.ts
+++ b/core/request/_state.ts
@@ -112,7 +112,7 @@
 }
 
 /** Counts the tokens of the prompt of the current attempt. */
-function countPromptTokens (state: RequestState): number {
+export function countPromptTokens (state: RequestState): number {
   return state.spec.promptTokens + state.answer.nextOffset()
 }
 
--- a/core/request/create_request.ts
+++ b/core/request/create_request.ts
@@ -5,7 +5,7 @@
 import { handleReply } from './_replies.ts'
 import { reservePolicies } from './_reserve_policies.ts'
 import { cancelAttempt, enterPhase, failRequest, estimateLatenessMs, getAttemptRef, sendReserve, setTimer } from './_state.ts'
-import { retryElsewhere, handleAgentLost } from './_recovery.ts'
+import { retryElsewhere, handleAgentLost, handleStalledStream } from './_recovery.ts'
 import { createTokenAssembler } from '../stream/mod.ts'
 import { RefusalCode } from '../types/mod.ts'
 import { RequestEffectKind, RequestEventKind, RequestPhase, RequestTimer } from './_types.ts'
@@ -56,6 +56,7 @@
   [RequestTimer.Stall]: (state, nowMs) => {
     const idleMs = nowMs - state.lastProgressMs
     if (idleMs < state.stepTimeoutMs) setTimer(state, RequestTimer.Stall, state.stepTimeoutMs - idleMs)
+    else if (state.phase === RequestPhase.Streaming && state.decode !== undefined) handleStalledStream(state, state.decode.agent, nowMs)
     else retryElsewhere(state, RefusalCode.Unreachable, getAwaitedAgent(state), nowMs)
   },
   [RequestTimer.Resume]: (state, nowMs) => {
@@ -64,9 +65,8 @@
   [RequestTimer.Deadline]: (state) => failRequest(state, RefusalCode.DeadlineExceeded, 0)
 }
 
-/** Returns the agent that the current step waits for. */
+/** Returns the agent that the preparation of the attempt waits for. */
 function getAwaitedAgent (state: RequestState): string | undefined {
-  if (state.phase === RequestPhase.Streaming) return state.decode?.agent
   if (state.prefill !== undefined && !state.prefill.isReady) return state.prefill.agent
   return state.decode?.agent
 }
--- a/core/request/request.feature
+++ b/core/request/request.feature
@@ -28,6 +28,14 @@
       | reserve_first | start, d1 reserved, p1 prefilled, d1 tokens 0 2, d1 lost, wake resume, d2 reserved, p1 prefilled, d1 tokens 2 1, d2 tokens 2 1, d2 finished 3 | reserve d1/1, prefill p1/1, decode d1/1, cancel p1/1, emit 0 2, cancel d1/1, reserve d2/2, prefill p1/2, decode d2/2, cancel p1/2, emit 2 1, end 3 |
       | reserve_first | start, d1 reserved, p1 prefilled, d1 tokens 0 2, wait 2000, wake stall, d1 tokens 2 1 | reserve d1/1, prefill p1/1, decode d1/1, cancel p1/1, emit 0 2, cancel d1/1, reserve d2/2 |
 
+    # Guards against a begun answer that is broken off because its engine fell silent, although nothing else could go on with it.
+    Examples: a stream that stalls goes on when it comes back and there was no other backend server, attempt or retry for it
+      | policy        | events                                                                 | effects |
+      | reserve_first | start, d1 refused, d2 refused, d3 reserved, p1 prefilled, d3 tokens 0 2, wait 2000, wake stall, d3 tokens 2 1, d3 finished 3 | reserve d1/1, cancel d1/1, reserve d2/1, cancel d2/1, reserve d3/1, prefill p1/1, decode d3/1, cancel p1/1, emit 0 2, emit 2 1, end 3 |
+      | reserve_first | start, d1 refused, d2 refused, d3 reserved, p1 prefilled, wait 2000, wake stall, wait 2000, wake stall, d3 tokens 0 2, d3 finished 2 | reserve d1/1, cancel d1/1, reserve d2/1, cancel d2/1, reserve d3/1, prefill p1/1, decode d3/1, cancel p1/1, emit 0 2, end 2 |
+      | reserve_first | start, d1 reserved, p1 lost, p2 lost, p3 prefilled, wait 2000, wake stall, d1 tokens 0 2, d1 finished 2 | reserve d1/1, prefill p1/1, cancel p1/1, prefill p2/1, cancel p2/1, prefill p3/1, decode d1/1, cancel p3/1, emit 0 2, end 2 |
+      | reserve_first | start, d1 refused, d2 refused, d3 reserved, p1 prefilled, d3 tokens 0 2, wait 2000, wake stall, wake deadline | reserve d1/1, cancel d1/1, reserve d2/1, cancel d2/1, reserve d3/1, prefill p1/1, decode d3/1, cancel p1/1, emit 0 2, cancel d3/1, break unknown |
+
     Examples: an agent that reports a paused stream
       | policy        | events                                                                 | effects |
       | reserve_first | start, d1 reserved, p1 prefilled, wait 1400, d1 tokens 0 0, wait 1400, wake stall, d1 tokens 0 2 | reserve d1/1, prefill p1/1, decode d1/1, cancel p1/1, emit 0 2 |
