Do not take a pause of the gateway for silence of its engines

After a pause of the process (a freeze, a machine that gives it no time) expired timers run before sockets are read, so the check of a stream found no data for the length of the pause, although it lay in the socket.

Change: a check that comes more than two periods late decides nothing; the next one, after the sockets have been read, does.

--- a/gateway/_watch_silence.ts
+++ b/gateway/_watch_silence.ts
@@ -41,6 +41,8 @@
 const silenceFactor = 4
 /** A stream that sends data but completes no event is silent after this many times the time without data. */
 const partialEventFactor = 2
+/** A check that comes later than this many periods shows that this process stood still. */
+const lateCheckFactor = 2
 
 interface Search extends SearchRequest {
   result: Promise<PreparedAttempt | undefined>
@@ -57,6 +59,7 @@
   const detector = createSilenceDetector({ startedMs: timer.now(), dataTimeoutMs, eventTimeoutMs: partialEventFactor * dataTimeoutMs })
   let silentSinceMs: number | undefined
   let search: Search | undefined
+  let lastCheckMs = timer.now()
 
   function describePause (): string {
     const { dataMs, eventMs } = detector.pause(timer.now())
@@ -65,6 +68,10 @@
 
   function check (): void {
     const nowMs = timer.now()
+    const isLate = nowMs - lastCheckMs > lateCheckFactor * longestPauseMs
+    lastCheckMs = nowMs
+    // After a pause of this process, expired timers run before the data that has arrived meanwhile is read.
+    if (isLate) return
     if (detector.pause(nowMs).dataMs >= longestPauseMs) {
       const successor = findSuccessor(directory.fleet.all().map(({ entry }) => entry), worker.entry)
       if (successor !== undefined) return onLost(`the engine started again as ${successor.id}, ${describePause()}`)
--- a/gateway/silent_engine.feature
+++ b/gateway/silent_engine.feature
@@ -93,6 +93,14 @@
     When a gateway client requests a generation on "/resume/x"
     Then the gateway client gets the events 1 to 8, each once
 
+  # Guards against the silence of a process that stood still itself, with data that has arrived and is not read yet.
+  Scenario: A stream is not taken for silent when the gateway itself stood still
+    Given a gateway engine "d3" with 30 events of 10 bytes
+    When a gateway client requests a generation on "/resume/x", and the process stands still for 1600 ms after 120 ms
+    Then the gateway client gets a complete response with 30 events
+    And the gateway engines saw 1 decode
+    And the gateway logged no "stream silent"
+
   Scenario: A sidecar that is silent to a reservation is passed over
     Given the sidecars of the gateway engines are silent to reservations at "d1" and grant them at "d2"
     When a gateway client requests a generation on "/resume/x"
--- a/gateway/silent_engine_test.ts
+++ b/gateway/silent_engine_test.ts
@@ -2,6 +2,7 @@
  * Steps for workers that fall silent and go on.
  */
 import assert from 'node:assert/strict'
+import { stat } from 'node:fs'
 import { Given, Then, When } from '@cucumber/cucumber'
 import { RefusalCode } from '../core/types/mod.ts'
 import { listen, MessageKind } from '../wire/mod.ts'
@@ -108,6 +109,20 @@
     this.tookMs = performance.now() - startedMs
   })
 
+When('a gateway client requests a generation on {string}, and the process stands still for {int} ms after {int} ms',
+  async function (this: World, path: string, ms: number, afterMs: number) {
+    // In a callback of the file system, so that expired timers run before sockets are read, as after a stop of the process.
+    setTimeout(() => stat('.', () => {
+      const endMs = performance.now() + ms
+      while (performance.now() < endMs);
+    }), afterMs)
+    this.response = await requestGeneration(this, path)
+  })
+
+Then('the gateway logged no {string}', function (this: World, text: string) {
+  assert.ok(!this.gatewaySite.readLog().includes(text), `"${text}" is in the log`)
+})
+
 Then('each gateway client gets the events {int} to {int}, each once', function (this: World, first: number, last: number) {
   const wanted = Array.from({ length: last - first + 1 }, (_, i) => `id: ${first + i}\ndata: piece ${first + i}\n\n`).join('')
   assert.deepEqual(this.responses.map(({ status, isComplete, body }) => ({ status, isComplete, body })),
