Probe connections to workers only after ten seconds without traffic

Callers lost streams, also those that may not resume, with 'read ETIMEDOUT' 1.0 s after a gateway had lost the path to an engine for 1.6 to 3 s, though the path came back and the engine had gone on.

Cause: exchange/ had the operating system probe the connection of a request after 1 s without traffic. A process that is only silent answers such probes; a machine that stands still or is out of reach does not, and then the connection ends. Idle connections are closed after 4 s anyway, so only requests in flight were ended by it, and those have their deadlines.

How long a real kernel probes before it gives up was not measured.

Change: 10 s, as for connections between processes. The new scenario finds 'a probe is sent after 1000 ms' on the code before.

--- a/exchange/create_exchange_pool.ts
+++ b/exchange/create_exchange_pool.ts
@@ -26,8 +26,11 @@
 const defaultMaxHeaderBytes = 65_536
 /** An idle connection is closed this many milliseconds before the server's announced timeout: two trips across regions, and a margin. */
 const keepAliveMarginMs = 300
-/** Idle time in milliseconds before the operating system checks by TCP keep-alive whether the peer is alive. */
-const keepAliveProbeMs = 1_000
+/**
+ * Time in milliseconds without traffic before the operating system checks by TCP keep-alive whether the peer is alive. A server, its
+ * machine or the path to it may fall silent for a second or more and go on, and probes that get no answer end the connection.
+ */
+const keepAliveProbeMs = 10_000
 
 interface PooledConnection {
   client: ClientType
--- a/gateway/silent_engine.feature
+++ b/gateway/silent_engine.feature
@@ -101,6 +101,13 @@
     And the gateway engines saw 1 decode
     And the gateway logged no "stream silent"
 
+  # Guards against the operating system ending the connection of a request whose server is out of reach for a second or two.
+  Scenario: Connections to workers are not probed within a silence of some seconds
+    When the connections that gateways open are watched
+    And a gateway client requests a generation on "/resume/x"
+    Then the gateway client gets the events 1 to 8, each once
+    And no gateway connection to a worker is probed within 8000 ms without traffic
+
   Scenario: A sidecar that is silent to a reservation is passed over
     Given the sidecars of the gateway engines are silent to reservations at "d1" and grant them at "d2"
     When a gateway client requests a generation on "/resume/x"
--- a/gateway/silent_engine_test.ts
+++ b/gateway/silent_engine_test.ts
@@ -3,7 +3,8 @@
  */
 import assert from 'node:assert/strict'
 import { stat } from 'node:fs'
-import { Given, Then, When } from '@cucumber/cucumber'
+import { Socket } from 'node:net'
+import { After, Given, Then, When } from '@cucumber/cucumber'
 import { RefusalCode } from '../core/types/mod.ts'
 import { listen, MessageKind } from '../wire/mod.ts'
 import { open, send, sleep, until } from './gateway_test.ts'
@@ -19,8 +20,12 @@
   tookMs: number
   /** Closed by the steps of the gateway. */
   sidecar?: Listener
+  /** Times in milliseconds without traffic after which the connections to workers are probed, by port. */
+  probeDelaysMs?: Map<number, number>
 }
 
+const { setKeepAlive } = Socket.prototype
+
 const prompt = { 'X-Model': 'm', 'X-Token-Counts': '100,40', 'X-Length-Hint': '30', 'X-Request-Deadline-Ms': '3000' }
 
 function workerOf (world: World, id: string): FakeWorker {
@@ -123,6 +128,24 @@
   assert.ok(!this.gatewaySite.readLog().includes(text), `"${text}" is in the log`)
 })
 
+When('the connections that gateways open are watched', function (this: World) {
+  const delaysMs = new Map<number, number>()
+  this.probeDelaysMs = delaysMs
+  Socket.prototype.setKeepAlive = function (enable, delayMs) {
+    if (enable === true && this.remotePort !== undefined) delaysMs.set(this.remotePort, delayMs ?? 0)
+    return setKeepAlive.call(this, enable, delayMs)
+  }
+})
+
+After(function () { Socket.prototype.setKeepAlive = setKeepAlive })
+
+Then('no gateway connection to a worker is probed within {int} ms without traffic', function (this: World, ms: number) {
+  const ports = [...this.gatewaySite.workers.values()].map(({ address }) => Number(address.split(':')[1]))
+  const delaysMs = ports.flatMap((port) => this.probeDelaysMs?.get(port) ?? [])
+  assert.ok(delaysMs.length > 0, 'no connection to a worker was opened')
+  for (const delayMs of delaysMs) assert.ok(delayMs > ms, `a probe is sent after ${delayMs} ms`)
+})
+
 Then('each gateway client gets the events {int} to {int}, each once', function (this: World, first: number, last: number) {
   const wanted = Array.from({ length: last - first + 1 }, (_, i) => `id: ${first + i}\ndata: piece ${first + i}\n\n`).join('')
   assert.deepEqual(this.responses.map(({ status, isComplete, body }) => ({ status, isComplete, body })),
