Log the store's era and revision, and records that are passed over

Now each change of the store's era (header Store-Era of any response), a history that is gone, a revision that went back, and each record without effect that differs from the known one leave a line; gauges store_era and store_revision, counter records_passed_over_total. No logic is changed. The type of a store record moves to core/view, beside the order of records.

--- a/directory/_follow_prefix.ts
+++ b/directory/_follow_prefix.ts
@@ -1,10 +1,11 @@
 /**
  * Reads the items of the store whose keys begin with a prefix, and watches them for changes.
  */
-import { decodeStorePage, historyGoneStatus, buildRangeCall, buildWatchCall } from '../platform/mod.ts'
+import { buildRangeCall, buildWatchCall, decodeStoreEra, decodeStorePage, historyGoneStatus } from '../platform/mod.ts'
 import { callJson, FailureKind } from '../exchange/mod.ts'
 import type { ExchangePool } from '../exchange/mod.ts'
-import type { Call, StoreChange, StorePage } from '../platform/mod.ts'
+import type { StoreChange } from '../core/view/mod.ts'
+import type { Call, StorePage } from '../platform/mod.ts'
 import type { Subscription, Timer } from '../timer/mod.ts'
 
 /** Configures the watch of a prefix. */
@@ -23,6 +24,8 @@
   isCovered (): boolean
   /** Receives the changes up to a revision; `isComplete` when they are all items with the prefix. */
   onChanges (changes: StoreChange[], revision: number, isComplete: boolean): void
+  /** Receives the era that a response of the store names, whatever its status; undefined when it cannot be read. */
+  onEra (era: number | undefined): void
   /** Called when the store no longer has the changes after the known revision. */
   onHistoryGone (): void
   /** Receives the result of each call: undefined when the store responded, or why the call failed. */
@@ -65,6 +68,7 @@
       if (response.val.kind === FailureKind.TimedOut) backoffMs = minBackoffMs / 2
       return fail(response.val.message)
     }
+    options.onEra(decodeStoreEra(response.val.headers))
     if (response.val.status === historyGoneStatus) {
       options.onHistoryGone()
       options.onCallResult(undefined)
--- a/directory/_types.ts
+++ b/directory/_types.ts
@@ -1,11 +1,10 @@
 /**
  * Types for the rules and workers that a process knows.
  */
-import type { ViewState } from '../core/view/mod.ts'
+import type { StoreChange, ViewState } from '../core/view/mod.ts'
 import type { Fleet } from '../core/fleet/mod.ts'
 import type { RouteTable } from '../core/route/mod.ts'
 import type { Log } from '../log/mod.ts'
-import type { StoreChange } from '../platform/mod.ts'
 import type { Timer } from '../timer/mod.ts'
 
 /** Configures a directory. */
@@ -20,6 +19,14 @@
   onRules?: (table: RouteTable) => void
   /** Receives the result of each call to the store: true when the store responded. */
   onStoreCall?: (hasResponded: boolean) => void
+  /** Called for each record that has no effect although it differs from the one that is known, with the reason. */
+  onRecordPassedOver?: (reason: PassedOver) => void
+}
+
+/** Names the reasons for which a record has no effect. */
+export enum PassedOver {
+  /** The known record has the same or a later position in the history of the store. */
+  NotLater = 'not_later'
 }
 
 /** Changes of the store, with how much the process that passes them on knows. */
@@ -41,6 +48,8 @@
   applyRecords (records: StoreChange[]): void
   /** Returns the highest revision seen. */
   revision (): number
+  /** Returns the era of the store that its last response named; 0 before the first one. */
+  storeEra (): number
   /** Returns the time in milliseconds since the store is known to have had no change that is not known here. */
   ageMs (): number
   /** Sets whether this process reads the store for others. */
--- a/directory/create_directory.ts
+++ b/directory/create_directory.ts
@@ -8,8 +8,9 @@
 import { decodeRoutingRules, decodeWorkerEntry, rulesKey, workerPrefix } from '../platform/mod.ts'
 import { followPrefix } from './_follow_prefix.ts'
 import type { RouteTable } from '../core/route/mod.ts'
-import type { StoreChange } from '../platform/mod.ts'
+import type { StoreChange } from '../core/view/mod.ts'
 import type { Subscription } from '../timer/mod.ts'
+import { PassedOver } from './_types.ts'
 import type { Directory, DirectoryOptions } from './_types.ts'
 
 /** A watch that stops responding is detected well within the time in which changes must take effect. */
@@ -51,6 +52,8 @@
   let toldFailureMs = -Infinity
   const startedMs = timer.now()
   let failure: string | undefined
+  /** Era that the last response of the store named. */
+  let era = 0
 
   function applyRules (value: string): void {
     const rules = decodeRoutingRules(value)
@@ -92,10 +95,26 @@
     }
   }
 
+  function passOver (change: StoreChange, current: StoreChange): void {
+    const { key, revision } = change
+    log.info({ key, revision, knownRevision: current.revision, reason: PassedOver.NotLater }, 'record passed over')
+    options.onRecordPassedOver?.(PassedOver.NotLater)
+  }
+
+  function onEra (next: number | undefined): void {
+    if (next === era) return
+    if (next === undefined) log.warn({ store: storeAddress }, 'store era cannot be read')
+    else log.info({ era: next, before: era, revision: highestRevision() }, 'store era')
+    era = next ?? era
+  }
+
   function apply (changes: StoreChange[]): void {
     for (const change of changes) {
       const current = known.get(change.key)
-      if (current !== undefined && current.revision >= change.revision) continue
+      if (current !== undefined && current.revision >= change.revision) {
+        if (current.value !== change.value) passOver(change, current)
+        continue
+      }
       known.set(change.key, change)
       if (change.key === rulesKey) {
         if (change.value !== null) applyRules(change.value)
@@ -135,6 +154,8 @@
     if (watches.some((watch, index) => wasCovered[index] && !watch.isSuspended())) lastFailureMs = Math.max(lastFailureMs, toldFailureMs)
   }
 
+  function highestRevision (): number { return Math.max(0, ...[...known.values()].map((record) => record.revision)) }
+
   function notifyView (): void { for (const fn of viewHandlers) fn() }
 
   const watches = prefixes.map((prefix, index) => followPrefix({
@@ -147,8 +168,14 @@
     revision: () => tracker.revision(index),
     isCovered: () => !isReader && tracker.isCovered(index, timer.now()),
     onCallResult,
-    onHistoryGone: () => tracker.forget(index),
+    onEra,
+    onHistoryGone () {
+      log.info({ prefix, revision: tracker.revision(index) }, 'store has no history after the known revision')
+      tracker.forget(index)
+    },
     onChanges (changes, revision, isComplete) {
+      const known = tracker.revision(index)
+      if (known !== undefined && revision < known) log.warn({ prefix, revision, known }, 'store revision went back')
       apply(isComplete ? [...listMissing(prefix, changes, revision), ...changes] : changes)
       if (isComplete) readPrefixes.add(prefix)
       tracker.recordRead(index, revision, timer.now())
@@ -161,7 +188,8 @@
     routeTable: () => table,
     records: () => [...known.values()].filter((record) => record.value !== null),
     applyRecords: apply,
-    revision: () => Math.max(0, ...[...known.values()].map((record) => record.revision)),
+    revision: highestRevision,
+    storeEra: () => era,
     ageMs: () => Math.max(0, ...tracker.state(timer.now())?.agesMs ?? [timer.now() - startedMs]),
     setReader (next) {
       if (next === isReader) return
--- a/gateway/start_gateway.ts
+++ b/gateway/start_gateway.ts
@@ -72,13 +72,15 @@
   let lastKnownGateways = assumedGateways
   let isStopping = false
   const directory = createDirectory({
-    storeAddress: settings.storeAddress, timer, log, random, onRules: (table) => clientServer.setLimits(table.limits), onStoreCall
+    storeAddress: settings.storeAddress, timer, log, random, onRules: (table) => clientServer.setLimits(table.limits), onStoreCall, onRecordPassedOver
   })
   const metrics = createPrometheusMetrics({
     ...(options.metricsPort === undefined ? {} : { listen: { host: settings.ip, port: options.metricsPort } }),
     gauges: {
       config_version: () => directory.routeTable()?.version ?? 0,
       view_age_ms: () => directory.ageMs(),
+      store_era: () => directory.storeEra(),
+      store_revision: () => directory.revision(),
       workers: () => directory.fleet.all().length,
       gateways,
       sidecars: () => directory.fleet.all().filter((worker) => worker.capacity !== undefined).length,
@@ -89,6 +91,7 @@
     },
     onError: (reason) => log.warn({ reason }, 'metrics not served')
   })
+  function onRecordPassedOver (reason: string): void { metrics.count(Count.RecordsPassedOver, { reason }) }
   function onStoreCall (hasResponded: boolean): void { metrics.count(Count.StoreReads, { result: hasResponded ? 'answered' : 'failed' }) }
 
   const sidecars = createSidecarClient({
--- a/metrics/create_prometheus_metrics.ts
+++ b/metrics/create_prometheus_metrics.ts
@@ -36,7 +36,9 @@
   /** Crashes of engines just after a request had begun, as this process observed them, by service. */
   EngineCrashes = 'engine_crashes_total',
   /** Calls to the configuration store, by result. */
-  StoreReads = 'store_reads_total'
+  StoreReads = 'store_reads_total',
+  /** Records of the store that had no effect although they differ from the known ones, by reason. */
+  RecordsPassedOver = 'records_passed_over_total'
 }
 
 const labelNames: { readonly [C in Count]: readonly string[] } = {
@@ -47,7 +49,8 @@
   [Count.RetriesDenied]: ['service'],
   [Count.StreamsLost]: ['phase'],
   [Count.EngineCrashes]: ['service'],
-  [Count.StoreReads]: ['result']
+  [Count.StoreReads]: ['result'],
+  [Count.RecordsPassedOver]: ['reason']
 }
 
 const helpTexts: { readonly [M in Count | Latency]: string } = {
@@ -59,6 +62,7 @@
   [Count.StreamsLost]: 'Streams of engines that broke, by phase',
   [Count.EngineCrashes]: 'Crashes of engines just after a request had begun, by service',
   [Count.StoreReads]: 'Calls to the store by result',
+  [Count.RecordsPassedOver]: 'Records of the store without effect, by reason',
   [Latency.Request]: 'Time from a request to its final answer in ms',
   [Latency.FirstEvent]: 'Time from a request to the first event in ms',
   [Latency.Pause]: 'Longest pause of a stream in ms',
--- a/sidecar/start_sidecar.ts
+++ b/sidecar/start_sidecar.ts
@@ -64,7 +64,7 @@
 export async function startSidecar (options: SidecarOptions): Promise<Sidecar> {
   const { settings, timer, log, random } = options
   const pool = createExchangePool()
-  const directory = createDirectory({ storeAddress: settings.storeAddress, timer, log, random, watchMs, onStoreCall })
+  const directory = createDirectory({ storeAddress: settings.storeAddress, timer, log, random, watchMs, onStoreCall, onRecordPassedOver })
   const records = await syncRecords({ directory, timer, log, seeds: settings.seeds })
   const { regions, zone, internalPort } = settings
   const readers = (): string[] => listStoreReaders({ fleet: directory.fleet, regions, zone, internalPort })
@@ -81,12 +81,15 @@
     gauges: {
       config_version: () => directory.routeTable()?.version ?? 0,
       view_age_ms: () => directory.ageMs(),
+      store_era: () => directory.storeEra(),
+      store_revision: () => directory.revision(),
       room_tokens: () => admission.roomTokens(),
       gateways: () => admission.gateways(),
       log_lines_dropped: () => options.droppedLines?.() ?? 0
     },
     onError: (reason) => log.warn({ reason }, 'metrics not served')
   })
+  function onRecordPassedOver (reason: string): void { metrics.count(Count.RecordsPassedOver, { reason }) }
   function onStoreCall (hasResponded: boolean): void { metrics.count(Count.StoreReads, { result: hasResponded ? 'answered' : 'failed' }) }
 
   let isReadingReport = false
