Order the records of the store by era and revision

Cause: the store gave revisions out again, and every comparison took a revision for an order that never goes back. With the new lines: version 16 reached all readers as revision 14 and was passed over for version 13 of revision 14; and a reader that had read the restored store was pulled back to the revision of the era before by a peer that had not, 410 by 410. Nothing read Store-Era.

Change: the order is (era, revision), in core/view (comparePositions, a record set, the tracker), in the messages (optional fields era and afterEra; absent is 0) and in the directory. The era is read from all responses, also 410, 429, 503 and empty watches; a later one counts when two responses in a row name it, and all is then read anew, the waiting watch of the other prefix too. The first watch after a failure waits 20 ms. A process goes on from an earlier to a later era of a reader with all items, relies on nobody who names an earlier era than the latest it has heard of, and tells followers of builds without eras nothing of a later era. Rules are in force by their version alone. The entry of a worker in the copy that is older than the known one (born, sequence; draining is final) is held back until the worker had time to write again, and what the copy lacks is kept as long. A process that starts asks the seeds once even when the store answers.

--- a/core/view/create_view_tracker.ts
+++ b/core/view/create_view_tracker.ts
@@ -4,6 +4,8 @@
 
 /** Describes how much of the store a process knows, for each of the prefixes that it reads. */
 export interface ViewState {
+  /** Era of the store to which the revisions belong; absent for the lowest era, 0. */
+  era?: number
   /** Revision of the store up to which all changes are known. */
   revisions: readonly number[]
   /** Time in milliseconds since the store is known to have had no later change. */
@@ -20,16 +22,23 @@
 
 /** Tracks how much of the store a process knows, and whether it can rely on others for later changes. */
 export interface ViewTracker {
+  /** Returns the era of the store to which the known revisions belong. */
+  era (): number
+  /** Begins a later era: all prefixes must be read completely again, and what others told of an earlier era counts no more. */
+  enterEra (era: number): void
   /** Returns the revision up to which all changes of a prefix are known; undefined before its first complete read. */
   revision (prefix: number): number | undefined
-  /** Records that this process has read all changes of a prefix up to a revision from the store itself. */
+  /** Records that this process has read all changes of a prefix up to a revision of the current era from the store itself. */
   recordRead (prefix: number, revision: number, nowMs: number): void
   /** Forgets the revision of a prefix, which must be read completely again. */
   forget (prefix: number): void
   /** Records the state of another process; returns true when that process knows changes that this one lacks. */
   recordState (state: ViewState, nowMs: number): boolean
-  /** Tells whether changes after `after` may be added to those that this process knows, so that none is missing between them. */
-  canAdd (after: readonly number[]): boolean
+  /**
+   * Tells whether the changes that bring a process from the revisions `after` of the era `afterEra` to `state` may be added to those that
+   * this process knows, so that none is missing between them; changes from an earlier era to a later one are all items of the later one.
+   */
+  canAdd (after: readonly number[], afterEra?: number, state?: ViewState): boolean
   /** Records that this process has all changes that the sender of a state has. */
   recordChanges (state: ViewState, nowMs: number): void
   /** Tells whether the view of other processes is recent enough that this one need not read a prefix. */
@@ -46,6 +55,9 @@
  * answered them within `maxAgeMs`, and only while this process has every change that they know. As soon as all of them are cut off,
  * frozen, killed or refused by the store, each process reads for itself, from the revision that it has.
  *
+ * The revisions of two eras cannot be compared. A process follows a reader of a later era with all that this reader knows, and relies
+ * on nobody who speaks of an earlier era than the latest one that it has heard of.
+ *
  * @param options the number of prefixes and the longest age
  * @returns the tracker
  *
@@ -65,11 +77,21 @@
   /** Times in milliseconds at which the store had no change that this process lacks, by its own reads and by those of others. */
   const readMs = new Array<number>(prefixes).fill(-Infinity)
   const toldMs = new Array<number>(prefixes).fill(-Infinity)
+  let era = 0
+  /** Latest era that another process has named. */
+  let toldEra = 0
 
   function isComplete (): boolean { return known.every((revision) => revision !== undefined) }
 
+  function enterEra (next: number): void {
+    era = next
+    known.fill(undefined)
+    toldMs.fill(-Infinity)
+  }
+
   /** Records the age of another process's view of each prefix whose changes this process has. */
-  function recordAges ({ revisions, agesMs }: ViewState, nowMs: number): void {
+  function recordAges ({ era: stateEra = 0, revisions, agesMs }: ViewState, nowMs: number): void {
+    if (stateEra !== era || toldEra > era) return
     known.forEach((revision, prefix) => {
       if (revision === undefined || revision < (revisions[prefix] ?? Infinity)) return
       toldMs[prefix] = Math.max(toldMs[prefix] as number, nowMs - (agesMs[prefix] ?? Infinity))
@@ -77,6 +99,8 @@
   }
 
   return {
+    era: () => era,
+    enterEra,
     revision: (prefix) => known[prefix],
     recordRead (prefix, revision, nowMs) {
       known[prefix] = Math.max(known[prefix] ?? 0, revision)
@@ -87,19 +111,28 @@
       toldMs[prefix] = -Infinity
     },
     recordState (state, nowMs) {
+      const { era: stateEra = 0, revisions } = state
+      toldEra = Math.max(toldEra, stateEra)
       recordAges(state, nowMs)
-      return isComplete() && known.some((revision, prefix) => (state.revisions[prefix] ?? 0) > (revision as number))
+      if (!isComplete() || stateEra < era) return false
+      return stateEra > era || known.some((revision, prefix) => (revisions[prefix] ?? 0) > (revision as number))
+    },
+    canAdd (after, afterEra = 0, state) {
+      const stateEra = state?.era ?? 0
+      if (!isComplete() || stateEra < era) return false
+      if (afterEra < stateEra) return known.every((_revision, prefix) => state?.revisions[prefix] !== undefined)
+      return afterEra === era && known.every((revision, prefix) => (after[prefix] ?? Infinity) <= (revision as number))
     },
-    canAdd: (after) => isComplete() && known.every((revision, prefix) => (after[prefix] ?? Infinity) <= (revision as number)),
     recordChanges (state, nowMs) {
-      known.forEach((revision, prefix) => { known[prefix] = Math.max(revision as number, state.revisions[prefix] ?? 0) })
+      if ((state.era ?? 0) > era) enterEra(state.era ?? 0)
+      known.forEach((revision, prefix) => { known[prefix] = Math.max(revision ?? 0, state.revisions[prefix] ?? 0) })
       recordAges(state, nowMs)
     },
     isCovered: (prefix, nowMs) => known[prefix] !== undefined && nowMs - (toldMs[prefix] as number) <= maxAgeMs,
     state (nowMs) {
       if (!isComplete()) return undefined
       const agesMs = known.map((_revision, prefix) => nowMs - Math.max(readMs[prefix] as number, toldMs[prefix] as number))
-      return { revisions: known as number[], agesMs }
+      return { ...(era === 0 ? {} : { era }), revisions: [...known as number[]], agesMs }
     }
   }
 }
--- a/core/view/view_test.ts
+++ b/core/view/view_test.ts
@@ -4,7 +4,7 @@
 import assert from 'node:assert/strict'
 import { Given, Then, When } from '@cucumber/cucumber'
 import fc from 'fast-check'
-import { chooseStoreReaders, createViewTracker } from './mod.ts'
+import { chooseStoreReaders, createRecordSet, createViewTracker } from './mod.ts'
 import type { ViewTracker } from './mod.ts'
 
 interface World {
@@ -168,3 +168,49 @@
   assert.ok(settled.length > 0)
   assert.equal(settled.filter(({ lacksChanges }) => lacksChanges).length, 0)
 })
+
+When('the tracker is told of revision {int} of era {int}, {int} ms old', function (this: World, revision: number, era: number, ageMs: number) {
+  this.lacksChanges = this.tracker.recordState({ era, revisions: [revision], agesMs: [ageMs] }, this.nowMs)
+})
+
+function canGoOn (tracker: ViewTracker, after: number, afterEra: number, revision: number, era: number): boolean {
+  return tracker.canAdd([after], afterEra, { era, revisions: [revision], agesMs: [0] })
+}
+
+Then('the tracker can go on from revision {int} of era {int} to revision {int} of era {int}',
+  function (this: World, after: number, afterEra: number, revision: number, era: number) { assert.ok(canGoOn(this.tracker, after, afterEra, revision, era)) })
+
+Then('the tracker cannot go on from revision {int} of era {int} to revision {int} of era {int}',
+  function (this: World, after: number, afterEra: number, revision: number, era: number) { assert.ok(!canGoOn(this.tracker, after, afterEra, revision, era)) })
+
+When('the tracker goes on to revision {int} of era {int}, {int} ms old', function (this: World, revision: number, era: number, ageMs: number) {
+  this.tracker.recordChanges({ era, revisions: [revision], agesMs: [ageMs] }, this.nowMs)
+  assert.equal(this.tracker.era(), era)
+})
+
+Then('a record of era {int} and revision {int} gives way to one of era {int} and revision {int}, which stays when the first one comes again',
+  function (era: number, revision: number, laterEra: number, laterRevision: number) {
+    const records = createRecordSet()
+    const [first, later] = [{ key: 'a', era, revision, value: 'first' }, { key: 'a', era: laterEra, revision: laterRevision, value: 'later' }]
+    assert.deepEqual(records.apply([first, later, first]), { later: [first, later], passedOver: [first] })
+    assert.equal(records.get('a'), later)
+    assert.deepEqual(records.position(), { era: laterEra, revision: laterRevision })
+  })
+
+Then('a deletion at era {int} and revision {int} leaves a record of era {int} and revision {int}, and a deletion at era {int} and revision {int} leaves nothing',
+  function (era: number, revision: number, laterEra: number, laterRevision: number, lastEra: number, lastRevision: number) {
+    const records = createRecordSet()
+    records.apply([{ key: 'a', era: laterEra, revision: laterRevision, value: 'there' }, { key: 'a', era, revision, value: null }])
+    assert.equal(records.get('a')?.value, 'there')
+    records.apply([{ key: 'a', era: lastEra, revision: lastRevision, value: null }])
+    assert.equal(records.get('a')?.value, null)
+  })
+
+Then('a complete read at era {int} and revision {int} deletes a record of era {int} and revision {int} that it lacks, and none of era {int} and revision {int}',
+  function (era: number, revision: number, earlierEra: number, earlierRevision: number, laterEra: number, laterRevision: number) {
+    const records = createRecordSet()
+    records.apply([{ key: 'a', era: earlierEra, revision: earlierRevision, value: 'a' }, { key: 'b', era: laterEra, revision: laterRevision, value: 'b' }])
+    records.applyAll('', [], { era, revision })
+    assert.equal(records.get('a')?.value, null)
+    assert.equal(records.get('b')?.value, 'b')
+  })
--- a/directory/_follow_prefix.ts
+++ b/directory/_follow_prefix.ts
@@ -4,7 +4,7 @@
 import { buildRangeCall, buildWatchCall, decodeStoreEra, decodeStorePage, historyGoneStatus } from '../platform/mod.ts'
 import { callJson, FailureKind } from '../exchange/mod.ts'
 import type { ExchangePool } from '../exchange/mod.ts'
-import type { StoreChange } from '../core/view/mod.ts'
+import type { StoreChange, StorePosition } from '../core/view/mod.ts'
 import type { Call, StorePage } from '../platform/mod.ts'
 import type { Subscription, Timer } from '../timer/mod.ts'
 
@@ -20,12 +20,12 @@
   watchMs: () => number
   /** Returns the revision up to which all changes are known; undefined when the prefix must be read completely. */
   revision (): number | undefined
+  /** Returns the era of the store to which the known revisions belong. */
+  era (): number
   /** Tells whether other processes pass on the changes, so that the prefix need not be watched. */
   isCovered (): boolean
-  /** Receives the changes up to a revision; `isComplete` when they are all items with the prefix. */
-  onChanges (changes: StoreChange[], revision: number, isComplete: boolean): void
-  /** Receives the era that a response of the store names, whatever its status; undefined when it cannot be read. */
-  onEra (era: number | undefined): void
+  /** Receives the changes up to a position; `isComplete` when they are all items with the prefix, as always for a later era than the known one. */
+  onChanges (changes: StoreChange[], position: StorePosition, isComplete: boolean): void
   /** Called when the store no longer has the changes after the known revision. */
   onHistoryGone (): void
   /** Receives the result of each call: undefined when the store responded, or why the call failed. */
@@ -36,6 +36,8 @@
 const watchTimeoutMarginMs = 700
 /** Timeout in milliseconds for reading a page; a slow store takes some hundreds. */
 const pageTimeoutMs = 1_500
+/** Time in milliseconds that the first watch call after a failure waits: its response tells soon whether the store has come back in a new era. */
+const probeWatchMs = 20
 /** Shortest and longest delay in milliseconds before a failed read is retried. */
 const minBackoffMs = 50
 const maxBackoffMs = 400
@@ -46,42 +48,64 @@
 export interface PrefixWatch {
   /** Goes on watching when no other process passes on the changes any more. */
   checkCoverage (): void
+  /** Begins anew at once, and ignores the response to a call that is waiting. */
+  restart (): void
   /** Tells whether the prefix is not watched, because other processes pass on its changes. */
   isSuspended (): boolean
   stop (): void
 }
 
+/** A page of one era. */
+type EraPage = StorePage & Required<StorePosition>
+
 /** Reads a prefix and watches it for changes, unless other processes pass them on. */
 export function followPrefix (options: FollowOptions): PrefixWatch {
   const { address, prefix, pool, timer } = options
   let isSuspended = false
   let backoffMs = minBackoffMs
   let hasRead = false
+  let hasFailed = false
   let closed = false
   let pause: Subscription | undefined
+  /** Number of times that the watch has begun; a call of an earlier one is ignored. */
+  let run = 0
+  /**
+   * Era that the last response named, whatever its status: a watch is not told that the store went back, and finds revisions that were given
+   * out again. A later era counts once two responses in a row name it, so that one odd header does not lock the process out of the true era.
+   */
+  let namedEra = 0
 
-  async function read (call: Call, timeoutMs: number): Promise<StorePage | undefined> {
+  async function read (call: Call, timeoutMs: number): Promise<EraPage | undefined> {
+    const ownRun = run
     const response = await callJson(address, call, { pool, timer, timeoutMs })
-    if (closed) return undefined
+    if (ownRun !== run) return undefined
     if (response.err) {
       // A call that timed out has waited long enough.
       if (response.val.kind === FailureKind.TimedOut) backoffMs = minBackoffMs / 2
       return fail(response.val.message)
     }
-    options.onEra(decodeStoreEra(response.val.headers))
-    if (response.val.status === historyGoneStatus) {
-      options.onHistoryGone()
+    const { status, headers, body } = response.val
+    const era = decodeStoreEra(headers)
+    if (era === undefined || era < options.era()) {
+      return fail(`GET ${address}${call.path}: ${era === undefined ? 'the era cannot be read' : `era ${era} after era ${options.era()}`}`)
+    }
+    namedEra = era
+    if (status === historyGoneStatus) {
+      hasFailed = false
+      if (era === options.era()) options.onHistoryGone()
       options.onCallResult(undefined)
       return undefined
     }
-    const page = response.val.status === 200 ? decodeStorePage(response.val.body) : undefined
-    if (page === undefined) return fail(`GET ${address}${call.path}: status ${response.val.status} or an invalid body`)
+    const page = status === 200 ? decodeStorePage(body) : undefined
+    if (page === undefined) return fail(`GET ${address}${call.path}: status ${status} or an invalid body`)
     backoffMs = minBackoffMs
+    hasFailed = false
     options.onCallResult(undefined)
-    return page
+    return { ...page, era, changes: era === 0 ? page.changes : page.changes.map((change) => ({ ...change, era })) }
   }
 
   function fail (message: string): undefined {
+    hasFailed = true
     options.onCallResult(message)
     backoffMs = Math.min(hasRead ? maxBackoffMs : maxInitialBackoffMs, backoffMs * 2)
     return undefined
@@ -89,27 +113,29 @@
 
   async function readAll (): Promise<boolean> {
     const changes: StoreChange[] = []
-    let firstRevision: number | undefined
+    const announcedEra = hasRead ? Math.max(options.era(), namedEra) : Infinity
+    let first: EraPage | undefined
     let afterKey: string | undefined
     for (;;) {
       const page = await read(buildRangeCall(prefix, afterKey), pageTimeoutMs)
-      if (page === undefined) return false
+      if (page === undefined || page.era > announcedEra || page.era !== (first ?? page).era) return false
       // The pages aren't one snapshot: the watch begins at the revision of the first page, so that it repeats changes made meanwhile.
-      firstRevision ??= page.revision
+      first ??= page
       changes.push(...page.changes)
       afterKey = page.changes.at(-1)?.key
       if (!page.more || afterKey === undefined) break
     }
     hasRead = true
-    options.onChanges(changes, firstRevision, true)
+    options.onChanges(changes, { era: first.era, revision: first.revision }, true)
     return true
   }
 
   async function watch (after: number): Promise<boolean> {
-    const watchMs = options.watchMs()
+    const watchMs = hasFailed ? probeWatchMs : options.watchMs()
+    const era = options.era()
     const page = await read(buildWatchCall(prefix, after, watchMs), watchMs + watchTimeoutMarginMs)
-    if (page === undefined) return options.revision() === undefined
-    options.onChanges(page.changes, page.revision, false)
+    if (page === undefined) return options.revision() === undefined || namedEra > options.era()
+    if (page.era === era) options.onChanges(page.changes, { era, revision: page.revision }, false)
     return true
   }
 
@@ -117,9 +143,10 @@
     if (closed) return
     isSuspended = options.isCovered()
     if (isSuspended) return
+    const ownRun = run
     const revision = options.revision()
-    const done = revision === undefined ? await readAll() : await watch(revision)
-    if (closed) return
+    const done = revision === undefined || namedEra > options.era() ? await readAll() : await watch(revision)
+    if (ownRun !== run) return
     if (done) step()
     else pause = timer.after(backoffMs * (0.5 + options.random()), () => { step() })
   }
@@ -127,9 +154,15 @@
   step()
   return {
     checkCoverage () { if (isSuspended && !options.isCovered()) step() },
+    restart () {
+      run++
+      pause?.cancel()
+      step()
+    },
     isSuspended: () => isSuspended,
     stop () {
       closed = true
+      run++
       pause?.cancel()
     }
   }
--- a/directory/_types.ts
+++ b/directory/_types.ts
@@ -1,7 +1,7 @@
 /**
  * Types for the rules and workers that a process knows.
  */
-import type { StoreChange, ViewState } from '../core/view/mod.ts'
+import type { StoreChange, StorePosition, ViewState } from '../core/view/mod.ts'
 import type { Fleet } from '../core/fleet/mod.ts'
 import type { RouteTable } from '../core/route/mod.ts'
 import type { Log } from '../log/mod.ts'
@@ -26,12 +26,18 @@
 /** Names the reasons for which a record has no effect. */
 export enum PassedOver {
   /** The known record has the same or a later position in the history of the store. */
-  NotLater = 'not_later'
+  NotLater = 'not_later',
+  /** Rules of a lower version than those in force. */
+  OlderVersion = 'older_version',
+  /** The entry comes from a restored store and was written before what is known of the worker. */
+  OlderEntry = 'older_entry'
 }
 
 /** Changes of the store, with how much the process that passes them on knows. */
 export interface ViewUpdate {
   state: ViewState
+  /** Era of the revisions after which the changes come; absent for 0. With a state of a later era, the changes are all items. */
+  afterEra?: number
   /** Time in milliseconds since a call of that process to the store failed; absent when none did lately. */
   failureAgeMs?: number
   changes: StoreChange[]
@@ -42,13 +48,16 @@
   readonly fleet: Fleet
   /** Returns the current rules; undefined before the first ones are known. */
   routeTable (): RouteTable | undefined
-  /** Returns all known records that are not deleted, for a process that cannot read the store. */
+  /** Returns all known records that are not deleted, with the rules in force, for a process that cannot read the store or reads an older copy. */
   records (): StoreChange[]
-  /** Applies records from another process; a record that is not newer than the known one has no effect. */
+  /**
+   * Applies records from another process; a record that is not newer than the known one has no effect. Once the store has been read, only
+   * the rules are applied, of which the highest version is in force wherever it comes from.
+   */
   applyRecords (records: StoreChange[]): void
-  /** Returns the highest revision seen. */
-  revision (): number
-  /** Returns the era of the store that its last response named; 0 before the first one. */
+  /** Returns the latest position of any record, which never goes back. */
+  position (): Required<StorePosition>
+  /** Returns the era of the store in which its records are known; 0 before the first read. */
   storeEra (): number
   /** Returns the time in milliseconds since the store is known to have had no change that is not known here. */
   ageMs (): number
@@ -60,8 +69,8 @@
   failureAgeMs (): number | undefined
   /** Records how much another process knows, and when its calls last failed; returns true when it knows changes that are not known here. */
   recordViewState (state: ViewState, failureAgeMs: number | undefined): boolean
-  /** Returns the changes of each prefix after a revision, with deletions. */
-  changesAfter (after: readonly number[]): ViewUpdate | undefined
+  /** Returns the changes of each prefix after a revision of an era, with deletions; all items when the era is earlier than the one known here. */
+  changesAfter (after: readonly number[], afterEra: number): ViewUpdate | undefined
   /** Applies the changes that another process has passed on; those that would leave a gap have no effect. */
   applyChanges (after: readonly number[], update: ViewUpdate): void
   /** Reads the store again when no other process passes on its changes. */
--- a/directory/create_directory.ts
+++ b/directory/create_directory.ts
@@ -1,16 +1,16 @@
 /**
  * Keeps the current routing rules and the known workers, as the store and other processes report them.
  */
-import { createViewTracker } from '../core/view/mod.ts'
+import { createRecordSet, createViewTracker } from '../core/view/mod.ts'
 import { createFleet } from '../core/fleet/mod.ts'
 import { createRouteTable } from '../core/route/mod.ts'
 import { createExchangePool } from '../exchange/mod.ts'
-import { decodeRoutingRules, decodeWorkerEntry, rulesKey, workerPrefix } from '../platform/mod.ts'
+import { decodeRoutingRules, rulesKey, workerPrefix } from '../platform/mod.ts'
 import { followPrefix } from './_follow_prefix.ts'
-import type { RouteTable } from '../core/route/mod.ts'
-import type { StoreChange } from '../core/view/mod.ts'
-import type { Subscription } from '../timer/mod.ts'
+import { createWorkerRecords } from './_worker_records.ts'
 import { PassedOver } from './_types.ts'
+import type { RouteTable } from '../core/route/mod.ts'
+import type { AppliedChanges, StoreChange } from '../core/view/mod.ts'
 import type { Directory, DirectoryOptions } from './_types.ts'
 
 /** A watch that stops responding is detected well within the time in which changes must take effect. */
@@ -39,95 +39,64 @@
   const { timer, log, storeAddress, random, watchMs = defaultWatchMs } = options
   const fleet = createFleet()
   const pool = createExchangePool()
-  const known = new Map<string, StoreChange>()
-  const removals = new Map<string, Subscription>()
+  const records = createRecordSet()
   const readPrefixes = new Set<string>()
   const prefixes = [rulesKey, workerPrefix]
   const tracker = createViewTracker({ prefixes: prefixes.length, maxAgeMs: maxViewAgeMs })
   const viewHandlers: Array<() => void> = []
   let isReader = false
   let table: RouteTable | undefined
+  /** The record of the rules in force; a restored store may hold an older version for a while. */
+  let rulesRecord: StoreChange | undefined
   let lastFailureMs = -Infinity
   /** Time in milliseconds at which a call of another process last failed. */
   let toldFailureMs = -Infinity
   const startedMs = timer.now()
   let failure: string | undefined
-  /** Era that the last response of the store named. */
-  let era = 0
+  const workers = createWorkerRecords({ fleet, timer, log, reregistrationMs, lastFailureMs: () => lastFailureMs, onRecordPassedOver })
+
+  function onRecordPassedOver (reason: PassedOver): void { options.onRecordPassedOver?.(reason) }
 
-  function applyRules (value: string): void {
-    const rules = decodeRoutingRules(value)
+  /** Puts rules in force when their version is higher, wherever their record stands: a version never goes back. */
+  function applyRules (record: StoreChange): void {
+    if (record.value === null) return
+    const rules = decodeRoutingRules(record.value)
     if (rules.err) {
       log.error({ reason: rules.val }, 'configuration refused')
       return
     }
-    if (table !== undefined && rules.val.version <= table.version) return
+    if (table !== undefined && rules.val.version <= table.version) {
+      if (rules.val.version < table.version) passOver(record, rulesRecord, PassedOver.OlderVersion)
+      return
+    }
     table = createRouteTable(rules.val)
+    rulesRecord = record
     log.info({ version: table.version, routes: rules.val.routes.length }, 'configuration in force')
     options.onRules?.(table)
   }
 
-  function removeWorker (id: string): void {
-    removals.get(id)?.cancel()
-    const waitMs = lastFailureMs + reregistrationMs - timer.now()
-    if (waitMs <= 0) {
-      fleet.remove(id)
-      log.info({ worker: id }, 'worker gone')
-      return
-    }
-    // Entries expire while the store is unavailable; live workers write them again soon afterwards.
-    removals.set(id, timer.after(waitMs, () => removeWorker(id)))
+  function passOver (change: StoreChange, current: StoreChange | undefined, reason: PassedOver): void {
+    const { key, era, revision } = change
+    log.info({ key, era, revision, knownEra: current?.era, knownRevision: current?.revision, reason }, 'record passed over')
+    onRecordPassedOver(reason)
   }
 
-  function applyWorker (change: StoreChange): void {
-    const id = change.key.slice(workerPrefix.length)
-    const entry = change.value === null ? undefined : decodeWorkerEntry(change.key, change.value)
-    if (entry === undefined) {
-      if (change.value !== null) log.warn({ worker: id, revision: change.revision }, 'entry cannot be read')
-      if (fleet.get(id) !== undefined) removeWorker(id)
-      return
+  function takeEffect ({ later, passedOver }: AppliedChanges): void {
+    for (const change of later) {
+      if (change.key === rulesKey) applyRules(change)
+      else if (change.key.startsWith(workerPrefix)) workers.apply(change)
     }
-    removals.get(id)?.cancel()
-    const before = fleet.get(id)?.entry
-    fleet.upsert(entry, timer.now())
-    if (before?.state !== entry.state || before.stage !== entry.stage || before.bornMs !== entry.bornMs) {
-      log.info({ worker: id, service: entry.service, address: entry.address, state: entry.state, stage: entry.stage }, 'worker')
-    }
-  }
-
-  function passOver (change: StoreChange, current: StoreChange): void {
-    const { key, revision } = change
-    log.info({ key, revision, knownRevision: current.revision, reason: PassedOver.NotLater }, 'record passed over')
-    options.onRecordPassedOver?.(PassedOver.NotLater)
-  }
-
-  function onEra (next: number | undefined): void {
-    if (next === era) return
-    if (next === undefined) log.warn({ store: storeAddress }, 'store era cannot be read')
-    else log.info({ era: next, before: era, revision: highestRevision() }, 'store era')
-    era = next ?? era
-  }
-
-  function apply (changes: StoreChange[]): void {
-    for (const change of changes) {
-      const current = known.get(change.key)
-      if (current !== undefined && current.revision >= change.revision) {
-        if (current.value !== change.value) passOver(change, current)
-        continue
-      }
-      known.set(change.key, change)
-      if (change.key === rulesKey) {
-        if (change.value !== null) applyRules(change.value)
-      } else if (change.key.startsWith(workerPrefix)) applyWorker(change)
+    for (const change of passedOver) {
+      if (change.key === rulesKey) applyRules(change)
+      else passOver(change, records.get(change.key), PassedOver.NotLater)
     }
   }
 
-  /** Records the deletion of the items that a complete read up to a revision did not find. */
-  function listMissing (prefix: string, found: StoreChange[], revision: number): StoreChange[] {
-    const present = new Set(found.map((change) => change.key))
-    const isMissing = ({ key, value, revision: known }: StoreChange): boolean =>
-      key.startsWith(prefix) && value !== null && known < revision && !present.has(key)
-    return [...known.values()].filter(isMissing).map(({ key }) => ({ key, revision, value: null }))
+  /** Notes that the store has come back from an older copy: what it lacks is written again soon, if it still holds. */
+  function onNewEra (era: number): void {
+    const { revision } = records.position()
+    log.info({ era, before: tracker.era(), revision }, 'store era')
+    if (revision > 0) lastFailureMs = timer.now()
   }
 
   function onCallResult (message: string | undefined): void {
@@ -154,8 +123,6 @@
     if (watches.some((watch, index) => wasCovered[index] && !watch.isSuspended())) lastFailureMs = Math.max(lastFailureMs, toldFailureMs)
   }
 
-  function highestRevision (): number { return Math.max(0, ...[...known.values()].map((record) => record.revision)) }
-
   function notifyView (): void { for (const fn of viewHandlers) fn() }
 
   const watches = prefixes.map((prefix, index) => followPrefix({
@@ -166,30 +133,41 @@
     random,
     watchMs: () => isReader ? readerWatchMs : watchMs,
     revision: () => tracker.revision(index),
+    era: () => tracker.era(),
     isCovered: () => !isReader && tracker.isCovered(index, timer.now()),
     onCallResult,
-    onEra,
     onHistoryGone () {
       log.info({ prefix, revision: tracker.revision(index) }, 'store has no history after the known revision')
       tracker.forget(index)
     },
-    onChanges (changes, revision, isComplete) {
-      const known = tracker.revision(index)
-      if (known !== undefined && revision < known) log.warn({ prefix, revision, known }, 'store revision went back')
-      apply(isComplete ? [...listMissing(prefix, changes, revision), ...changes] : changes)
+    onChanges (changes, { era = 0, revision }, isComplete) {
+      const isNewEra = era > tracker.era()
+      const hasReadBefore = readPrefixes.size > 0
+      if (isNewEra) {
+        onNewEra(era)
+        tracker.enterEra(era)
+      }
+      takeEffect(isComplete ? records.applyAll(prefix, changes, { era, revision }) : records.apply(changes))
       if (isComplete) readPrefixes.add(prefix)
       tracker.recordRead(index, revision, timer.now())
       notifyView()
+      // A watch that waits after a revision of the era before may never be woken.
+      if (isNewEra && hasReadBefore) for (const watch of watches) if (watch !== watches[index]) watch.restart()
     }
   }))
 
   return {
     fleet,
     routeTable: () => table,
-    records: () => [...known.values()].filter((record) => record.value !== null),
-    applyRecords: apply,
-    revision: highestRevision,
-    storeEra: () => era,
+    records () {
+      const others = records.all().filter((record) => record.value !== null && record.key !== rulesKey)
+      return rulesRecord === undefined ? others : [rulesRecord, ...others]
+    },
+    applyRecords (changes) {
+      takeEffect(records.apply(readPrefixes.size < prefixes.length ? changes : changes.filter(({ key }) => key === rulesKey)))
+    },
+    position: records.position,
+    storeEra: () => tracker.era(),
     ageMs: () => Math.max(0, ...tracker.state(timer.now())?.agesMs ?? [timer.now() - startedMs]),
     setReader (next) {
       if (next === isReader) return
@@ -203,27 +181,41 @@
       toldFailureMs = Math.max(toldFailureMs, timer.now() - (ageMs ?? Infinity))
       return tracker.recordState(state, timer.now())
     },
-    changesAfter (after) {
+    changesAfter (after, afterEra) {
       const state = tracker.state(timer.now())
       if (state === undefined) return undefined
+      const { era = 0 } = state
       const ageMs = failureAgeMs()
-      const isNew = ({ key, revision }: StoreChange): boolean =>
-        prefixes.some((prefix, index) => key.startsWith(prefix) && revision > (after[index] ?? Infinity))
-      return { state, ...(ageMs === undefined ? {} : { failureAgeMs: ageMs }), changes: [...known.values()].filter(isNew) }
+      const changes = prefixes.flatMap((prefix, index) => {
+        const revision = after[index]
+        return revision === undefined ? [] : records.listAfter(prefix, { era: afterEra, revision })
+      })
+      // A restored store may hold an older version than the one in force, which the other process may lack.
+      if (afterEra < era && rulesRecord !== undefined && !changes.includes(rulesRecord)) changes.push(rulesRecord)
+      return { state, afterEra, ...(ageMs === undefined ? {} : { failureAgeMs: ageMs }), changes }
     },
-    applyChanges (after, { state, failureAgeMs: ageMs, changes }) {
-      if (!tracker.canAdd(after)) return
+    applyChanges (after, { state, afterEra = 0, failureAgeMs: ageMs, changes }) {
+      if (!tracker.canAdd(after, afterEra, state)) return
+      const { era = 0, revisions } = state
+      const isNewEra = era > tracker.era()
+      if (isNewEra) onNewEra(era)
       lastFailureMs = Math.max(lastFailureMs, timer.now() - (ageMs ?? Infinity))
-      apply(changes)
+      if (afterEra < era) {
+        prefixes.forEach((prefix, index) => {
+          const items = changes.filter(({ key }) => key.startsWith(prefix))
+          takeEffect(records.applyAll(prefix, items, { era, revision: revisions[index] as number }))
+        })
+      } else takeEffect(records.apply(changes))
       tracker.recordChanges(state, timer.now())
       notifyView()
+      if (isNewEra) for (const watch of watches) watch.restart()
     },
     checkCoverage,
     onView (fn) { viewHandlers.push(fn) },
     hasReadStore: () => readPrefixes.size === prefixes.length,
     async close () {
       for (const watch of watches) watch.stop()
-      for (const removal of removals.values()) removal.cancel()
+      workers.close()
       await pool.close()
     }
   }
--- a/directory/share_view.ts
+++ b/directory/share_view.ts
@@ -2,6 +2,7 @@
  * Passes what the store holds on from the processes that read it to those that follow them.
  */
 import { connect, listen, MessageKind, parseAddress } from '../wire/mod.ts'
+import type { ViewState } from '../core/view/mod.ts'
 import type { Log } from '../log/mod.ts'
 import type { Timer } from '../timer/mod.ts'
 import type { Connection, Message } from '../wire/mod.ts'
@@ -31,6 +32,8 @@
 /** Time in milliseconds after which changes that a reader did not send are requested from another one. */
 const requestTimeoutMs = 300
 
+function canFollow (state: ViewState, knowsEras: boolean): boolean { return knowsEras || (state.era ?? 0) === 0 }
+
 interface ReaderLink {
   connection?: Connection
   /** Time in milliseconds before which the reader is not tried again. */
@@ -52,7 +55,8 @@
  */
 export async function shareView (options: ShareViewOptions): Promise<ViewSharing> {
   const { directory, timer, log, address } = options
-  const followers = new Set<Connection>()
+  /** Connections of followers; true for those that know eras. Others would take the revisions of a later era for their own. */
+  const followers = new Map<Connection, boolean>()
   const links = new Map<string, ReaderLink>()
   let isClosed = false
   /** Time in milliseconds until which the reply to a request for changes is awaited. */
@@ -63,21 +67,21 @@
     if (state === undefined) return
     const failureAgeMs = directory.failureAgeMs()
     const failure = failureAgeMs === undefined ? {} : { failureAgeMs }
-    for (const follower of followers) follower.send({ kind: MessageKind.ViewState, ...state, ...failure })
+    for (const [follower, knowsEras] of followers) if (canFollow(state, knowsEras)) follower.send({ kind: MessageKind.ViewState, ...state, ...failure })
   }
 
   function onFollowerMessage (connection: Connection, msg: Message): void {
     if (msg.kind !== MessageKind.ViewRequest) return
-    followers.add(connection)
-    const update = directory.changesAfter(msg.after)
-    if (update === undefined) return
+    followers.set(connection, msg.era !== undefined)
+    const update = directory.changesAfter(msg.after, msg.era ?? 0)
+    if (update === undefined || !canFollow(update.state, msg.era !== undefined)) return
     const { state, ...rest } = update
     connection.send({ kind: MessageKind.ViewChanges, after: msg.after, ...state, ...rest })
   }
 
   function request (connection: Connection): void {
     const after = directory.viewState()?.revisions ?? []
-    if (connection.send({ kind: MessageKind.ViewRequest, after })) requestedUntilMs = timer.now() + requestTimeoutMs
+    if (connection.send({ kind: MessageKind.ViewRequest, after, era: directory.storeEra() })) requestedUntilMs = timer.now() + requestTimeoutMs
   }
 
   function onReaderMessage (connection: Connection, msg: Message): void {
@@ -85,8 +89,7 @@
       if (directory.recordViewState(msg, msg.failureAgeMs) && timer.now() >= requestedUntilMs) request(connection)
     } else if (msg.kind === MessageKind.ViewChanges) {
       requestedUntilMs = -Infinity
-      const { after, revisions, agesMs, failureAgeMs, changes } = msg
-      directory.applyChanges(after, { state: { revisions, agesMs }, ...(failureAgeMs === undefined ? {} : { failureAgeMs }), changes })
+      directory.applyChanges(msg.after, { ...msg, state: msg })
     }
   }
 
--- a/directory/sync_records.ts
+++ b/directory/sync_records.ts
@@ -1,5 +1,5 @@
 /**
- * Copies store records between processes, for those that start while the store is unavailable.
+ * Copies store records between processes, for those that start while the store is unavailable or holds an older copy.
  */
 import { connect, listen, MessageKind, parseAddress } from '../wire/mod.ts'
 import type { Log } from '../log/mod.ts'
@@ -17,7 +17,7 @@
   seeds: readonly string[]
 }
 
-/** Sends records to other processes on request, and requests them until the store has been read. */
+/** Sends records to other processes on request, and requests them once at the start and until the store has been read. */
 export interface RecordSync {
   close (): Promise<void>
 }
@@ -27,7 +27,7 @@
 const requestTimeoutMs = 350
 
 /**
- * Starts to send records to other processes on request, and requests records from the seeds until the store has been read.
+ * Starts to send records to other processes on request, and requests records from the seeds, once at the start and until the store has been read.
  *
  * @param options the directory, addresses, timer and log
  * @returns a handle that stops it
@@ -51,19 +51,21 @@
     connection.onClose(() => timeout.cancel())
     connection.onMessage((msg) => {
       if (msg.kind !== MessageKind.ConfigRecords) return
-      if (!directory.hasReadStore()) {
-        directory.applyRecords(msg.changes)
-        log.info({ seed, records: msg.changes.length, revision: msg.revision }, 'records learned')
-      }
+      directory.applyRecords(msg.changes)
+      log.info({ seed, records: msg.changes.length, revision: msg.revision }, 'records learned')
       connection.close()
     })
-    connection.send({ kind: MessageKind.ConfigDigest, revision: directory.revision(), wants: true })
+    connection.send({ kind: MessageKind.ConfigDigest, revision: directory.position().revision, wants: true })
   }
 
+  function requestFromSeeds (): void { for (const seed of seeds) requestRecords(seed) }
+
   const requestRounds = timer.every(requestPeriodMs, () => {
     if (directory.hasReadStore()) requestRounds.cancel()
-    else for (const seed of seeds) requestRecords(seed)
+    else requestFromSeeds()
   })
+  // The store may have come back from an older copy just now, so other processes may know a higher version of the rules than it holds.
+  requestFromSeeds()
 
   const listenAddress = address === undefined ? undefined : parseAddress(address)
   const listener = listenAddress === undefined || listenAddress.err
@@ -73,7 +75,7 @@
       onConnection (connection) {
         connection.onMessage((msg) => {
           if (msg.kind !== MessageKind.ConfigDigest) return
-          const revision = directory.revision()
+          const { revision } = directory.position()
           connection.send({ kind: MessageKind.ConfigRecords, revision, complete: false, changes: directory.records() })
         })
       }
--- a/gateway/start_gateway.ts
+++ b/gateway/start_gateway.ts
@@ -80,7 +80,7 @@
       config_version: () => directory.routeTable()?.version ?? 0,
       view_age_ms: () => directory.ageMs(),
       store_era: () => directory.storeEra(),
-      store_revision: () => directory.revision(),
+      view_revision: () => directory.position().revision,
       workers: () => directory.fleet.all().length,
       gateways,
       sidecars: () => directory.fleet.all().filter((worker) => worker.capacity !== undefined).length,
--- a/sidecar/start_sidecar.ts
+++ b/sidecar/start_sidecar.ts
@@ -82,7 +82,7 @@
       config_version: () => directory.routeTable()?.version ?? 0,
       view_age_ms: () => directory.ageMs(),
       store_era: () => directory.storeEra(),
-      store_revision: () => directory.revision(),
+      view_revision: () => directory.position().revision,
       room_tokens: () => admission.roomTokens(),
       gateways: () => admission.gateways(),
       log_lines_dropped: () => options.droppedLines?.() ?? 0
--- a/testing/fleuve/start_store.ts
+++ b/testing/fleuve/start_store.ts
@@ -25,6 +25,20 @@
   revision: number
 }
 
+/** What a store held at some moment. */
+export interface StoreCopy {
+  items: Item[]
+  revision: number
+  oldestRevision: number
+  history: Array<Item | Deletion>
+}
+
+interface Deletion {
+  key: string
+  revision: number
+  deleted: true
+}
+
 /** Controls a running store. */
 export interface FakeStore {
   readonly address: string
@@ -36,6 +50,12 @@
   setMode (mode: StoreMode): void
   /** Deletes the history, so that watches from an earlier revision, also waiting ones, get status 410. */
   compact (): void
+  /** Returns a copy of what the store holds. */
+  copy (): StoreCopy
+  /** Goes back to a copy and begins the next era. Watches that wait go on waiting, unless `setMode` closed them. */
+  restore (copy: StoreCopy): void
+  /** Sets the text of the header that names the era in the next responses, all by default: undefined for the true one, null for no header. */
+  setEraText (text: string | null | undefined, responses?: number): void
   /** Lists the paths of the calls so far, with their queries. */
   listCalls (): string[]
   close (): Promise<void>
@@ -47,16 +67,20 @@
 /** Starts an empty store on a free port of the loopback address. */
 export async function startStore (): Promise<FakeStore> {
   const items = new Map<string, Item>()
-  let history: Array<Item | { key: string, revision: number, deleted: true }> = []
+  let history: Array<Item | Deletion> = []
   let oldestRevision = 0
   let revision = 10
+  let era = 1
+  let eraText: string | null | undefined
+  let eraTextResponses = Infinity
   let mode = StoreMode.Up
   const waitingWatches = new Set<{ prefix: string, after: number, res: ServerResponse }>()
   const calls: string[] = []
 
   function sendJson (res: ServerResponse, status: number, body: unknown): void {
     const text = JSON.stringify(body)
-    res.writeHead(status, { 'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(text) })
+    const eraHeader = eraTextResponses-- <= 0 || eraText === undefined ? { 'Store-Era': String(era) } : eraText === null ? {} : { 'Store-Era': eraText }
+    res.writeHead(status, { ...eraHeader, 'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(text) })
     res.end(text)
   }
 
@@ -90,7 +114,7 @@
   function watch (query: URLSearchParams, res: ServerResponse): void {
     const prefix = query.get('prefix') ?? ''
     const after = Number(query.get('after'))
-    if (after < oldestRevision) return sendJson(res, 410, {})
+    if (after < oldestRevision || after > revision) return sendJson(res, 410, {})
     const events = listEventsAfter(prefix, after)
     if (events.length > 0) return sendJson(res, 200, { events, store_revision: revision })
     const waiting = { prefix, after, res }
@@ -148,6 +172,19 @@
       for (const watch of waitingWatches) sendJson(watch.res, 410, {})
       waitingWatches.clear()
     },
+    copy: () => ({ items: [...items.values()], revision, oldestRevision, history: [...history] }),
+    restore (copy) {
+      items.clear()
+      for (const item of copy.items) items.set(item.key, item)
+      history = [...copy.history]
+      revision = copy.revision
+      oldestRevision = copy.oldestRevision
+      era++
+    },
+    setEraText (text, responses = Infinity) {
+      eraText = text
+      eraTextResponses = responses
+    },
     listCalls: () => calls,
     async close () {
       server.closeAllConnections()
--- a/wire/_message_checks.ts
+++ b/wire/_message_checks.ts
@@ -7,7 +7,7 @@
 } from './_checks.ts'
 import type { CrashObservation } from '../core/quarantine/mod.ts'
 import type { AttemptRef } from '../core/types/mod.ts'
-import type { ConfigChange } from '../source/mod.ts'
+import type { StoreChange } from '../core/view/mod.ts'
 import type { Check } from './_checks.ts'
 import { MessageKind } from './message_kind.ts'
 import type { CallDone, MessageOf, UsageShare } from './messages.ts'
@@ -21,7 +21,7 @@
 const isOutcome = oneOf(Object.values(Outcome))
 const isRole = oneOf(Object.values(Role))
 const isFinishReason = oneOf(['stop', 'length'])
-const isChange = shape<ConfigChange>({ key: isName, revision: isCount, value: nullable(isString) })
+const isChange = shape<StoreChange>({ key: isName, era: optional(isCount), revision: isCount, value: nullable(isString) })
 const isReply = shape<NonNullable<CallDone['reply']>>({ status: isCount, headers: isStringMap, body: isBytes })
 const isUsage = shape<UsageShare['usage'][number]>({
   caller: isName, requests: isAmount, tokens: isAmount, concurrency: isAmount, waiting: isAmount
@@ -119,10 +119,14 @@
     more: optional(isBoolean),
     changes: listOf(isChange)
   },
-  [MessageKind.ViewState]: { revisions: listOf(isCount), agesMs: listOf(isAmount), failureAgeMs: optional(isAmount) },
-  [MessageKind.ViewRequest]: { after: listOf(isCount) },
+  [MessageKind.ViewState]: {
+    era: optional(isCount), revisions: listOf(isCount), agesMs: listOf(isAmount), failureAgeMs: optional(isAmount)
+  },
+  [MessageKind.ViewRequest]: { after: listOf(isCount), era: optional(isCount) },
   [MessageKind.ViewChanges]: {
     after: listOf(isCount),
+    afterEra: optional(isCount),
+    era: optional(isCount),
     revisions: listOf(isCount),
     agesMs: listOf(isAmount),
     failureAgeMs: optional(isAmount),
--- a/wire/messages.ts
+++ b/wire/messages.ts
@@ -3,7 +3,7 @@
  */
 import type { MessageKind } from './message_kind.ts'
 import type { AttemptRef, Outcome, Place, RefusalCode, Role, TierClass } from '../core/types/mod.ts'
-import type { ConfigChange } from '../source/mod.ts'
+import type { StoreChange } from '../core/view/mod.ts'
 import type { EngineCapacity, Admit, Admitted, PromptEvidenceMessage, StreamEnded } from './pack_messages.ts'
 import type { ViewChanges, ViewRequest, ViewStateMessage } from './view_messages.ts'
 
@@ -244,7 +244,7 @@
   complete: boolean
   /** True when the next message continues the page; the last message of a page has no `more`. */
   more?: boolean
-  changes: ConfigChange[]
+  changes: StoreChange[]
 }
 
 /** Tells a peer what the sender observed of a third process, such as a broken connection; the receiver treats it as a hint. */
--- a/wire/wire_fuzz_test.ts
+++ b/wire/wire_fuzz_test.ts
@@ -64,15 +64,17 @@
   [MessageKind.EngineCapacity]: {
     kind: MessageKind.EngineCapacity, workerId: 'i-1', roomTokens: 9000, reads: false, waiting: 2, senders: 4
   },
-  [MessageKind.ViewState]: { kind: MessageKind.ViewState, revisions: [4, 9], agesMs: [12.5, 0] },
-  [MessageKind.ViewRequest]: { kind: MessageKind.ViewRequest, after: [4, 9] },
+  [MessageKind.ViewState]: { kind: MessageKind.ViewState, era: 2, revisions: [4, 9], agesMs: [12.5, 0] },
+  [MessageKind.ViewRequest]: { kind: MessageKind.ViewRequest, after: [4, 9], era: 2 },
   [MessageKind.ViewChanges]: {
     kind: MessageKind.ViewChanges,
     after: [4, 9],
+    afterEra: 1,
+    era: 2,
     revisions: [5, 9],
     agesMs: [3, 0],
     failureAgeMs: 900,
-    changes: [{ key: 'servers/i-1', revision: 5, value: null }]
+    changes: [{ key: 'servers/i-1', era: 2, revision: 5, value: null }]
   },
   [MessageKind.Resume]: { kind: MessageKind.Resume, ...ref, offset: 4 },
   [MessageKind.Tokens]: { kind: MessageKind.Tokens, ...ref, offset: 4, tokens: [' été'] },
@@ -140,7 +142,7 @@
   [MessageKind.ExplainReply]: { kind: MessageKind.ExplainReply, requestId: 'r1', decisions: [{ reason: 'nearest' }] }
 }
 
-const optionalFields = new Set(['likelyTokens', 'ticket', 'reply', 'code', 'ageMs', 'after', 'more', 'failureAgeMs', 'readMs'])
+const optionalFields = new Set(['likelyTokens', 'ticket', 'reply', 'code', 'ageMs', 'after', 'more', 'failureAgeMs', 'readMs', 'era', 'afterEra'])
 const freeFormFields = new Set(['decisions'])
 
 const sampleArbitrary = fc.constantFrom<Message>(...Object.values(samples))
