Keep the fencing tokens of a sidecar rising when the store comes back from a copy

A sidecar took the highest revision of the store for the high part of the fencing tokens of its orders, so after a restart beside a store whose revisions had gone back its tokens were lower than before: an engine that checks them refuses the order, one that doesn't counts an older holder.

The high part now has the era above the revision (30 bits for the revision, a safe integer up to era 8,191). Shown: without it (compiled copy) 'The fencing token of a sidecar does not go down ...' and the three examples of 'A fence of a later era is higher' fail; they pass now.

--- a/core/fence/create_fence.ts
+++ b/core/fence/create_fence.ts
@@ -6,6 +6,8 @@
 export interface FenceOptions {
   /** Configuration revision in force at the agent. */
   revision: number
+  /** Era of the revision: revisions go back when an era of the platform's store begins; 0 by default. */
+  era?: number
   /** Highest fencing number that the engine reports; 0 when it reports none. */
   engineFence: number
   /** Incarnation of the agent, so that two incarnations choose different numbers; 0 by default. */
@@ -22,11 +24,14 @@
 
 // The low part of a number depends on the incarnation, because an engine refuses lower numbers but accepts equal ones.
 const incarnationSlots = 1024
+/** Most revisions of one era; the number stays a safe integer for 8,191 eras. */
+const revisionsPerEra = 2 ** 30
+const maxEra = 8_191
 
 /**
  * Creates a source of fencing numbers.
  *
- * The high part of a number is above the configuration revision and above the high part of every number that the engine
+ * The high part of a number is above the era and the configuration revision and above the high part of every number that the engine
  * reported, so the engine refuses an agent with an older configuration or older engine state.
  *
  * @param options the configuration revision, the fencing number that the engine reports, and the agent's incarnation
@@ -50,7 +55,8 @@
     highPart = Math.max(highPart, engineHighPart, seen.revision ?? 0)
   }
 
-  observe(options)
+  const { era = 0, revision } = options
+  observe({ ...options, revision: Math.min(era, maxEra) * revisionsPerEra + revision })
   return {
     next () {
       highPart++
--- a/core/fence/fence.feature
+++ b/core/fence/fence.feature
@@ -8,6 +8,16 @@
       | 12       | 20480   | 1           |
       | 12       | 0       | 3           |
 
+  # Guards against fences that go down when the platform's store comes back from an older copy and gives out revisions again.
+  Scenario Outline: A fence of a later era is higher, whatever the revisions
+    Then a fence of era <era>, revision <revision> and incarnation 0 is above one of era <before>, revision <revisionBefore> and incarnation 1023, and a safe integer
+
+    Examples:
+      | era  | revision   | before | revisionBefore |
+      | 1    | 1          | 0      | 1000000000     |
+      | 2    | 12         | 1      | 5000           |
+      | 8191 | 1000000000 | 8190   | 1000000000     |
+
   Scenario: An order sequencer reads the state before and after an order
     Given an order sequencer for "decode m 2"
     When the engine's state reads "decode m 1"
--- a/core/fence/fence_test.ts
+++ b/core/fence/fence_test.ts
@@ -38,6 +38,13 @@
     assert.ok(fence.next() > number)
   })
 
+Then('a fence of era {int}, revision {int} and incarnation {int} is above one of era {int}, revision {int} and incarnation {int}, and a safe integer',
+  function (era: number, revision: number, incarnation: number, otherEra: number, otherRevision: number, otherIncarnation: number) {
+    const number = createFence({ era, revision, engineFence: 0, incarnation }).next()
+    assert.ok(number > createFence({ era: otherEra, revision: otherRevision, engineFence: 0, incarnation: otherIncarnation }).next())
+    assert.ok(Number.isSafeInteger(number))
+  })
+
 Given('an order sequencer for {string}', function (this: World, target: string) {
   this.fences = []
   this.orders = createOrderSequencer({ fence: createFence({ revision: 1, engineFence: 0 }) })
--- a/sidecar/_stage_task.ts
+++ b/sidecar/_stage_task.ts
@@ -57,7 +57,7 @@
   }
 
   async function orderStage (entry: WorkerEntry, report: EngineReport, stage: Stage): Promise<void> {
-    const fence = createFence({ revision: directory.position().revision, engineFence: refusedFence, incarnation: report.orders }).next()
+    const fence = createFence({ ...directory.position(), engineFence: refusedFence, incarnation: report.orders }).next()
     const call = buildOrderCall({ stage, holder: machine, fence, expectedOrders: report.orders, workerId: entry.id })
     const response = await callJson(entry.address, call, { pool, timer, timeoutMs: orderTimeoutMs })
     const result = response.err ? response.val.message : decodeOrderResult(response.val.status)
--- a/sidecar/sidecar.feature
+++ b/sidecar/sidecar.feature
@@ -28,6 +28,18 @@
     When the sidecar restarts
     Then the sidecar sends 0 orders within 2500 ms
 
+  # Guards against orders that an engine refuses, or that count as those of an older holder.
+  Scenario: The fencing token of a sidecar does not go down when the store comes back from an older copy
+    Given a sidecar beside an engine of 1000 tokens with the stage "prefill" among 5 engines of which 2 prefill
+    When the sidecar store is copied and then takes 500 writes
+    Then the sidecar orders "decode" within 4000 ms with the expected number of orders
+    When the sidecar store comes back from the copy
+    And the sidecar engine is the first of 5 that decode
+    Then the sidecar orders "prefill" within 8000 ms, with a higher fencing token than before
+    When the sidecar restarts
+    And the sidecar engine is the last of 5 that prefill
+    Then the sidecar orders "decode" within 8000 ms, with a higher fencing token than before
+
   Scenario: A sidecar rarely calls the store while nothing changes, and still hears of a change at once
     Given a sidecar beside an engine of 1000 tokens with the stage "decode"
     When 4000 ms pass at the sidecar
--- a/sidecar/sidecar_test.ts
+++ b/sidecar/sidecar_test.ts
@@ -12,13 +12,14 @@
 import { createSystemTimer } from '../timer/mod.ts'
 import { connect, MessageKind } from '../wire/mod.ts'
 import { startSidecar } from './mod.ts'
-import type { FakeStore, FakeWorker } from '../testing/fleuve/mod.ts'
+import type { FakeStore, FakeWorker, StoreCopy } from '../testing/fleuve/mod.ts'
 import type { Timer } from '../timer/mod.ts'
 import type { Connection, Message } from '../wire/mod.ts'
 import type { Sidecar } from './mod.ts'
 
 interface World {
   sideStore: FakeStore
+  sideCopy: StoreCopy
   sideEngine: FakeWorker
   sidecar: Sidecar
   sideTimer: Timer
@@ -142,6 +143,36 @@
   this.sideStore.put('servers/i-5', this.sideEngine.buildEntry({ stage }))
 })
 
+When('the sidecar store is copied and then takes {int} writes', function (this: World, writes: number) {
+  this.sideCopy = this.sideStore.copy()
+  for (let i = 0; i < writes; i++) this.sideStore.put('servers/other', this.sideEngine.buildEntry({ service: 'other', sequence: i }))
+})
+
+When('the sidecar store comes back from the copy', function (this: World) { this.sideStore.restore(this.sideCopy) })
+
+function writeOtherEngines (world: World, ids: number[], stage: string): void {
+  for (let i = 1; i < 10; i++) if (i !== 5 && !ids.includes(i)) world.sideStore.remove(`servers/i-${i}`)
+  for (const i of ids) world.sideStore.put(`servers/i-${i}`, world.sideEngine.buildEntry({ stage, address: `10.0.0.${i}:80`, sequence: 1 }))
+}
+
+When('the sidecar engine is the first of 5 that decode', function (this: World) {
+  this.sideStore.put('servers/i-5', this.sideEngine.buildEntry({ stage: 'decode', sequence: 1 }))
+  writeOtherEngines(this, [6, 7, 8, 9], 'decode')
+})
+
+When('the sidecar engine is the last of 5 that prefill', function (this: World) {
+  this.sideStore.put('servers/i-5', this.sideEngine.buildEntry({ stage: 'prefill', sequence: 2 }))
+  writeOtherEngines(this, [1, 2, 3, 4], 'prefill')
+})
+
+Then('the sidecar orders {string} within {int} ms, with a higher fencing token than before', async function (this: World, stage: string, ms: number) {
+  const before = orders(this).length
+  for (let waited = 0; orders(this).length === before && waited < ms; waited += 20) await sleep(20)
+  const [last, latest] = orders(this).slice(-2).map((body) => JSON.parse(body))
+  assert.equal(latest.stage, stage)
+  assert.ok(latest.fence > last.fence, `fence ${latest.fence} after ${last.fence}`)
+})
+
 Then('the sidecar sends {int} orders within {int} ms', async function (this: World, count: number, ms: number) {
   const before = count === 0 ? orders(this).length : 0
   await sleep(ms)
