Take records of the same era from other processes for no outage of the store

A process that had records from others before its first read of the store took the first era that it read for a new one, since it knew none yet, and so kept removed workers for 2.3 s, as after an outage. Only records of an earlier era count now. Shown: 'Records of the same era that a starting process has from others delay no removal' fails without it ('i-1 ready' at the starting process after 500 ms) and passes.

--- a/directory/create_directory.ts
+++ b/directory/create_directory.ts
@@ -94,9 +94,9 @@
 
   /** Notes that the store has come back from an older copy: what it lacks is written again soon, if it still holds. */
   function onNewEra (era: number): void {
-    const { revision } = records.position()
-    log.info({ era, before: tracker.era(), revision }, 'store era')
-    if (revision > 0) lastFailureMs = timer.now()
+    const last = records.position()
+    log.info({ era, before: tracker.era(), revision: last.revision }, 'store era')
+    if (last.revision > 0 && last.era < era) lastFailureMs = timer.now()
   }
 
   function onCallResult (message: string | undefined): void {
--- a/directory/restored_store.feature
+++ b/directory/restored_store.feature
@@ -72,6 +72,14 @@
     And version 7 is written to the restorable store
     Then all processes of the restorable store know version 7 within 1000 ms
 
+  # Guards against a start that counts as an outage of the store, during which no worker is removed.
+  Scenario: Records of the same era that a starting process has from others delay no removal
+    Given a restorable store with version 2, 2 readers and 2 followers
+    And the workers "i-1" in the restorable store
+    When a process starts at the restorable store with the records of the first one
+    And the worker "i-1" is removed from the restorable store
+    Then no process of the restorable store knows the worker "i-1" within 500 ms
+
   Scenario: A process that the store refuses enters the new era with the readers
     Given a restorable store with version 2, 2 readers and 2 followers
     When the restorable store is copied and then confirms versions 3 to 6
--- a/directory/restored_store_test.ts
+++ b/directory/restored_store_test.ts
@@ -177,6 +177,14 @@
 
 When('a process starts at the restorable store', async function (this: World) { await startProcess(this, {}) })
 
+When('a process starts at the restorable store with the records of the first one', async function (this: World) {
+  await startProcess(this, {})
+  const [first, last] = [this.restorableProcesses[0] as Process, this.restorableProcesses.at(-1) as Process]
+  assert.ok(!last.directory.hasReadStore())
+  last.directory.applyRecords(first.directory.records())
+  await until(() => last.directory.hasReadStore(), 1000, () => 'the first read')
+})
+
 When('the restorable store refuses the followers', function (this: World) { this.restorable[1].setMode(StoreMode.Unavailable) })
 
 When('the restorable store names the era {string} for {int} ms', async function (this: World, text: string, ms: number) {
