--- a/metrics/create_prometheus_metrics.ts
+++ b/metrics/create_prometheus_metrics.ts
@@ -40,7 +40,9 @@
   /** Calls to the configuration store, by result. */
   StoreReads = 'store_reads_total',
   /** Connections of clients that closed while a request had no complete response, by the side that closed them. */
-  Unanswered = 'requests_unanswered_total'
+  Unanswered = 'requests_unanswered_total',
+  /** Records of the store that had no effect although they differ from the known ones, by reason. */
+  RecordsPassedOver = 'records_passed_over_total'
 }
 
 const labelNames: { readonly [C in Count]: readonly string[] } = {
@@ -53,7 +55,8 @@
   [Count.StreamsSilent]: ['service'],
   [Count.EngineCrashes]: ['service'],
   [Count.StoreReads]: ['result'],
-  [Count.Unanswered]: ['closed_by']
+  [Count.Unanswered]: ['closed_by'],
+  [Count.RecordsPassedOver]: ['reason']
 }
 
 const helpTexts: { readonly [M in Count | Latency]: string } = {
@@ -67,6 +70,7 @@
   [Count.EngineCrashes]: 'Crashes of engines just after a request had begun, by service',
   [Count.StoreReads]: 'Calls to the store by result',
   [Count.Unanswered]: 'Requests whose connection closed before their response was complete, by the side that closed it',
+  [Count.RecordsPassedOver]: 'Records of the store without effect, by reason',
   [Latency.Request]: 'Time from a request to its final answer in ms',
   [Latency.FirstEvent]: 'Time from a request to the first event in ms',
   [Latency.Pause]: 'Longest pause of a stream in ms',
