Leave out an odd entry of the store, and follow the list on

It could happen here, in four ways: - a `state`, `stage` or `kind` that is deeply nested, or an object with its own `toString`, threw when it was turned into a name; the error ended the loop that follows the prefix, so the process never heard of another change (gateway and sidecar); - a name that every object has ("constructor") was taken for a state or stage; ports 0 and 99999, 999.0.0.1 and 2^53-1 slots were taken; - an item without a key or with a revision of 2^53 made its whole page undecodable: the store counted as failing until the item went; - large entries that name no worker were passed on in one frame above 4 MiB, so that followers lost each reader again and again.

Names are looked up as own strings only, addresses and slots have ranges, ids and handles are tokens that a header can carry. A page leaves out the item that cannot be used and says why in the log; the text of an unreadable entry is not passed on. An error in a receiver of changes is logged and the prefix is followed on (without both guards the scenario of the throwing receiver fails).

--- a/platform/_fields.ts
+++ b/core/json/json_fields.ts
@@ -20,6 +20,13 @@
   return typeof value === 'string' && value !== '' ? value : undefined
 }
 
+const tokenPattern = /^[\x21-\x7e]{1,200}$/
+
+/** Returns the value when it is a string of 1 to 200 visible ASCII characters, which a header and a path can carry. */
+export function asToken (value: unknown): string | undefined {
+  return typeof value === 'string' && tokenPattern.test(value) ? value : undefined
+}
+
 /** Returns the value when it is a finite number of at least 0. */
 export function asNonNegativeNumber (value: unknown): number | undefined {
   return typeof value === 'number' && Number.isFinite(value) && value >= 0 ? value : undefined
@@ -30,6 +37,14 @@
   return Number.isSafeInteger(value) && (value as number) >= 0 ? value as number : undefined
 }
 
+/**
+ * Returns the entry of a table whose name the value is. A value that is no string has no text form that could be relied on: that of a
+ * deeply nested array overflows the stack.
+ */
+export function lookUpName<T> (table: { readonly [name: string]: T }, value: unknown): T | undefined {
+  return typeof value === 'string' && Object.hasOwn(table, value) ? table[value] : undefined
+}
+
 /** Parses a JSON text; returns undefined when it is invalid or not an object. */
 export function parseObject (text: string): JsonObject | undefined {
   try {
--- a/directory/_follow_prefix.ts
+++ b/directory/_follow_prefix.ts
@@ -27,6 +27,10 @@
   onHistoryGone (): void
   /** Receives the result of each call: undefined when the store responded, or why the call failed. */
   onCallResult (failure: string | undefined): void
+  /** Receives the items of a page that cannot be used, each with the reason. */
+  onLeftOut (reasons: string[]): void
+  /** Called when a receiver of changes has failed; the prefix is followed on. */
+  onError (err: unknown): void
 }
 
 /** Time in milliseconds beyond its wait after which a watch call times out; the store responds within a few milliseconds. */
@@ -74,6 +78,7 @@
     if (page === undefined) return fail(`GET ${address}${call.path}: status ${response.val.status} or an invalid body`)
     backoffMs = minBackoffMs
     options.onCallResult(undefined)
+    if (page.leftOut.length > 0) options.onLeftOut(page.leftOut)
     return page
   }
 
@@ -93,8 +98,10 @@
       // The pages aren't one snapshot: the watch begins at the revision of the first page, so that it repeats changes made meanwhile.
       firstRevision ??= page.revision
       changes.push(...page.changes)
-      afterKey = page.changes.at(-1)?.key
-      if (!page.more || afterKey === undefined) break
+      if (!page.more) break
+      // A page without a new key has no next one that could be named.
+      if (page.lastKey === undefined || page.lastKey === afterKey) return fail(`GET ${address}: a page after "${afterKey ?? ''}" has no key`) ?? false
+      afterKey = page.lastKey
     }
     hasRead = true
     options.onChanges(changes, firstRevision, true)
@@ -114,7 +121,10 @@
     isSuspended = options.isCovered()
     if (isSuspended) return
     const revision = options.revision()
-    const done = revision === undefined ? await readAll() : await watch(revision)
+    const done = await (revision === undefined ? readAll() : watch(revision)).catch((err: unknown) => {
+      options.onError(err)
+      return false
+    })
     if (closed) return
     if (done) step()
     else pause = timer.after(backoffMs * (0.5 + options.random()), () => { step() })
--- a/directory/create_directory.ts
+++ b/directory/create_directory.ts
@@ -20,6 +20,8 @@
 const maxViewAgeMs = 2_000
 /** Time in milliseconds after an outage of the store within which live workers have written their entries again. */
 const reregistrationMs = 2_300
+/** Number of items that one log line names. */
+const maxLoggedReasons = 5
 
 /**
  * Creates a directory and begins to watch the store.
@@ -80,7 +82,11 @@
     const id = change.key.slice(workerPrefix.length)
     const entry = change.value === null ? undefined : decodeWorkerEntry(change.key, change.value)
     if (entry === undefined) {
-      if (change.value !== null) log.warn({ worker: id, revision: change.revision }, 'entry cannot be read')
+      if (change.value !== null) {
+        log.warn({ worker: id, revision: change.revision }, 'entry cannot be read')
+        // The text may be as long as the store allows, and would be passed on to other processes with the readable entries.
+        known.set(change.key, { ...change, value: '' })
+      }
       if (fleet.get(id) !== undefined) removeWorker(id)
       return
     }
@@ -97,12 +103,20 @@
       const current = known.get(change.key)
       if (current !== undefined && current.revision >= change.revision) continue
       known.set(change.key, change)
-      if (change.key === rulesKey) {
-        if (change.value !== null) applyRules(change.value)
-      } else if (change.key.startsWith(workerPrefix)) applyWorker(change)
+      try {
+        applyChange(change)
+      } catch (err) {
+        log.error({ key: change.key, revision: change.revision, err }, 'change not applied')
+      }
     }
   }
 
+  function applyChange (change: StoreChange): void {
+    if (change.key === rulesKey) {
+      if (change.value !== null) applyRules(change.value)
+    } else if (change.key.startsWith(workerPrefix)) applyWorker(change)
+  }
+
   /** Records the deletion of the items that a complete read up to a revision did not find. */
   function listMissing (prefix: string, found: StoreChange[], revision: number): StoreChange[] {
     const present = new Set(found.map((change) => change.key))
@@ -147,6 +161,8 @@
     revision: () => tracker.revision(index),
     isCovered: () => !isReader && tracker.isCovered(index, timer.now()),
     onCallResult,
+    onLeftOut: (reasons) => log.warn({ prefix, count: reasons.length, reasons: reasons.slice(0, maxLoggedReasons) }, 'store items left out'),
+    onError: (err) => log.error({ prefix, err }, 'changes not applied'),
     onHistoryGone: () => tracker.forget(index),
     onChanges (changes, revision, isComplete) {
       apply(isComplete ? [...listMissing(prefix, changes, revision), ...changes] : changes)
--- a/directory/share_view_test.ts
+++ b/directory/share_view_test.ts
@@ -45,10 +45,10 @@
   })
 }
 
-async function startProcess (world: World, isReader: boolean, address?: string): Promise<void> {
+async function startProcess (world: World, isReader: boolean, address?: string, onRules?: () => void): Promise<void> {
   const log = createLog({ name: 'p', level: 'info', stream: new PassThrough().resume() })
   const store = world.viewStores[isReader ? 0 : 1] as FakeStore
-  const directory = createDirectory({ storeAddress: store.address, timer: world.viewTimer, log, random: Math.random })
+  const directory = createDirectory({ storeAddress: store.address, timer: world.viewTimer, log, random: Math.random, ...(onRules && { onRules }) })
   const own = address === undefined ? {} : { address }
   const view = await shareView({ directory, timer: world.viewTimer, log, readers: () => world.readerAddresses, ...own })
   world.processes.push({ directory, view, isReader })
@@ -90,6 +90,14 @@
   for (let i = 0; i < count; i++) await startProcess(this, false)
 })
 
+Given('a view process whose receiver of rules throws', async function (this: World) {
+  await startProcess(this, false, undefined, () => { throw new Error('receiver of rules') })
+})
+
+When('{int} entries of {int} characters that name no worker are written to the view stores', function (this: World, count: number, length: number) {
+  for (let i = 0; i < count; i++) writeToAll(this, `servers/odd-${i}`, 'x'.repeat(length))
+})
+
 Given('the worker {string} in the view stores', function (this: World, id: string) { writeToAll(this, `servers/${id}`, entryOf(id)) })
 
 When('{int} ms pass at the view', async function (ms: number) { await sleep(ms) })
--- a/gateway/gateway.feature
+++ b/gateway/gateway.feature
@@ -151,6 +151,27 @@
       | without a version  |
       | born in text       |
 
+  # Guards against one odd entry that ends the processes which read the list, or after which they follow it no longer.
+  Scenario Outline: The gateway serves and follows the store beside an entry <what>
+    When the gateway entry of "w1" is <what>
+    And a gateway worker "w3" joins
+    And the gateway entry of "w2" expires
+    Then the gateway worker "w3" answers all requests from 300 ms on
+    When another gateway starts
+    Then the other gateway is ready within 2000 ms
+    And the other gateway answers "GET /safe/x" with 200
+    And the gateway logged "<log>"
+
+    Examples:
+      | what                               | log                   |
+      | very deeply nested                 | entry cannot be read  |
+      | deeply nested in its state         | entry cannot be read  |
+      | of a state that every object has   | entry cannot be read  |
+      | with a port out of range           | entry cannot be read  |
+      | with a number out of range         | entry cannot be read  |
+      | with a revision out of range       | store items left out  |
+      | without a key                      | store items left out  |
+
   Scenario: Entries that lapsed while the store was down are kept until they can be back
     When the gateway store is "silent"
     And the gateway entry of "w1" expires
--- a/gateway/gateway_test.ts
+++ b/gateway/gateway_test.ts
@@ -313,17 +313,41 @@
   for (const worker of this.gatewaySite.workers.values()) worker.setMode(first, next)
 })
 
+const nested = `${'['.repeat(100_000)}${']'.repeat(100_000)}`
 const entries: { readonly [what: string]: (worker: FakeWorker) => string } = {
   draining: (worker) => worker.buildEntry({ state: 'draining' }),
   'no JSON': () => '{"service":',
   'of a strange state': (worker) => worker.buildEntry({ state: 'resting' }),
   'without an address': (worker) => worker.buildEntry({ address: undefined }),
   'without a version': (worker) => worker.buildEntry({ version: undefined }),
-  'born in text': (worker) => worker.buildEntry({ born: 'today' })
+  'born in text': (worker) => worker.buildEntry({ born: 'today' }),
+  'very deeply nested': () => nested,
+  'deeply nested in its state': (worker) => worker.buildEntry({ state: 0 }).replace('"state":0', `"state":${nested}`),
+  'of a state that every object has': (worker) => worker.buildEntry({ state: 'constructor' }),
+  'with a port out of range': (worker) => worker.buildEntry({ address: '127.0.0.1:99999' }),
+  'with a number out of range': (worker) => worker.buildEntry({ slots: Number.MAX_SAFE_INTEGER })
+}
+
+/** Faults of the items that contain entries. */
+const itemFaults: { readonly [what: string]: object } = {
+  'with a revision out of range': { revision: 2 ** 53 }, 'without a key': { key: null }
 }
 
 When(/^the gateway entry of "(\w+)" is (.*)$/, function (this: World, id: string, what: string) {
-  this.gatewaySite.store.put(`servers/${id}`, (entries[what] as (worker: FakeWorker) => string)(workerOf(this.gatewaySite, id)))
+  const fault = itemFaults[what]
+  const build = fault === undefined ? entries[what] as (worker: FakeWorker) => string : (worker: FakeWorker) => worker.buildEntry()
+  if (fault !== undefined) this.gatewaySite.store.corrupt(`servers/${id}`, fault)
+  this.gatewaySite.store.put(`servers/${id}`, build(workerOf(this.gatewaySite, id)))
+})
+
+When('a gateway worker {string} joins', async function (this: World, id: string) { await this.gatewaySite.addWorker({ id, service: 'plain' }) })
+
+Then('the gateway worker {string} answers all requests from {int} ms on', async function (this: World, id: string, ms: number) {
+  await sleep(ms)
+  // The entry that is odd now may have been sound before, so its worker may still be known.
+  for (const worker of this.gatewaySite.workers.values()) if (worker.id !== id) worker.setMode(WorkerMode.Full)
+  for (let i = 0; i < 4; i++) assert.equal((await send(this.gatewaySite, 'GET /safe/x')).status, 200)
+  assert.ok(workerOf(this.gatewaySite, id).listRequests().length >= 4)
 })
 
 When('the gateway entry of {string} expires', function (this: World, id: string) { this.gatewaySite.store.remove(`servers/${id}`) })
--- a/testing/fleuve/start_store.ts
+++ b/testing/fleuve/start_store.ts
@@ -30,6 +30,8 @@
   readonly address: string
   /** Writes an item, and returns the new revision of the store. */
   put (key: string, value: string): number
+  /** Replaces fields of an item in all responses, as another writer's fault. */
+  corrupt (key: string, fields: object): void
   /** Deletes an item, and returns the new revision of the store. */
   remove (key: string): number
   /** Changes how the store responds, and closes the connections of waiting watches. */
@@ -53,6 +55,7 @@
   let mode = StoreMode.Up
   const waitingWatches = new Set<{ prefix: string, after: number, res: ServerResponse }>()
   const calls: string[] = []
+  const corruptions = new Map<string, object>()
 
   function sendJson (res: ServerResponse, status: number, body: unknown): void {
     const text = JSON.stringify(body)
@@ -62,7 +65,7 @@
 
   function encodeItem (item: Item): object {
     const value = Buffer.from(item.value).toString('base64')
-    return { key: item.key, value, revision: item.revision, created_rev: item.revision, lease: 0 }
+    return { key: item.key, value, revision: item.revision, created_rev: item.revision, lease: 0, ...corruptions.get(item.key) }
   }
 
   function listEventsAfter (prefix: string, after: number): object[] {
@@ -131,6 +134,7 @@
       if (mode === StoreMode.Up) notifyWatches()
       return revision
     },
+    corrupt (key, fields) { corruptions.set(key, fields) },
     remove (key) {
       items.delete(key)
       history.push({ key, revision: ++revision, deleted: true })
