Read the reports of the engine on after one that cannot be applied

A report whose stage was deeply nested threw while it was decoded, and the flag that one report is being read stayed set: the sidecar read no report any more and knew its engine no longer.

Failing before:

A sidecar goes on after a report of its engine deeply nested in its stage: RangeError: Maximum call stack size exceeded A sidecar follows the store beside an entry that is deeply nested in its state: RangeError: Maximum call stack size exceeded

--- a/sidecar/sidecar.feature
+++ b/sidecar/sidecar.feature
@@ -42,3 +42,22 @@
     Then the sidecar admits 1 of 8 streams that come at once, and refuses the others for "limit_exceeded"
     When the engine of the sidecar no longer limits its rate
     Then the sidecar admits 8 of 8 streams that come at once, and refuses the others for "limit_exceeded"
+
+  # Guards against one odd report or entry after which a sidecar knows its engine no longer.
+  Scenario Outline: A sidecar goes on after a report of its engine <what>
+    Given a sidecar beside an engine of 1000 tokens with the stage "decode"
+    When the engine of the sidecar reports <what> for 200 ms, and has 100000 tokens afterwards
+    Then the sidecar admits a stream with 5000 prompt tokens, at most 200 output tokens and an estimate of 100
+
+    Examples:
+      | what                       |
+      | deeply nested in its stage |
+      | deeply nested              |
+      | no JSON                    |
+      | numbers out of range       |
+
+  Scenario: A sidecar follows the store beside an entry that is deeply nested in its state
+    Given a sidecar beside an engine of 1000 tokens with the stage "decode"
+    When an entry that is deeply nested in its state is written beside that of the sidecar engine
+    And the sidecar engine is replaced by another one in the store
+    Then the sidecar admits streams to the new engine within 500 ms
--- a/sidecar/sidecar_test.ts
+++ b/sidecar/sidecar_test.ts
@@ -203,3 +203,25 @@
     assert.equal(replies.filter(({ kind }) => kind === MessageKind.Admitted).length, admitted)
     for (const reply of replies) assert.ok(reply.kind === MessageKind.Admitted || (reply.kind === MessageKind.Refused && reply.code === code))
   })
+
+const nested = `${'['.repeat(100_000)}${']'.repeat(100_000)}`
+const oddReports: { readonly [what: string]: string } = {
+  'deeply nested in its stage': `{"stage":${nested},"sequence":0,"kv_total":1}`,
+  'deeply nested': nested,
+  'no JSON': '{"stage":',
+  'numbers out of range': '{"stage":"decode","sequence":0,"waiting":1e308,"running":-1,"kv_used":1e308,"kv_total":1e308,"runs":[["r",1e308,1e308,-1],[]]}'
+}
+
+When(/^the engine of the sidecar reports (.*) for (\d+) ms, and has (\d+) tokens afterwards$/,
+  async function (this: World, what: string, ms: string, tokens: string) {
+    this.sideEngine.setReportText(oddReports[what])
+    await sleep(Number(ms))
+    this.sideEngine.setReservableTokens(Number(tokens))
+    this.sideEngine.setReportText(undefined)
+    await sleep(200)
+  })
+
+When('an entry that is deeply nested in its state is written beside that of the sidecar engine', async function (this: World) {
+  this.sideStore.put('servers/i-9', this.sideEngine.buildEntry({ state: 0 }).replace('"state":0', `"state":${nested}`))
+  await sleep(100)
+})
--- a/sidecar/start_sidecar.ts
+++ b/sidecar/start_sidecar.ts
@@ -100,11 +100,15 @@
     const entry = findOwnEntry()
     if (address === undefined || entry === undefined || isReadingReport) return
     isReadingReport = true
-    const response = await callJson(address, buildReportCall(), { pool, timer, timeoutMs: reportTimeoutMs })
-    const report = response.err ? undefined : decodeEngineReport(response.val.body)
-    if (response.ok) admission.setLimit(decodeResponseHead(response.val.status, response.val.headers).limitPerS)
-    if (report !== undefined) admission.onReport(entry, report)
-    if (report !== undefined && directory.hasReadStore()) await stages.onReport(entry, report)
+    try {
+      const response = await callJson(address, buildReportCall(), { pool, timer, timeoutMs: reportTimeoutMs })
+      const report = response.err ? undefined : decodeEngineReport(response.val.body)
+      if (response.ok) admission.setLimit(decodeResponseHead(response.val.status, response.val.headers).limitPerS)
+      if (report !== undefined) admission.onReport(entry, report)
+      if (report !== undefined && directory.hasReadStore()) await stages.onReport(entry, report)
+    } catch (err) {
+      log.error({ worker: entry.id, err }, 'report not applied')
+    }
     isReadingReport = false
   }
 
--- a/testing/fleuve/start_worker.ts
+++ b/testing/fleuve/start_worker.ts
@@ -93,6 +93,8 @@
   setLimit (perS: number | undefined): void
   /** Makes an engine crash under a part of a prompt; undefined ends that. */
   setPromptCrash (crash: PromptCrash | undefined): void
+  /** Sets the text that the worker sends as its report; undefined for a sound one. */
+  setReportText (text: string | undefined): void
   /** Sets the time in milliseconds that a prefill takes. */
   setPrefillMs (ms: number): void
   /** Returns the entry that the worker writes to the store, as JSON; `fields` replace its fields. */
@@ -147,6 +149,7 @@
   let reset = { event: 0, times: 0 }
   let limitPerS: number | undefined
   let promptCrash: PromptCrash | undefined
+  let reportText: string | undefined
   let born = 1
   const running = new Set<string>()
   const sockets = new Set<Socket>()
@@ -287,8 +290,7 @@
     })
   }
 
-  function sendJson (res: ServerResponse, status: number, body: object): void {
-    const text = JSON.stringify(body)
+  function sendJson (res: ServerResponse, status: number, body: object, text = JSON.stringify(body)): void {
     res.writeHead(status, { 'Content-Type': 'application/json', 'Content-Length': text.length, ...limitHeaders() })
     res.end(text)
   }
@@ -301,7 +303,7 @@
   }
 
   const controlHandlers: { readonly [call: string]: (res: ServerResponse, body: string) => void } = {
-    'GET /v1/report': (res) => sendJson(res, 200, createReport()),
+    'GET /v1/report': (res) => sendJson(res, 200, createReport(), reportText),
     'POST /v1/order': (res, body) => {
       orders++
       stage = JSON.parse(body).stage
@@ -355,6 +357,7 @@
     resetAfterEvent (event, times) { reset = { event, times } },
     setLimit (perS) { limitPerS = perS },
     setPromptCrash (next) { promptCrash = next },
+    setReportText (text) { reportText = text },
     setPrefillMs (ms) { prefillMs = ms },
     setStage (next) { stage = next as 'prefill' | 'decode' },
     buildEntry: (fields = {}) => JSON.stringify({
