Answer or refuse each request that a planned stop would cut

It could happen here: - a request whose head came before the stop, or early in it, was passed on when its body came, however late that was (also one that may not be repeated); - a request of a route with a long timeout was refused even if its client's own deadline lies before the exit; - what was left at the exit lost its connection without an answer; - a response without a length that was left at the exit ended in order, so that a part of a stream or body looked complete (ORDER, MIXED).

The check whether a request can end before the exit counts the client's deadline and is made again when the body is complete. At the end of the grace period the requests that are left are stopped like those whose deadline has passed (503, 504 or a cut), 150 ms are given for those answers, and responses that are still incomplete are reset. Streams are accepted for 2,800 ms after SIGTERM, not 3,000: the rule excuses those that were sent in the first 3 s, and a busy process handles the signal late.

--- a/gateway/_client_server.ts
+++ b/gateway/_client_server.ts
@@ -25,6 +25,10 @@
   setLimits (limits: ClientLimits): void
   /** Closes each connection after its next response, and refuses requests that cannot end within `graceMs` milliseconds. */
   drain (graceMs: number): void
+  /** Ends the requests that are left when the process exits: each gets its final response, or its response is broken off. */
+  stopRequests (): void
+  /** Closes all connections; a response that is not complete is reset, because the end of its connection might complete it. */
+  close (): void
 }
 
 type RequestHandler = (context: GatewayContext, request: ClientRequest) => Promise<RequestResult>
@@ -40,8 +44,11 @@
 /** Longest time in milliseconds for which a request waits for the first rules and workers; a store that responds has sent them by then. */
 const maxDirectoryWaitMs = 400
 const directoryCheckMs = 20
-/** Time in milliseconds after SIGTERM for which new streams are accepted; the load balancer has removed the process by then. */
-const streamAcceptMs = 3_000
+/**
+ * Time in milliseconds after SIGTERM for which new streams are accepted; the load balancer has removed the process by then. Clients whose
+ * streams began in the first 3 s expect that the exit may cut them, and a busy process handles the signal late.
+ */
+const streamAcceptMs = 2_800
 /** Time in milliseconds from the exit of a process until its successor serves. */
 const restartMs = 1_000
 /** Lowest status that is logged as a failure. */
@@ -59,6 +66,8 @@
   let isDraining = false
   let drainStartMs = Infinity
   let exitMs = Infinity
+  const openResponses = new Set<ServerResponse>()
+  const stops = new Set<(reason: StopReason) => void>()
   const server = createServer({ keepAlive: true, noDelay: true, connectionsCheckingInterval: 500 }, onRequest)
   server.requestTimeout = 0
   server.on('clientError', onClientError)
@@ -75,7 +84,11 @@
 
   function onRequest (req: IncomingMessage, res: ServerResponse): void {
     inFlight++
-    res.once('close', () => { inFlight-- })
+    openResponses.add(res)
+    res.once('close', () => {
+      inFlight--
+      openResponses.delete(res)
+    })
     whenDirectoryReady(timer.now(), () => {
       const head = decodeRequestHead(req.rawHeaders)
       const reply = createReply(res, head.requestId)
@@ -101,12 +114,10 @@
     else timer.after(directoryCheckMs, () => whenDirectoryReady(sinceMs, fn))
   }
 
-  /** Tells whether a request can end before the process exits; streams outlast the remaining grace period. */
-  function canFinishBeforeExit (route: RouteRule): boolean {
+  /** Tells whether a request that would be passed on now can end before the process exits; streams outlast the remaining grace period. */
+  function canFinishBeforeExit (route: RouteRule, deadlineMs: number): boolean {
     if (!isDraining) return true
-    const nowMs = timer.now()
-    if (route.kind === RequestKind.Streaming) return nowMs - drainStartMs < streamAcceptMs
-    return nowMs + route.timeoutMs < exitMs
+    return route.kind === RequestKind.Streaming ? timer.now() - drainStartMs < streamAcceptMs : deadlineMs < exitMs
   }
 
   function accept (req: IncomingMessage, res: ServerResponse, head: RequestHead, reply: Reply): void {
@@ -124,13 +135,14 @@
     if (head.requestId === undefined) return refuse(400, 'no_request_id')
     const route = table.findRoute(req.headers.host ?? '', req.url ?? '/')
     if (route === undefined) return refuse(404, 'no_route')
-    if (!canFinishBeforeExit(route)) return refuse(503, 'stopping', Math.max(0, exitMs - timer.now()) + restartMs)
+    const waitMs = Math.min(route.timeoutMs, (head.deadlineMs ?? Infinity) - responseTripMs)
+    const deadlineMs = startedMs + Math.max(1, waitMs)
+    const refuseStopping = (): void => refuse(503, 'stopping', Math.max(0, exitMs - timer.now()) + restartMs)
+    if (!canFinishBeforeExit(route, deadlineMs)) return refuseStopping()
     const service = table.getService(chooseTarget(route, context.random()) ?? '')
     if (service === undefined) return refuse(503, 'no_service', notReadyRetryMs)
     if (Number(req.headers['content-length'] ?? 0) > table.limits.maxBodyBytes) return refuse(413, 'body_too_large')
 
-    const waitMs = Math.min(route.timeoutMs, (head.deadlineMs ?? Infinity) - responseTripMs)
-    const deadlineMs = startedMs + Math.max(1, waitMs)
     let stopReason: StopReason | undefined
     const stopHandlers: Array<(reason: StopReason) => void> = []
     const stop = (reason: StopReason): void => {
@@ -139,7 +151,9 @@
       for (const fn of stopHandlers.splice(0)) fn(reason)
     }
     const deadlineTimer = timer.after(deadlineMs - timer.now(), () => stop(StopReason.DeadlineExceeded))
+    stops.add(stop)
     res.once('close', () => {
+      stops.delete(stop)
       deadlineTimer.cancel()
       if (!res.writableFinished) stop(StopReason.ClientDisconnected)
     })
@@ -148,11 +162,13 @@
       else fn(stopReason)
     }
     let isReadingBody = true
-    onStop((reason) => { if (isReadingBody && reason === StopReason.DeadlineExceeded) refuse(408, 'body_too_slow') })
+    onStop((reason) => { if (isReadingBody && reason !== StopReason.ClientDisconnected) refuse(408, 'body_too_slow') })
     readBody(req, table.limits.maxBodyBytes, (body) => {
       isReadingBody = false
       if (stopReason !== undefined) return
       if (body === undefined) return refuse(413, 'body_too_large')
+      // The process may have begun to stop while the body came.
+      if (!canFinishBeforeExit(route, deadlineMs)) return refuseStopping()
       const request: ClientRequest = {
         requestId: head.requestId as string,
         method: req.method ?? 'GET',
@@ -214,6 +230,13 @@
       isDraining = true
       drainStartMs = timer.now()
       exitMs = drainStartMs + graceMs
+    },
+    stopRequests () { for (const stop of [...stops]) stop(StopReason.ProcessStops) },
+    close () {
+      server.close()
+      // Node's `resetAndDestroy` ends the connection before it resets it, so the flag that it sets is set here.
+      for (const { socket } of openResponses) if (socket !== null) Object.assign(socket, { resetAndClosing: true })
+      server.closeAllConnections()
     }
   }
 }
--- a/gateway/_forward_stream.ts
+++ b/gateway/_forward_stream.ts
@@ -164,7 +164,7 @@
       if (isSettled) return
       exchange.abort()
       settle(StreamEnd.Stopped, reason)
-      if (reason !== StopReason.DeadlineExceeded) return
+      if (reason === StopReason.ClientDisconnected) return
       if (request.reply.hasBegun()) request.reply.abort()
       else request.reply.sendLocal({ status: 504, reason })
     })
--- a/gateway/_serve_plain.ts
+++ b/gateway/_serve_plain.ts
@@ -117,10 +117,10 @@
   return { status: mayHaveRun ? 502 : 503, reason, detail, attempts }
 }
 
-/** Ends a request whose client has disconnected or whose deadline has passed. */
+/** Ends a request whose client has disconnected or whose deadline has passed, or that is left when the process exits. */
 function finishStopped (request: ClientRequest, attempts: number, mayHaveRun: boolean, worker: Worker): RequestResult {
   const reason = request.stopReason() ?? StopReason.DeadlineExceeded
-  if (reason === StopReason.DeadlineExceeded) {
+  if (reason !== StopReason.ClientDisconnected) {
     if (request.reply.hasBegun()) request.reply.abort()
     else if (mayHaveRun) request.reply.sendLocal({ status: 504, reason })
     else request.reply.sendLocal({ status: 503, reason, retryAfterMs })
--- a/gateway/_types.ts
+++ b/gateway/_types.ts
@@ -48,16 +48,18 @@
   /** Times in milliseconds on the monotonic clock. */
   startedMs: number
   deadlineMs: number
-  /** Calls `fn` when the client disconnects or the deadline passes; at once if that has already happened. */
+  /** Calls `fn` when the client disconnects, the deadline passes or the process exits; at once if that has already happened. */
   onStop (fn: (reason: StopReason) => void): void
-  /** Returns why the request has stopped; undefined before the client disconnects or the deadline passes. */
+  /** Returns why the request has stopped; undefined before the client disconnects, the deadline passes or the process exits. */
   stopReason (): StopReason | undefined
 }
 
 /** Reasons for stopping a request before its response is complete. */
 export enum StopReason {
   ClientDisconnected = 'client_left',
-  DeadlineExceeded = 'time_up'
+  DeadlineExceeded = 'time_up',
+  /** The process exits, and the request has not ended within the grace period. */
+  ProcessStops = 'process_stops'
 }
 
 /** The result of a request, for the log. */
--- a/gateway/start_gateway.ts
+++ b/gateway/start_gateway.ts
@@ -51,6 +51,9 @@
 /** Time in milliseconds before the end of the grace period at which the process exits. */
 const exitMarginMs = 400
 const drainCheckMs = 50
+/** Longest time in milliseconds for which the process waits until the responses to the requests that it stops have been sent. */
+const finalResponseMs = 150
+const finalCheckMs = 10
 
 /**
  * Starts a gateway.
@@ -158,8 +161,7 @@
   })
 
   async function close (): Promise<void> {
-    clientServer.server.close()
-    clientServer.server.closeAllConnections()
+    clientServer.close()
     readinessServer.close()
     readinessServer.closeAllConnections()
     promptGuard.close()
@@ -192,6 +194,11 @@
         await new Promise<void>((resolve) => { timer.after(drainCheckMs, resolve) })
       }
       log.info({ inFlight: clientServer.inFlight() }, 'stopped')
+      clientServer.stopRequests()
+      const sentByMs = timer.now() + finalResponseMs
+      while (clientServer.inFlight() > 0 && timer.now() < sentByMs) {
+        await new Promise<void>((resolve) => { timer.after(finalCheckMs, resolve) })
+      }
     },
     close
   })
--- a/testing/fleuve/start_worker.ts
+++ b/testing/fleuve/start_worker.ts
@@ -33,6 +33,10 @@
   CloseDelimited = 'unframed',
   /** Sends one event of a stream without a length and part of the next one, and closes the connection without a reset. */
   CloseDelimitedPartialEvent = 'unframed_partial_event',
+  /** Sends an event of a stream without a length now and then, until the connection is closed. */
+  CloseDelimitedStream = 'unframed_stream',
+  /** Sends a whole body of 20 MB without a length, which ends with the connection. */
+  CloseDelimitedLarge = 'unframed_large',
   /** Sends a response head that never ends, until the connection is closed. */
   EndlessHead = 'endless_head',
   /** Sends a body that never ends, until the connection is closed. */
@@ -137,6 +141,9 @@
 /** Length in bytes of the pieces of a response that never ends. */
 const endlessPieceBytes = 16_384
 
+/** Length in bytes of a large body: more than the buffers of two connections hold. */
+const largeBodyBytes = 20_000_000
+
 /** Writes `piece` again and again, as fast as the other side reads, until the connection is closed. */
 function writeUntilClosed (socket: Socket, piece: string): void {
   if (socket.destroyed) return
@@ -237,6 +244,16 @@
       writeRaw(req.socket, req, ['Content-Type: text/event-stream', 'Connection: close'], 'id: 1\ndata: piece 1\n\nid: 2\nda')
       req.socket.end()
     },
+    [WorkerMode.CloseDelimitedStream]: (req) => {
+      writeRaw(req.socket, req, ['Content-Type: text/event-stream', 'Connection: close'], '')
+      let event = 0
+      const timer = setInterval(() => req.socket.write(`id: ${++event}\ndata: piece ${event}\n\n`), dribbleMs)
+      req.socket.on('close', () => clearInterval(timer))
+    },
+    [WorkerMode.CloseDelimitedLarge]: (req) => {
+      writeRaw(req.socket, req, ['Connection: close'], 'x'.repeat(largeBodyBytes))
+      req.socket.end()
+    },
     [WorkerMode.EndlessHead]: (req) => {
       req.socket.write('HTTP/1.1 200 OK\r\n')
       writeUntilClosed(req.socket, `X-More: ${'x'.repeat(endlessPieceBytes)}\r\n`)
