Receive signals before a process on the platform starts, and SIGTERM more than once

SIGTERM was received once: a second one killed the process with all that the first one let end. SIGHUP was received only once the process had started, and ended it before.

The handlers are registered before the start. New scenarios run the real processes: SIGHUP with a missing, broken, deeply nested or odd settings file, an uncaught error, an unhandled rejection (they passed before; without the `catch` of `readSettings` the first fails, without the guard `uncaughtException` the last two).

--- /dev/null
+++ b/cli/run_platform_process.feature
@@ -0,0 +1,36 @@
+@platform
+Feature: A process on the platform outlives signals and errors that are not its end
+
+  Scenario Outline: A gateway process goes on serving after <what>, and says so
+    Given a platform process "gateway" with a worker
+    When the platform process meets <what>
+    Then the platform process logs "<log>" and still answers 200
+
+    Examples:
+      | what                                     | log                       |
+      | a SIGHUP with a missing settings file    | ENOENT                    |
+      | a SIGHUP with a broken settings file     | expected a JSON object    |
+      | a SIGHUP with a deeply nested settings file | expected a JSON object |
+      | a SIGHUP with an odd field               | bounds.grace_s            |
+      | an uncaught error                        | unexpected error          |
+      | an unhandled rejection                   | unexpected error          |
+
+  # Guards against a process that ends by itself because a signal comes before it listens to signals.
+  Scenario: A SIGHUP while a gateway process starts does not end it
+    Given a platform process "gateway" with a worker that gets SIGHUP as soon as it listens
+    Then the platform process logs "settings file has changed" and still answers 200
+
+  # Guards against a second SIGTERM that cuts what the first one lets end.
+  Scenario: A gateway process that gets SIGTERM twice ends what is in flight, and exits in order
+    Given a platform process "gateway" with a worker
+    And the platform worker is "hang"
+    When a request is in flight at the platform process, and SIGTERM comes 2 times
+    Then the platform request gets 504
+    And the platform process exits with 0 within 4500 ms
+
+  Scenario: A sidecar process goes on after a SIGHUP with a broken settings file, and exits in order
+    Given a platform process "sidecar" with a worker
+    When the platform process meets a SIGHUP with a broken settings file
+    Then the platform process logs "expected a JSON object"
+    When the platform process gets SIGTERM
+    Then the platform process exits with 0 within 1500 ms
--- a/cli/run_platform_process.ts
+++ b/cli/run_platform_process.ts
@@ -70,15 +70,17 @@
   const options = { settings: settings.val, policy, timer, log, droppedLines: stream.droppedLines }
   // What one request or message has met must not end the others: their state is their own, and what is shared comes from the store.
   process.on('uncaughtException', (err) => log.error({ err }, 'unexpected error'))
-  const started = await starters[kind](options)
-  if (started.err) return printError(`${kind}: ${started.val}`)
-  const running = started.val
+  // Signals are received from here on, because each one that is not ends the process at once, also a second SIGTERM.
   process.on('SIGHUP', () => {
     const reread = readSettings(path)
     // A running process keeps its addresses and bounds; it uses changed ones after a restart.
     log.info({ valid: reread.ok, reason: reread.err ? reread.val : undefined }, 'settings file has changed')
   })
-  await new Promise<void>((resolve) => { process.once('SIGTERM', () => resolve()) })
+  const stopped = new Promise<void>((resolve) => { process.on('SIGTERM', () => resolve()) })
+  const started = await starters[kind](options)
+  if (started.err) return printError(`${kind}: ${started.val}`)
+  const running = started.val
+  await stopped
   await running.stop()
   await running.close()
   return ExitCode.Ok
--- /dev/null
+++ b/cli/run_platform_process_test.ts
@@ -0,0 +1,166 @@
+/**
+ * Steps that run the processes of the platform as such, beside a stand-in store and worker.
+ */
+import assert from 'node:assert/strict'
+import { spawn } from 'node:child_process'
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
+import { request as httpRequest } from 'node:http'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { After, Given, Then, When } from '@cucumber/cucumber'
+import { buildConfiguration, startStore, startWorker } from '../testing/fleuve/mod.ts'
+import { findFreePort } from '../testing/ports/mod.ts'
+import { writePolicy } from './write_policy.ts'
+import type { ChildProcess } from 'node:child_process'
+import type { FakeStore, FakeWorker, WorkerMode } from '../testing/fleuve/mod.ts'
+
+interface World {
+  folder: string
+  port: number
+  platformStore: FakeStore
+  platformWorker: FakeWorker
+  child: ChildProcess
+  output: string
+  exit: Promise<number | null>
+  status: Promise<number>
+}
+
+const pollMs = 20
+
+async function until (fn: () => Promise<boolean> | boolean, withinMs: number, what: string): Promise<void> {
+  const endMs = performance.now() + withinMs
+  while (!(await fn())) {
+    assert.ok(performance.now() < endMs, `${what} did not happen within ${withinMs} ms`)
+    await new Promise((resolve) => setTimeout(resolve, pollMs))
+  }
+}
+
+function settingsPath (world: World): string { return join(world.folder, 'node.json') }
+
+function send (world: World): Promise<number> {
+  const headers = { Host: 'a.example', 'X-Request-Id': `p-${Math.random()}`, 'X-Request-Deadline-Ms': '4000' }
+  return new Promise((resolve) => {
+    httpRequest({ host: '127.0.0.1', port: world.port, method: 'POST', path: '/unsafe/x', headers, agent: false }, (res) => {
+      res.resume()
+      resolve(res.statusCode ?? 0)
+    }).on('error', () => resolve(0)).end()
+  })
+}
+
+async function start (world: World, kind: string, signal?: NodeJS.Signals): Promise<void> {
+  world.folder = mkdtempSync(join(tmpdir(), 'platform-'))
+  world.platformStore = await startStore()
+  world.platformWorker = await startWorker({ id: 'w1', service: 'plain' })
+  world.platformStore.put('op/config', buildConfiguration(1))
+  world.platformStore.put('servers/w1', world.platformWorker.buildEntry())
+  world.port = await findFreePort()
+  const settings = {
+    node_name: 'node-1',
+    ip: '127.0.0.1',
+    zone: 'levis',
+    zones: { levis: 'qc-est' },
+    listen: kind === 'gateway' ? { front: `127.0.0.1:${world.port}`, ready: `127.0.0.1:${await findFreePort()}` } : {},
+    internal_port_range: [await findFreePort(), 65_000],
+    heartbeat_ms: 1200,
+    app: world.platformWorker.address,
+    platform: { address: world.platformStore.address },
+    bounds: { grace_s: 5, drain_ms: 2500, budget_ratio: 0.2, budget_slack: 54, budget_window_s: 10, lease_ms: 3000 }
+  }
+  writeFileSync(settingsPath(world), JSON.stringify(settings))
+  const policyFile = join(world.folder, 'policy.json')
+  assert.equal(writePolicy('deploy/policy.jsonc', policyFile, { out: () => {}, err: console.error }), 0)
+  const policy = JSON.parse(readFileSync(policyFile, 'utf8'))
+  policy.metrics = { gatewayPort: await findFreePort(), sidecarPort: await findFreePort() }
+  writeFileSync(policyFile, JSON.stringify(policy))
+  // Some code of the process that throws outside of any request; SIGUSR2 has no other meaning there.
+  const faults = `process.once('SIGUSR2', () => {
+    process.once('SIGUSR2', () => { Promise.reject(new Error('unhandled')) })
+    setImmediate(() => { throw new Error('uncaught') })
+  })`
+  // A signal that comes as soon as the process begins to listen at its addresses.
+  const early = `import net from 'node:net'
+    const listen = net.Server.prototype.listen
+    net.Server.prototype.listen = function (...args) {
+      net.Server.prototype.listen = listen
+      process.kill(process.pid, '${signal ?? 'SIGCONT'}')
+      return listen.apply(this, args)
+    }`
+  const module = `data:text/javascript,${encodeURIComponent(signal === undefined ? faults : early)}`
+  world.child = spawn(process.execPath, ['--import', module, 'dist/cli/platform_main.js', kind, policyFile], {
+    env: { ...process.env, BRIARLOOM_NODE_FILE: settingsPath(world) }, stdio: ['ignore', 'pipe', 'pipe']
+  })
+  world.output = ''
+  for (const stream of [world.child.stdout, world.child.stderr]) stream?.on('data', (chunk) => { world.output += String(chunk) })
+  world.exit = new Promise((resolve) => world.child.once('exit', resolve))
+  await until(() => world.output.includes('"worker":"w1"') || world.child.exitCode !== null || world.child.signalCode !== null, 5000, 'the first worker')
+}
+
+After({ tags: '@platform' }, async function (this: World) {
+  this.child?.kill('SIGKILL')
+  await this.exit
+  await this.platformWorker?.close()
+  await this.platformStore?.close()
+  if (this.folder !== undefined) rmSync(this.folder, { recursive: true })
+})
+
+Given('a platform process {string} with a worker', async function (this: World, kind: string) { await start(this, kind) })
+
+Given('a platform process {string} with a worker that gets {word} as soon as it listens',
+  async function (this: World, kind: string, signal: NodeJS.Signals) { await start(this, kind, signal) })
+
+Given('the platform worker is {string}', function (this: World, mode: WorkerMode) { this.platformWorker.setMode(mode) })
+
+function hangUp (change: (path: string) => void): (world: World) => void {
+  return (world) => {
+    change(settingsPath(world))
+    world.child.kill('SIGHUP')
+  }
+}
+
+const events: { readonly [what: string]: (world: World) => Promise<void> | void } = {
+  'a SIGHUP with a missing settings file': hangUp((path) => rmSync(path)),
+  'a SIGHUP with a broken settings file': hangUp((path) => writeFileSync(path, '{"node_name":')),
+  'a SIGHUP with a deeply nested settings file': hangUp((path) => writeFileSync(path, `${'['.repeat(100_000)}${']'.repeat(100_000)}`)),
+  'a SIGHUP with an odd field': hangUp((path) => {
+    const file = JSON.parse(readFileSync(path, 'utf8'))
+    writeFileSync(path, JSON.stringify({ ...file, bounds: { ...file.bounds, grace_s: -1 } }))
+  }),
+  'an uncaught error': (world) => { world.child.kill('SIGUSR2') },
+  async 'an unhandled rejection' (world) {
+    world.child.kill('SIGUSR2')
+    await until(() => world.output.includes('uncaught'), 1000, 'the first error')
+    world.output = ''
+    world.child.kill('SIGUSR2')
+  }
+}
+
+When(/^the platform process meets (.*)$/, async function (this: World, what: string) { await events[what]?.(this) })
+
+When('the platform process gets {word}', function (this: World, signal: NodeJS.Signals) { this.child.kill(signal) })
+
+When('a request is in flight at the platform process, and {word} comes {int} times', async function (this: World, signal: NodeJS.Signals, times: number) {
+  this.status = send(this)
+  await until(() => this.platformWorker.listRequests().length > 0, 1000, 'the request')
+  for (let i = 0; i < times; i++) {
+    this.child.kill(signal)
+    await new Promise((resolve) => setTimeout(resolve, 100))
+  }
+})
+
+async function assertLogged (world: World, text: string): Promise<void> {
+  await until(() => world.output.includes(text), 1500, `"${text}" in the log`)
+}
+
+Then('the platform process logs {string}', async function (this: World, text: string) { await assertLogged(this, text) })
+
+Then('the platform process logs {string} and still answers {int}', async function (this: World, text: string, status: number) {
+  await assertLogged(this, text)
+  assert.equal(await send(this), status)
+})
+
+Then('the platform request gets {int}', async function (this: World, status: number) { assert.equal(await this.status, status) })
+
+Then('the platform process exits with {int} within {int} ms', async function (this: World, code: number, ms: number) {
+  const late = new Promise<string>((resolve) => setTimeout(() => resolve('no exit'), ms))
+  assert.equal(await Promise.race([this.exit, late]), code)
+})
