Count the nesting of settings by tokens, as the parser does

The check before the recursive parser counted closing brackets in strings and comments and those of another kind, so that '["]",' repeated 100000 times reached the parser.

Failing before:

Settings that nest deeply are refused: RangeError: Maximum call stack size exceeded at parseString (node_modules/jsonc-parser/lib/umd/impl/parser.js:474:29)

The check reads the tokens of the scanner that the parser uses, and a closing bracket ends only the innermost opening one of its kind.

--- a/settings/_parse_jsonc.ts
+++ b/settings/_parse_jsonc.ts
@@ -1,7 +1,7 @@
 /**
  * Parses JSON with comments and finds the lines of its values.
  */
-import { findNodeAtLocation, getNodeValue, parseTree, printParseErrorCode } from 'jsonc-parser'
+import { createScanner, findNodeAtLocation, getNodeValue, parseTree, printParseErrorCode } from 'jsonc-parser'
 import type { Node, ParseError } from 'jsonc-parser'
 import type { SettingsProblem } from './_problem.ts'
 
@@ -46,16 +46,22 @@
   }
 }
 
+/** The closing bracket of each opening one. */
+const closingBrackets = new Map([['{', '}'], ['[', ']']])
+
 /**
- * Tells whether brackets nest deeper than `maxBracketDepth`, before the recursive parser runs. Brackets inside strings and comments
- * are counted as well: an opening one makes the check stricter, a closing one laxer.
+ * Tells whether brackets nest deeper than `maxBracketDepth`, before the recursive parser runs. Those in strings and comments do not count,
+ * nor do closing ones of another kind, behind which the parser goes on at the same level.
  */
 function exceedsDepth (text: string): boolean {
-  let depth = 0
-  for (const char of text) {
-    if (char === '{' || char === '[') depth += 1
-    else if (char === '}' || char === ']') depth -= 1
-    if (depth > maxBracketDepth) return true
+  const scanner = createScanner(text, true)
+  const expected: string[] = []
+  for (scanner.scan(); scanner.getTokenLength() > 0; scanner.scan()) {
+    const token = text.slice(scanner.getTokenOffset(), scanner.getTokenOffset() + scanner.getTokenLength())
+    const closing = closingBrackets.get(token)
+    if (closing !== undefined) expected.push(closing)
+    else if (token === expected.at(-1)) expected.pop()
+    if (expected.length > maxBracketDepth) return true
   }
   return false
 }
--- a/settings/settings_fuzz_test.ts
+++ b/settings/settings_fuzz_test.ts
@@ -55,7 +55,8 @@
 )
 
 Then('the settings and records loaders reject {int} nested brackets', function (depth: number) {
-  for (const bracket of ['[', '{"a":']) {
+  // Behind a closing bracket in a string, a comment or of another kind the parser goes deeper all the same.
+  for (const bracket of ['[', '{"a":', '["]",', '{"}":', '[/*]*/', '[//]\n', '[},', '{"a":],"b":', '{"a":[},', '[{],']) {
     assert.ok(loadSettings(bracket.repeat(depth), { file }).err)
     assert.ok(loadRecords(bracket.repeat(depth), { file }).err)
   }
