Keep a timer with a very long delay from firing at once

Node fires a timer with a delay above 2^31-1 ms after 1 ms, so a route with such a `timeout_ms` would have answered 504 to each request at once, and a longest pause of that size would have given up each stream.

Delays are limited to what Node takes; none of the timers fires.

--- a/timer/create_system_timer.ts
+++ b/timer/create_system_timer.ts
@@ -17,6 +17,9 @@
   fn: (pausedMs: number) => void
 }
 
+/** Longest delay in milliseconds that Node takes; with a longer one it fires at once. */
+const maxDelayMs = 2 ** 31 - 1
+
 /**
  * Creates a timer that uses the clocks of the machine.
  *
@@ -67,12 +70,12 @@
       const handle = setTimeout(() => {
         subscription.cancel()
         fn()
-      }, delayMs)
+      }, Math.min(delayMs, maxDelayMs))
       const subscription = createSubscription(() => clearTimeout(handle))
       return subscription
     },
     every (periodMs, fn) {
-      const handle = setInterval(fn, periodMs)
+      const handle = setInterval(fn, Math.min(periodMs, maxDelayMs))
       return createSubscription(() => clearInterval(handle))
     },
     onPause (thresholdMs, fn) {
--- a/timer/timer.feature
+++ b/timer/timer.feature
@@ -1,4 +1,4 @@
-Feature: The manual timer
+Feature: The timers
   Scenario: A manual timer runs what falls due, in order
     Given a manual timer
     When callbacks are scheduled after 20, 10 and 10 ms and the timer advances by 20 ms
@@ -8,3 +8,7 @@
     Given a manual timer
     When callbacks are scheduled after 20, 10 and 10 ms and the timer simulates a pause of 500 ms
     Then the timer called them in the order "pause b c a"
+
+  # Guards against a time in the configuration that is too large, and after which each request has timed out at once.
+  Scenario: A system timer does not fire at once for a delay longer than Node takes
+    Then a system timer with the delays 2147483648, 1e300 and Infinity does not fire within 50 ms
--- a/timer/timer_test.ts
+++ b/timer/timer_test.ts
@@ -1,9 +1,9 @@
 /**
- * Steps for the manual timer.
+ * Steps for the timers.
  */
 import assert from 'node:assert/strict'
 import { Given, Then, When } from '@cucumber/cucumber'
-import { createManualTimer } from './mod.ts'
+import { createManualTimer, createSystemTimer } from './mod.ts'
 import type { ManualTimer } from './mod.ts'
 
 interface World {
@@ -37,3 +37,15 @@
 Then('the timer called them in the order {string}', function (this: World, order: string) {
   assert.equal(this.calls.join(' '), order)
 })
+
+Then('a system timer with the delays {float}, 1e300 and Infinity does not fire within {int} ms', async function (delayMs: number, ms: number) {
+  const timer = createSystemTimer()
+  let fired = 0
+  for (const each of [delayMs, 1e300, Infinity]) {
+    timer.after(each, () => { fired++ })
+    timer.every(each, () => { fired++ })
+  }
+  await new Promise((resolve) => setTimeout(resolve, ms))
+  timer.close()
+  assert.equal(fired, 0)
+})
