Read what has arrived before a timer that is late counts it as missing

It could happen here, by the process that is frozen itself: Node runs timers before it reads sockets, so behind a freeze of 1.3 s or more the bound on silence gave up a sound stream whose events lay in the socket, and began a second run. The same held for prefills, reservations and reports.

A callback that is 50 ms late or more waits until what has arrived is read. Freezes of 1.3, 3 and 6 s: the stream is complete, of one run.

--- a/cli/run_platform_process.feature
+++ b/cli/run_platform_process.feature
@@ -34,3 +34,15 @@
     Then the platform process logs "expected a JSON object"
     When the platform process gets SIGTERM
     Then the platform process exits with 0 within 1500 ms
+
+  # Guards against running work that is started again because the process itself was frozen, not the engine silent.
+  Scenario Outline: A gateway process that is frozen for <ms> ms goes on with a stream, which no engine runs again
+    Given a platform process "gateway" with a worker
+    When a stream that may go on elsewhere has begun at the platform process, which is frozen for <ms> ms
+    Then the platform stream is complete with 30 events, each once, of 1 run
+
+    Examples:
+      | ms   |
+      | 1300  |
+      | 3000  |
+      | 6000  |
--- a/cli/run_platform_process_test.ts
+++ b/cli/run_platform_process_test.ts
@@ -19,6 +19,8 @@
   port: number
   platformStore: FakeStore
   platformWorker: FakeWorker
+  platformEngines: FakeWorker[]
+  stream: Promise<{ isComplete: boolean, body: string }>
   child: ChildProcess
   output: string
   exit: Promise<number | null>
@@ -26,6 +28,8 @@
 }
 
 const pollMs = 20
+/** Timeout in milliseconds of the route for streams: longer than a process is frozen. */
+const streamTimeoutMs = 30_000
 
 async function until (fn: () => Promise<boolean> | boolean, withinMs: number, what: string): Promise<void> {
   const endMs = performance.now() + withinMs
@@ -51,7 +55,15 @@
   world.folder = mkdtempSync(join(tmpdir(), 'platform-'))
   world.platformStore = await startStore()
   world.platformWorker = await startWorker({ id: 'w1', service: 'plain' })
-  world.platformStore.put('op/config', buildConfiguration(1))
+  const { routes } = JSON.parse(buildConfiguration(1))
+  const longer = routes.map((route: { name: string }) => route.name === 'resume' ? { ...route, timeout_ms: streamTimeoutMs } : route)
+  world.platformStore.put('op/config', buildConfiguration(1, { routes: longer }))
+  world.platformEngines = []
+  for (const id of ['d1', 'd2']) {
+    const engine = await startWorker({ id, service: 'llm', stage: 'decode', events: 30, eventMs: 50 })
+    world.platformEngines.push(engine)
+    world.platformStore.put(`servers/${id}`, engine.buildEntry())
+  }
   world.platformStore.put('servers/w1', world.platformWorker.buildEntry())
   world.port = await findFreePort()
   const settings = {
@@ -99,6 +111,7 @@
   this.child?.kill('SIGKILL')
   await this.exit
   await this.platformWorker?.close()
+  for (const engine of this.platformEngines ?? []) await engine.close()
   await this.platformStore?.close()
   if (this.folder !== undefined) rmSync(this.folder, { recursive: true })
 })
@@ -164,3 +177,26 @@
   const late = new Promise<string>((resolve) => setTimeout(() => resolve('no exit'), ms))
   assert.equal(await Promise.race([this.exit, late]), code)
 })
+
+When('a stream that may go on elsewhere has begun at the platform process, which is frozen for {int} ms', { timeout: 30_000 }, async function (this: World, ms: number) {
+  const headers = { Host: 'a.example', 'X-Request-Id': 'p-stream', 'X-Request-Deadline-Ms': String(streamTimeoutMs), 'X-Token-Counts': '100,40' }
+  let body = ''
+  this.stream = new Promise((resolve, reject) => {
+    httpRequest({ host: '127.0.0.1', port: this.port, method: 'POST', path: '/resume/x', headers, agent: false }, (res) => {
+      res.on('data', (chunk) => { body += chunk })
+      res.on('error', () => {})
+      res.on('close', () => resolve({ isComplete: res.complete, body }))
+    }).on('error', reject).end()
+  })
+  await until(() => body.includes('id: 3'), 2000, 'event 3')
+  this.child.kill('SIGSTOP')
+  await new Promise((resolve) => setTimeout(resolve, ms))
+  this.child.kill('SIGCONT')
+})
+
+Then('the platform stream is complete with {int} events, each once, of {int} run', async function (this: World, events: number, runs: number) {
+  const { isComplete, body } = await this.stream
+  assert.ok(isComplete, 'the stream is incomplete')
+  assert.deepEqual([...body.matchAll(/^id: (\d+)$/gm)].map((found) => Number(found[1])), Array.from({ length: events }, (_, i) => i + 1))
+  assert.equal(this.platformEngines.flatMap((engine) => engine.listRequests()).length, runs)
+})
--- a/timer/create_system_timer.ts
+++ b/timer/create_system_timer.ts
@@ -17,6 +17,8 @@
   fn: (pausedMs: number) => void
 }
 
+/** Delay in milliseconds beyond the due time from which the process counts as held up. */
+const minLateMs = 50
 /** Longest delay in milliseconds that Node takes; with a longer one it fires at once. */
 const maxDelayMs = 2 ** 31 - 1
 
@@ -67,16 +69,29 @@
     now: () => performance.now(),
     wallClockMs: () => Date.now(),
     after (delayMs, fn) {
-      const handle = setTimeout(() => {
+      const deferred = createDeferral()
+      const dueMs = performance.now() + delayMs
+      const handle = setTimeout(() => deferred.run(dueMs, () => {
         subscription.cancel()
         fn()
-      }, Math.min(delayMs, maxDelayMs))
-      const subscription = createSubscription(() => clearTimeout(handle))
+      }), Math.min(delayMs, maxDelayMs))
+      const subscription = createSubscription(() => {
+        clearTimeout(handle)
+        deferred.cancel()
+      })
       return subscription
     },
     every (periodMs, fn) {
-      const handle = setInterval(fn, Math.min(periodMs, maxDelayMs))
-      return createSubscription(() => clearInterval(handle))
+      const deferred = createDeferral()
+      let dueMs = performance.now() + periodMs
+      const handle = setInterval(() => {
+        deferred.run(dueMs, fn)
+        dueMs = performance.now() + periodMs
+      }, Math.min(periodMs, maxDelayMs))
+      return createSubscription(() => {
+        clearInterval(handle)
+        deferred.cancel()
+      })
     },
     onPause (thresholdMs, fn) {
       const listener = { thresholdMs, fn }
@@ -87,6 +102,26 @@
       for (const subscription of [...subscriptions]) subscription.cancel()
     }
   }
-  timer.every(pauseCheckMs, checkPause)
+  const pauseCheck = setInterval(checkPause, pauseCheckMs)
+  createSubscription(() => clearInterval(pauseCheck))
   return timer
 }
+
+/** Runs what is due, and what is late only after the input that has arrived. */
+interface Deferral {
+  run (dueMs: number, fn: () => void): void
+  cancel (): void
+}
+
+/** Creates the deferral of one subscription. Node runs timers before it reads sockets, so a timeout would come before the response. */
+function createDeferral (): Deferral {
+  let immediate: NodeJS.Immediate | undefined
+  return {
+    run (dueMs, fn) {
+      clearImmediate(immediate)
+      if (performance.now() - dueMs < minLateMs) fn()
+      else immediate = setImmediate(fn)
+    },
+    cancel: () => clearImmediate(immediate)
+  }
+}
--- a/timer/timer.feature
+++ b/timer/timer.feature
@@ -12,3 +12,7 @@
   # Guards against a time in the configuration that is too large, and after which each request has timed out at once.
   Scenario: A system timer does not fire at once for a delay longer than Node takes
     Then a system timer with the delays 2147483648, 1e300 and Infinity does not fire within 50 ms
+
+  # Guards against work that counts as lost because the process itself was held up, with the response already there.
+  Scenario: A system timer that is late fires after the input that has arrived is read
+    Then a system timer of 100 ms fires after input that arrived while the process was held up for 400 ms
--- a/timer/timer_test.ts
+++ b/timer/timer_test.ts
@@ -2,8 +2,11 @@
  * Steps for the timers.
  */
 import assert from 'node:assert/strict'
+import { once } from 'node:events'
+import { connect, createServer } from 'node:net'
 import { Given, Then, When } from '@cucumber/cucumber'
 import { createManualTimer, createSystemTimer } from './mod.ts'
+import type { AddressInfo, Socket } from 'node:net'
 import type { ManualTimer } from './mod.ts'
 
 interface World {
@@ -49,3 +52,27 @@
   timer.close()
   assert.equal(fired, 0)
 })
+
+Then('a system timer of {int} ms fires after input that arrived while the process was held up for {int} ms', async function (delayMs: number, ms: number) {
+  const server = createServer()
+  server.listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  const socket = connect((server.address() as AddressInfo).port, '127.0.0.1')
+  const [peer] = await once(server, 'connection') as [Socket]
+  await once(socket, 'connect')
+  const order: string[] = []
+  socket.on('data', () => order.push('input'))
+  const timer = createSystemTimer()
+  timer.after(delayMs, () => order.push('after'))
+  const ticks = timer.every(delayMs, () => order.push('every'))
+  await new Promise((resolve) => setTimeout(resolve, delayMs / 2))
+  peer.write('input')
+  const endMs = performance.now() + ms
+  while (performance.now() < endMs); // Holds up the process.
+  await new Promise((resolve) => setTimeout(resolve, delayMs / 5))
+  ticks.cancel()
+  timer.close()
+  socket.destroy()
+  server.close()
+  assert.deepEqual(order, ['input', 'after', 'every'])
+})
