Show that a view learned from a peer ends once the store is read

A gateway that starts while the store is down takes the older view of a peer, with a worker that left and a route that was withdrawn, and drops both once it reads the store: the route at once, the worker 2.3 s after the outage, since entries may have expired because of it. It passes; without `listMissing` in `directory/create_directory.ts` "the removal of the worker did not happen within 3000 ms".

--- a/cli/run_platform_process_test.ts
+++ b/cli/run_platform_process_test.ts
@@ -66,13 +66,15 @@
   }
   world.platformStore.put('servers/w1', world.platformWorker.buildEntry())
   world.port = await findFreePort()
+  const internalPort = await findFreePort()
+  await findFreePort() // The port behind the internal one is in use as well.
   const settings = {
     node_name: 'node-1',
     ip: '127.0.0.1',
     zone: 'levis',
     zones: { levis: 'qc-est' },
     listen: kind === 'gateway' ? { front: `127.0.0.1:${world.port}`, ready: `127.0.0.1:${await findFreePort()}` } : {},
-    internal_port_range: [await findFreePort(), 65_000],
+    internal_port_range: [internalPort, 65_000],
     heartbeat_ms: 1200,
     app: world.platformWorker.address,
     platform: { address: world.platformStore.address },
--- a/gateway/gateway.feature
+++ b/gateway/gateway.feature
@@ -280,3 +280,13 @@
       | with the response          | repeated      | GET /safe/x    | 502     |
       | in front of the next one   | repeated_late | POST /unsafe/x | 502     |
       | in front of the next one   | repeated_late | GET /safe/x    | 502     |
+
+  # Guards against a worker that left, or a route that was withdrawn, which a restarted process learns from a peer with an older view.
+  Scenario: A gateway that learned an older view from another one follows the store as soon as it reads it
+    When another gateway starts whose own store is "silent" and has neither the worker "w1" nor the route "safe" any more
+    Then the other gateway is ready within 2000 ms
+    And the other gateway answers "GET /safe/x" with 200
+    When the store of the other gateway is "up"
+    Then the other gateway answers "GET /safe/x" with 404 within 3000 ms and sends nothing to the worker "w1" any more
+    When 800 ms pass at the gateway
+    Then the other gateway answers "GET /safe/x" with 404 within 50 ms and sends nothing to the worker "w1" any more
--- a/gateway/gateway_test.ts
+++ b/gateway/gateway_test.ts
@@ -11,7 +11,7 @@
 import { createLog } from '../log/mod.ts'
 import { createSystemTimer } from '../timer/mod.ts'
 import { startGateway } from './mod.ts'
-import { startSite, StoreMode, WorkerMode } from '../testing/fleuve/mod.ts'
+import { buildConfiguration, startSite, StoreMode, WorkerMode } from '../testing/fleuve/mod.ts'
 import { findFreePort } from '../testing/ports/mod.ts'
 import { RefusalCode } from '../core/types/mod.ts'
 import { listen, MessageKind } from '../wire/mod.ts'
@@ -640,3 +640,29 @@
   const streams = this.responses.filter(({ status }) => status === 200).length
   assert.ok(streams >= least, `${streams} times`)
 })
+
+When('another gateway starts whose own store is {string} and has neither the worker {string} nor the route {string} any more',
+  async function (this: World, mode: StoreMode, goneId: string, goneRoute: string) {
+    const { peerAddress } = this.gatewaySite.settings
+    this.otherSite = await startSite({ seeds: [peerAddress as string], settings: { machine: 'edge-2' } })
+    const { store } = this.otherSite
+    store.setMode(mode)
+    // The revisions of this store are above those that the older view has.
+    for (let i = 0; i < 20; i++) store.put('other/key', String(i))
+    for (const worker of this.gatewaySite.workers.values()) if (worker.id !== goneId) store.put(`servers/${worker.id}`, worker.buildEntry())
+    const routes = (JSON.parse(buildConfiguration(9)).routes as Array<{ name: string }>).filter(({ name }) => name !== goneRoute)
+    this.otherSite.writeConfiguration(9, { routes })
+  })
+
+When('the store of the other gateway is {string}', function (this: World, mode: StoreMode) { this.otherSite?.store.setMode(mode) })
+
+Then('the other gateway answers {string} with {int} within {int} ms and sends nothing to the worker {string} any more',
+  async function (this: World, line: string, status: number, ms: number, id: string) {
+    const site = this.otherSite as Site
+    await until(async () => (await send(site, line)).status === status, ms, `status ${status}`)
+    // Entries may have expired because the store was down, so a missing one counts as gone 2.3 s after that.
+    await until(() => site.readLog().includes('worker gone'), ms, 'the removal of the worker')
+    const before = workerOf(this.gatewaySite, id).listRequests().length
+    for (let i = 0; i < 6; i++) assert.equal((await send(site, 'POST /unsafe/x')).status, 200)
+    assert.equal(workerOf(this.gatewaySite, id).listRequests().length, before)
+  })
