--- a/core/fleet/_types.ts
+++ b/core/fleet/_types.ts
@@ -2,7 +2,7 @@
  * Types for the workers that a process knows.
  */
 
-import type { Pacer } from '../pacing/mod.ts'
+import type { Hold, Pacer } from '../pacing/mod.ts'
 
 /** Names the states that a worker publishes. */
 export enum WorkerState {
@@ -65,11 +65,24 @@
   waitingRequests: number
   /** Number of gateways that send requests to the engine. */
   gateways: number
+  /** Time in milliseconds until which the engine wants no request, as its sidecar has told; absent when it takes some. */
+  heldUntilMs?: number
+}
+
+/** What one incarnation of a worker has said of itself in its answers; kept while its entry is missing. */
+export interface WorkerWord {
+  /** Time of the worker's start, as in its entry. */
+  bornMs: number
+  /** Time in milliseconds at which this process learned from an answer that the worker leaves. */
+  leavingSinceMs?: number
+  /** Holds requests back while the worker wants none; absent before it has said so. */
+  hold?: Hold
 }
 
 /** Describes a worker with what this process has measured of it. */
 export interface Worker {
   entry: WorkerEntry
+  word: WorkerWord
   /** Time in milliseconds since which the worker is known to drain. */
   drainingSinceMs?: number
   /** Requests of this process in flight at the worker. */
--- a/core/fleet/choose_worker.ts
+++ b/core/fleet/choose_worker.ts
@@ -1,12 +1,15 @@
 /**
  * The choice of a worker for a request that is not a generation.
  */
+import { checkSend, SendRank } from './check_send.ts'
 import { getSendDelayMs } from './get_send_delay_ms.ts'
 import type { Worker } from './_types.ts'
 
 /** Configures the choice of a worker. */
 export interface ChooseWorkerOptions {
   nowMs: number
+  /** Time in milliseconds for which a worker takes requests after it has said that it leaves. */
+  drainMs: number
   /** Estimates the round-trip time in milliseconds to an availability zone. */
   roundTripMs: (zone: string) => number
   /** Identities of workers that must not be chosen. */
@@ -18,28 +21,28 @@
 }
 
 /**
- * Chooses the worker with the shortest expected response time; a suspect worker is chosen only when no other is left, and one whose
- * rate is limited only when it accepts a request now, or when no worker does.
+ * Chooses the worker with the shortest expected response time among those that `checkSend` ranks first.
  *
  * @param workers the workers of the service
  * @param options the time, the round-trip times and the excluded workers
- * @returns the worker, or undefined when all are excluded
+ * @returns the worker, or undefined when all are excluded or take no request at all; it may take one only after a delay
  *
  * @example
  * ```ts
  * import { chooseWorker } from 'briarloom/core/fleet'
  *
- * const options = { nowMs: 0, roundTripMs: () => 1, exclude: new Set<string>(), failureMs: 250, random: Math.random }
+ * const options = { nowMs: 0, drainMs: 2500, roundTripMs: () => 1, exclude: new Set<string>(), failureMs: 250, random: Math.random }
  * console.assert(chooseWorker([], options) === undefined)
  * ```
  */
 export function chooseWorker (workers: Worker[], options: ChooseWorkerOptions): Worker | undefined {
   const candidates = workers.filter((worker) => !options.exclude.has(worker.entry.id))
-  const reachable = candidates.filter((worker) => worker.suspectUntilMs <= options.nowMs)
-  const open = reachable.filter((worker) => getSendDelayMs(worker, options.nowMs) === 0)
+  const ranked = candidates.map((worker) => ({ worker, rank: checkSend(worker, options).rank }))
+  const bestRank = Math.min(SendRank.Held, ...ranked.map(({ rank }) => rank))
   let best: Worker | undefined
   let shortestMs = Infinity
-  for (const worker of open.length > 0 ? open : reachable.length > 0 ? reachable : candidates) {
+  for (const { worker, rank } of ranked) {
+    if (rank !== bestRank) continue
     // The random increase of up to 5 % spreads requests over workers with nearly equal estimates.
     const expectedMs = estimateResponseMs(worker, options) * (1 + 0.05 * options.random())
     if (expectedMs >= shortestMs) continue
--- a/core/fleet/create_fleet.ts
+++ b/core/fleet/create_fleet.ts
@@ -1,9 +1,16 @@
 /**
  * The workers that a process knows.
  */
+import { createHold } from '../pacing/mod.ts'
 import { smooth } from './smooth.ts'
 import { WorkerState } from './_types.ts'
-import type { Worker, WorkerEntry } from './_types.ts'
+import type { Worker, WorkerEntry, WorkerWord } from './_types.ts'
+
+/** Names an incarnation of a worker that leaves. */
+export interface LeavingWorker {
+  id: string
+  bornMs: number
+}
 
 /** Holds all known workers with what this process has measured of them. */
 export interface Fleet {
@@ -21,10 +28,23 @@
   recordResult (worker: Worker, result: { latencyMs?: number, failed: boolean }): void
   /** Marks a worker as suspect for one second, because it was unreachable or did not answer. */
   markSuspect (worker: Worker, nowMs: number): void
+  /**
+   * Records that an incarnation of a worker leaves, whether its entry is known or not; it counts as leaving until a later incarnation is
+   * known. Returns true when that is new.
+   */
+  markLeaving (leaving: LeavingWorker, nowMs: number): boolean
+  /** Lists the incarnations that leave and have not been replaced, the newest last. */
+  leaving (): LeavingWorker[]
+  /** Holds requests back from a worker for a time, `maxHoldMs` at most; returns the time in milliseconds. */
+  hold (worker: Worker, forMs: number, nowMs: number, random: () => number): number
 }
 
 /** Time in milliseconds for which a worker stays suspect; about one heartbeat interval of a worker. */
 const suspectMs = 1_000
+/** Longest time in milliseconds for which a worker's word holds requests back; it is asked again afterwards. */
+const maxHoldMs = 300_000
+/** Number of workers without an entry whose words are kept. */
+const maxForeignWords = 4_096
 
 /**
  * Creates an empty fleet.
@@ -40,9 +60,24 @@
  */
 export function createFleet (): Fleet {
   const workers = new Map<string, Worker>()
+  const words = new Map<string, WorkerWord>()
+
+  /** Returns the word of an incarnation; an earlier one, which an old copy of the store may name, has that of the latest. */
+  function getWord (id: string, bornMs: number): WorkerWord {
+    const known = words.get(id)
+    if (known !== undefined && bornMs <= known.bornMs) return known
+    const word: WorkerWord = { bornMs }
+    words.delete(id)
+    words.set(id, word)
+    for (const oldest of words.keys()) {
+      if (words.size <= workers.size + maxForeignWords) break
+      if (!workers.has(oldest)) words.delete(oldest)
+    }
+    return word
+  }
 
   function createWorker (entry: WorkerEntry): Worker {
-    return { entry, inFlight: 0, ownTokens: 0, ownQueuedPromptTokens: 0, failureShare: 0, latencyMs: 0, suspectUntilMs: 0 }
+    return { entry, word: getWord(entry.id, entry.bornMs), inFlight: 0, ownTokens: 0, ownQueuedPromptTokens: 0, failureShare: 0, latencyMs: 0, suspectUntilMs: 0 }
   }
 
   return {
@@ -63,6 +98,19 @@
       worker.failureShare = smooth(worker.failureShare, failed ? 1 : 0)
       if (latencyMs !== undefined) worker.latencyMs = smooth(worker.latencyMs === 0 ? undefined : worker.latencyMs, latencyMs)
     },
-    markSuspect (worker, nowMs) { worker.suspectUntilMs = nowMs + suspectMs }
+    markSuspect (worker, nowMs) { worker.suspectUntilMs = nowMs + suspectMs },
+    markLeaving ({ id, bornMs }, nowMs) {
+      const word = getWord(id, bornMs)
+      if (bornMs < word.bornMs || word.leavingSinceMs !== undefined) return false
+      word.leavingSinceMs = nowMs
+      return true
+    },
+    leaving: () => [...words].flatMap(([id, { bornMs, leavingSinceMs }]) => leavingSinceMs === undefined ? [] : [{ id, bornMs }]),
+    hold ({ word }, forMs, nowMs, random) {
+      const boundedMs = Math.min(maxHoldMs, forMs)
+      word.hold ??= createHold(random)
+      word.hold.extend(nowMs + boundedMs)
+      return boundedMs
+    }
   }
 }
--- a/core/fleet/get_send_delay_ms.ts
+++ b/core/fleet/get_send_delay_ms.ts
@@ -1,10 +1,10 @@
 /**
- * The delay that a limit of the request rate imposes on a worker's next request.
+ * The delay that a limit of the request rate, or a hold that has just ended, imposes on a worker's next request.
  */
 import type { Worker } from './_types.ts'
 
 /**
- * Returns the time in milliseconds until a worker accepts the next request of this process; 0 when it limits no rate.
+ * Returns the time in milliseconds until a worker accepts the next request of this process; 0 when it takes one now.
  *
  * @param worker the worker
  * @param nowMs the time in milliseconds
@@ -18,5 +18,5 @@
  * ```
  */
 export function getSendDelayMs (worker: Worker, nowMs: number): number {
-  return worker.pacer?.delayMs(nowMs) ?? 0
+  return Math.max(worker.pacer?.delayMs(nowMs) ?? 0, worker.word.hold?.delayMs(nowMs) ?? 0)
 }
--- a/exchange/_types.ts
+++ b/exchange/_types.ts
@@ -20,7 +20,9 @@
   /** The connection broke, or the response was invalid, after the server may have read the request. */
   Broken = 'broken',
   /** No complete response arrived in time. */
-  TimedOut = 'timed_out'
+  TimedOut = 'timed_out',
+  /** The request was not sent, because it was no longer allowed when the connection was ready; the server has received nothing. */
+  Withheld = 'withheld'
 }
 
 /** Describes a failed exchange. */
@@ -41,6 +43,8 @@
 
 /** Receives the events of an exchange. Unless it is aborted, it ends with exactly one call of `onEnd` or `onFail`. */
 export interface ExchangeHandlers {
+  /** Called just before the request is written; returning false fails the exchange as withheld. */
+  mayStart? (): boolean
   /** Receives the response head. Returning false fails the exchange as broken. */
   onHead (status: number, rawHeaders: string[], framing: ResponseFraming): boolean
   onData (chunk: Buffer): void
--- a/exchange/call_json.ts
+++ b/exchange/call_json.ts
@@ -24,6 +24,8 @@
   timeoutMs: number
   /** Maximum size of a response body in bytes; 64 MiB by default. */
   maxBytes?: number
+  /** Called just before the request is written; returning false fails the call as withheld. */
+  mayStart?: () => boolean
 }
 
 const defaultMaxBytes = 64 * 1_048_576
@@ -63,6 +65,7 @@
 
     const deadline = timer.after(timeoutMs, () => fail(FailureKind.TimedOut, `no complete response within ${timeoutMs} ms`))
     const exchange = pool.send(address, req, {
+      ...(options.mayStart === undefined ? {} : { mayStart: options.mayStart }),
       onHead (code, raw) {
         status = code
         headers = raw
--- a/exchange/create_exchange_pool.ts
+++ b/exchange/create_exchange_pool.ts
@@ -169,6 +169,7 @@
 
   connection.client.dispatch({ method: req.method as Dispatcher.HttpMethod, path: req.path, headers: req.headers, body: req.body }, {
     onRequestStart (control) {
+      if (!isOver && handlers.mayStart?.() === false) fail(FailureKind.Withheld, 'the request was no longer allowed')
       isStarted = true
       controller = control
       if (isOver) control.abort(new Error('exchange aborted'))
--- a/gateway/_prefill.ts
+++ b/gateway/_prefill.ts
@@ -1,13 +1,14 @@
 /**
  * Chooses the engine for the prefill of a prompt, and has it run the prefill.
  */
-import { getSendDelayMs, smooth, Stage, stageOf } from '../core/fleet/mod.ts'
+import { HoldReason, SendRank, smooth, Stage, stageOf, takeSendPlace } from '../core/fleet/mod.ts'
 import {
   canPrefillWithinPause, choosePrefillPlace, defaultPrefillMsPerToken, estimateDecodeEngineMs, getPrefillMsPerToken, PrefillPlace,
   recordPrefill
 } from '../core/prefill/mod.ts'
 import { callJson } from '../exchange/mod.ts'
 import { decodeKvCacheHandle, buildFreeKvCacheCall } from '../platform/mod.ts'
+import { checkWorker, recordCallAnswer } from './_check_worker.ts'
 import { sendToWorker } from './_send_to_worker.ts'
 import type { Worker } from '../core/fleet/mod.ts'
 import type { ClientRequest, GatewayContext } from './_types.ts'
@@ -47,9 +48,11 @@
 /** Returns the prefill engine with the lowest estimated cost; undefined when none can be asked. */
 function findFastestPrefillEngine (context: GatewayContext, request: ClientRequest): Worker | undefined {
   const nowMs = context.timer.now()
-  const engines = context.directory.fleet.serving(request.service.name)
-    .filter((worker) => stageOf(worker) === Stage.Prefill && worker.suspectUntilMs <= nowMs && (worker.prefillRetryAtMs ?? 0) <= nowMs)
-    .filter((worker) => getSendDelayMs(worker, nowMs) === 0)
+  const ranked = context.directory.fleet.serving(request.service.name)
+    .filter((worker) => stageOf(worker) === Stage.Prefill && (worker.prefillRetryAtMs ?? 0) <= nowMs)
+    .map((worker) => ({ worker, rank: checkWorker(context, worker, request.head.sharedParts).rank }))
+  const bestRank = Math.min(SendRank.Leaving, ...ranked.map(({ rank }) => rank))
+  const engines = ranked.filter(({ rank }) => rank === bestRank).map(({ worker }) => worker)
   return engines.sort((a, b) => estimateCostMs(context, request, a) - estimateCostMs(context, request, b))[0]
 }
 
@@ -131,7 +134,7 @@
   const isIdle = worker.ownQueuedPromptTokens === 0 && worker.capacity?.waitingRequests === 0
   const startedMs = context.timer.now()
   const timeoutMs = timeoutFactor * estimatePrefillMs(context, request, worker) + timeoutMarginMs
-  worker.pacer?.take(startedMs)
+  takeSendPlace(worker, startedMs)
   worker.ownQueuedPromptTokens += request.head.promptTokens
   worker.typicalPromptTokens = smooth(worker.typicalPromptTokens, request.head.promptTokens)
   return new Promise((resolve) => {
@@ -198,5 +201,8 @@
 /** Frees a KV cache that no engine will fetch. */
 export function freeKvCache (context: GatewayContext, worker: Worker, handle: string): void {
   const { timer, controlPool: pool } = context
+  // An engine that wants no requests for a time frees the KV cache when it expires.
+  if (checkWorker(context, worker).reason === HoldReason.RetryAfter) return
   callJson(worker.entry.address, buildFreeKvCacheCall(handle), { pool, timer, timeoutMs: freeTimeoutMs })
+    .then((response) => { if (response.ok) recordCallAnswer(context, worker, response.val) })
 }
--- a/gateway/_reserve_memory.ts
+++ b/gateway/_reserve_memory.ts
@@ -1,12 +1,13 @@
 /**
  * Reserves memory of engines for generations.
  */
-import { getSendDelayMs, Stage, stageOf } from '../core/fleet/mod.ts'
+import { HoldReason, SendRank, Stage, stageOf } from '../core/fleet/mod.ts'
 import { PrefillPlace } from '../core/prefill/mod.ts'
 import { Err, Ok } from '../core/results/mod.ts'
 import { RefusalCode } from '../core/types/mod.ts'
-import { callJson } from '../exchange/mod.ts'
+import { callJson, FailureKind } from '../exchange/mod.ts'
 import { decodeReservationId, buildReleaseCall, buildReserveCall } from '../platform/mod.ts'
+import { checkWorker, getEarliestMs, mayStart, recordCallAnswer, recordHeld } from './_check_worker.ts'
 import { estimatePrefillAtDecodeMs, isReturning, planPrefill } from './_prefill.ts'
 import type { Result } from '../core/results/mod.ts'
 import type { Worker } from '../core/fleet/mod.ts'
@@ -32,6 +33,8 @@
   /** Id of the reservation at the engine. */
   id: string
   tokens: number
+  /** Engines of the service that the choice held back, with the reasons, for the log. */
+  held?: string | undefined
 }
 
 /** Returns the most tokens that a request may need, in whole blocks and with one block to spare. */
@@ -53,6 +56,19 @@
   return ms === undefined ? undefined : Math.round(ms)
 }
 
+/** Returns whether all of some engines want no requests for a time or take none any more. */
+export function areAllHeld (context: GatewayContext, engines: readonly Worker[]): boolean {
+  return engines.length > 0 && engines.every((worker) => checkWorker(context, worker).rank >= SendRank.Held)
+}
+
+/** Returns the engines that take a stream now; one that leaves only when no other does. */
+function listOpenEngines (context: GatewayContext, request: ClientRequest, engines: readonly Worker[]): Worker[] {
+  const ranked = engines.map((worker) => ({ worker, rank: checkWorker(context, worker, request.head.sharedParts).rank }))
+  // The sidecar of an engine keeps the limit of its rate for all gateways, so the rank of the limit is that of an open engine.
+  const open = ranked.filter(({ rank }) => rank === SendRank.Open || rank === SendRank.Delayed)
+  return (open.length > 0 ? open : ranked.filter(({ rank }) => rank === SendRank.Leaving)).map(({ worker }) => worker)
+}
+
 /** Reserves memory at an engine; returns undefined when no engine grants it in time, or when the request has stopped. */
 export async function reserveMemory (
   context: GatewayContext, request: ClientRequest, exclude: ReadonlySet<string>
@@ -66,6 +82,7 @@
   /** Number of refusals of engines by their code. */
   const refusals: { [code: string]: number } = {}
   let plan: PrefillPlan | undefined
+  const held = recordHeld(context, request.service.name, directory.fleet.serving(request.service.name))
   const logNotReserved = (engines: Worker[]): undefined => {
     const rooms = engines.map(({ entry, capacity }) => `${entry.id}:${capacity?.freeTokens ?? 'unknown'}`)
     context.log.warn({
@@ -77,14 +94,17 @@
       prefillEngineMs: round(plan?.prefillEngineMs),
       decodeEngineMs: round(plan?.decodeEngineMs),
       refusals,
+      held,
       stopped: request.stopReason()
     }, 'not reserved')
     return undefined
   }
   for (;;) {
-    const engines = directory.fleet.serving(request.service.name)
-      .filter((worker) => stageOf(worker) !== Stage.Prefill && worker.suspectUntilMs <= timer.now() && !exclude.has(worker.entry.id))
+    const decodeEngines = directory.fleet.serving(request.service.name)
+      .filter((worker) => stageOf(worker) !== Stage.Prefill && !exclude.has(worker.entry.id))
+    const engines = listOpenEngines(context, request, decodeEngines)
       .sort((a, b) => scoreFreeTokens(context, b, memoryTokens) - scoreFreeTokens(context, a, memoryTokens))
+    if (areAllHeld(context, decodeEngines) && timer.now() + (getEarliestMs(context, decodeEngines) ?? Infinity) > untilMs) return logNotReserved(engines)
     const prefilling: Worker[] = []
     for (const candidates of [engines, prefilling]) {
       for (const worker of candidates) {
@@ -94,7 +114,7 @@
         plan = planPrefill(context, request, { areDecodeEnginesBusy: candidates === prefilling, isLate: isBack || exclude.size > 0 })
         if (plan.place === PrefillPlace.Later) break
         const reservation = await reserveAtEngine(context, request, worker, plan.engine)
-        if (reservation.ok) return reservation.val
+        if (reservation.ok) return { ...reservation.val, held }
         refusals[reservation.val] = (refusals[reservation.val] ?? 0) + 1
         if (reservation.val === RefusalCode.TargetMissed) prefilling.push(worker)
         if (timer.now() > untilMs) return logNotReserved(engines)
@@ -109,9 +129,13 @@
 export async function reserveAtEngine (
   context: GatewayContext, request: ClientRequest, worker: Worker, prefillEngine: Worker | undefined
 ): Promise<Result<Reservation, RefusalCode>> {
+  const { rank } = checkWorker(context, worker)
+  if (rank >= SendRank.Held) return Err(RefusalCode.LimitExceeded)
+  // The stream goes to the engine from here, so it takes a place after the end of a hold, whoever reserves the memory.
+  worker.word.hold?.take(context.timer.now())
   if (!context.sidecars.isConnected(worker)) {
     // A connected sidecar keeps the limit of its engine for all gateways.
-    if (getSendDelayMs(worker, context.timer.now()) > 0) return Err(RefusalCode.LimitExceeded)
+    if (rank === SendRank.Delayed) return Err(RefusalCode.LimitExceeded)
     worker.pacer?.take(context.timer.now())
     return await reserveDirectly(context, request, worker, prefillEngine)
   }
@@ -141,11 +165,15 @@
   const tokens = countReservedTokens(request)
   const { timer, controlPool: pool, directory } = context
   const call = buildReserveCall(worker.entry.id, tokens, request.service.engine?.holdMs ?? 0)
-  const response = await callJson(worker.entry.address, call, { pool, timer, timeoutMs: reservationTimeoutMs })
+  const response = await callJson(worker.entry.address, call, {
+    pool, timer, timeoutMs: reservationTimeoutMs, mayStart: () => mayStart(context, worker)
+  })
   if (response.err) {
+    if (response.val.kind === FailureKind.Withheld) return Err(RefusalCode.LimitExceeded)
     directory.fleet.markSuspect(worker, timer.now())
     return Err(RefusalCode.Unreachable)
   }
+  recordCallAnswer(context, worker, response.val)
   const id = response.val.status === 200 ? decodeReservationId(response.val.body) : undefined
   return id === undefined ? Err(RefusalCode.NoCapacity) : releaseIfStopped(context, request, { worker, prefillEngine, id, tokens })
 }
@@ -153,6 +181,10 @@
 /** Releases a reservation that will not be used. */
 export function releaseReservation (context: GatewayContext, reservation: Reservation, requestId: string): void {
   const { timer, controlPool: pool } = context
-  context.sidecars.release(reservation.worker, requestId)
-  callJson(reservation.worker.entry.address, buildReleaseCall(reservation.id), { pool, timer, timeoutMs: reservationTimeoutMs })
+  const { worker, id } = reservation
+  context.sidecars.release(worker, requestId)
+  // An engine that wants no requests for a time releases the reservation when it expires.
+  if (checkWorker(context, worker).reason === HoldReason.RetryAfter) return
+  callJson(worker.entry.address, buildReleaseCall(id), { pool, timer, timeoutMs: reservationTimeoutMs })
+    .then((response) => { if (response.ok) recordCallAnswer(context, worker, response.val) })
 }
--- a/gateway/_send_to_worker.ts
+++ b/gateway/_send_to_worker.ts
@@ -5,6 +5,7 @@
 import { Outcome } from '../core/types/mod.ts'
 import { FailureKind } from '../exchange/mod.ts'
 import { decodeResponseHead, encodeWorkerHeaders } from '../platform/mod.ts'
+import { getEarliestMs, mayStart, recordAnswer } from './_check_worker.ts'
 import type { Worker } from '../core/fleet/mod.ts'
 import type { Exchange, Failure } from '../exchange/mod.ts'
 import type { ResponseHead, WorkerHeaders } from '../platform/mod.ts'
@@ -22,13 +23,17 @@
   onHead (head: WorkerResponse): void
   onData (chunk: Buffer): void
   onEnd (): void
-  /** The worker has not run the request: it stated so, or could not be reached. */
-  onRefused (refusal: { hasArrived: boolean, reason: string }): void
+  /** The worker has not run the request: it stated so, could not be reached, or takes no request any more (`isWithheld`). */
+  onRefused (refusal: { hasArrived: boolean, isWithheld?: boolean, reason: string }): void
   /** The response is lost, and the worker may have run the request. */
   onLost (reason: string): void
 }
 
-const notRunKinds = new Set([FailureKind.Unreachable, FailureKind.Malformed])
+const notRunKinds = new Set([FailureKind.Unreachable, FailureKind.Malformed, FailureKind.Withheld])
+/** Longest delay in milliseconds, chosen at random, that is added to the time at which a client is told to come back. */
+const returnSpreadMs = 500
+const msPerS = 1_000
+const unavailableStatus = 503
 
 /** Returns what is known about the execution of a request whose exchange failed. */
 export function classifyFailure (failure: Failure): Outcome {
@@ -44,6 +49,28 @@
   else worker.pacer = createPacer(limitPerS, context.timer.now(), { memberCount: context.gatewayCount, random: context.random })
 }
 
+/**
+ * Returns the delay in milliseconds after which a client may come back when workers of the service want no requests now: the earliest
+ * time at which one takes a request, and a random part that spreads clients; undefined when no such time is known.
+ */
+export function getReturnMs (context: GatewayContext, workers: readonly Worker[]): number | undefined {
+  const earliestMs = getEarliestMs(context, workers)
+  return earliestMs === undefined ? undefined : Math.round(earliestMs + returnSpreadMs * context.random())
+}
+
+/**
+ * Replaces the time for which a worker that turned a request away wants no requests by the one after which the client is served: another
+ * worker may take it sooner, and all clients would come back at once.
+ */
+function replaceReturn (context: GatewayContext, request: ClientRequest, head: ResponseHead): ResponseHead {
+  if (head.status !== unavailableStatus) return head
+  const forwarded = head.forwarded.filter((_part, i) => head.forwarded[i - i % 2]?.toLowerCase() !== 'retry-after')
+  const returnMs = forwarded.length === head.forwarded.length
+    ? undefined
+    : getReturnMs(context, context.directory.fleet.serving(request.service.name))
+  return { ...head, forwarded: returnMs === undefined ? forwarded : [...forwarded, 'Retry-After', String(returnMs / msPerS)] }
+}
+
 /** Sends a request to a worker, with the given headers, the id of the worker and the remaining time. */
 export function sendToWorker (
   context: GatewayContext, request: ClientRequest, worker: Worker, added: Omit<WorkerHeaders, 'workerId' | 'deadlineMs'>, handlers: SendHandlers
@@ -59,15 +86,17 @@
   const exchange = context.pool.send(worker.entry.address, {
     method: request.method, path: request.path, headers, body: request.body.length > 0 ? request.body : null
   }, {
+    mayStart: () => mayStart(context, worker),
     onHead (status, raw, { isCloseDelimited, isReused }) {
       const head = decodeResponseHead(status, raw)
       // On a connection in use again, a response that does not name this request may be a second one to an earlier request.
       if (head.requestId === undefined ? isReused : head.requestId !== request.requestId) return false
       applyLimit(context, worker, head.limitPerS)
+      recordAnswer(context, worker, head)
       isRefused = head.notRun
       if (isRefused) return true
       if (head.hasContentEncoding) return false
-      handlers.onHead({ ...head, isCloseDelimited })
+      handlers.onHead({ ...replaceReturn(context, request, head), isCloseDelimited })
       return true
     },
     onData: (chunk) => { if (!isRefused) handlers.onData(chunk) },
@@ -82,7 +111,8 @@
         handlers.onRefused({ hasArrived: true, reason: 'refused' })
         return
       }
-      if (classifyFailure(failure) === Outcome.NotRun) {
+      if (failure.kind === FailureKind.Withheld) handlers.onRefused({ hasArrived: false, isWithheld: true, reason: failure.message })
+      else if (classifyFailure(failure) === Outcome.NotRun) {
         directory.fleet.markSuspect(worker, timer.now())
         context.promptGuard.recordUnreachable(worker)
         handlers.onRefused({ hasArrived: false, reason: failure.message })
--- a/gateway/_serve_generation.ts
+++ b/gateway/_serve_generation.ts
@@ -1,13 +1,16 @@
 /**
  * Serves generations: reserves memory at a decode engine, then has the prompt prefilled, then forwards the stream.
  */
+import { Stage, stageOf } from '../core/fleet/mod.ts'
 import { RefusalCode } from '../core/types/mod.ts'
 import { createEventSplitter } from '../core/stream/mod.ts'
 import { Count } from '../metrics/mod.ts'
 import { forwardStream, StreamEnd } from './_forward_stream.ts'
-import { reserveAtEngine, releaseReservation, reserveMemory } from './_reserve_memory.ts'
+import { areAllHeld, reserveAtEngine, releaseReservation, reserveMemory } from './_reserve_memory.ts'
 import { freeKvCache, prefillWithRetry } from './_prefill.ts'
+import { getReturnMs } from './_send_to_worker.ts'
 import { StopReason } from './_types.ts'
+import type { Worker } from '../core/fleet/mod.ts'
 import type { EventSplitter } from '../core/stream/mod.ts'
 import type { StreamResult } from './_forward_stream.ts'
 import type { Reservation } from './_reserve_memory.ts'
@@ -42,14 +45,14 @@
     const reservation = await reserveMemory(context, request, state.exclude)
     const reservedAtMs = context.timer.now()
     context.metrics.count(Count.Reservations, { result: reservation === undefined ? 'refused' : 'taken' })
-    if (reservation === undefined) return failRequest(context, request, state, 'no_memory')
-    const { worker, prefillEngine, tokens } = reservation
+    if (reservation === undefined) return failRequest(context, request, state, findRefusalReason(context, request))
+    const { worker, prefillEngine, tokens, held } = reservation
     const capacityFields = worker.capacity === undefined
       ? {}
       : { roomTokens: worker.capacity.freeTokens, roomAgeMs: Math.round(reservedAtMs - worker.capacity.receivedAtMs) }
     const waitedMs = Math.round(reservedAtMs - startedMs)
     context.log.info({
-      request: request.requestId, worker: worker.entry.id, reader: prefillEngine?.entry.id, tokens, waitedMs, ...capacityFields
+      request: request.requestId, worker: worker.entry.id, reader: prefillEngine?.entry.id, tokens, waitedMs, held, ...capacityFields
     }, 'reserved')
     // Other requests may have crashed engines while this one waited.
     const { kvCache, isRefused } = isQuarantined(context, request)
@@ -131,9 +134,20 @@
   return failure
 }
 
+function listDecodeEngines (context: GatewayContext, request: ClientRequest): Worker[] {
+  return context.directory.fleet.serving(request.service.name).filter((worker) => stageOf(worker) !== Stage.Prefill)
+}
+
+/** Returns why no engine has reserved memory. */
+function findRefusalReason (context: GatewayContext, request: ClientRequest): string {
+  const engines = listDecodeEngines(context, request)
+  return areAllHeld(context, engines) && getReturnMs(context, engines) !== undefined ? 'worker_retry_after' : 'no_memory'
+}
+
 /** Returns the delay in milliseconds after which a client may retry a request that failed for the given reason. */
 function getRetryAfterMs (context: GatewayContext, request: ClientRequest, reason: string): number {
   if (reason === 'no_memory') return getMemoryRetryMs(context, request)
+  if (reason === 'worker_retry_after') return getReturnMs(context, listDecodeEngines(context, request)) ?? retryAfterMs
   return Math.round(context.promptGuard.find(request.head.sharedParts)?.remainingMs ?? retryAfterMs)
 }
 
--- a/gateway/_serve_plain.ts
+++ b/gateway/_serve_plain.ts
@@ -1,12 +1,13 @@
 /**
  * Serves requests of plain services by one worker; a request is retried at another worker only when that is safe.
  */
-import { chooseWorker, getSendDelayMs } from '../core/fleet/mod.ts'
+import { chooseWorker, HoldReason, takeSendPlace } from '../core/fleet/mod.ts'
 import { RequestKind } from '../core/route/mod.ts'
 import { planRetry } from '../core/retry/mod.ts'
 import { Outcome } from '../core/types/mod.ts'
 import { Count } from '../metrics/mod.ts'
-import { sendToWorker } from './_send_to_worker.ts'
+import { checkWorker, recordHeld } from './_check_worker.ts'
+import { getReturnMs, sendToWorker } from './_send_to_worker.ts'
 import { StopReason } from './_types.ts'
 import type { Worker } from '../core/fleet/mod.ts'
 import type { WorkerResponse } from './_send_to_worker.ts'
@@ -50,24 +51,25 @@
   let last: SendResult | undefined
 
   for (;;) {
-    const options = { nowMs: timer.now(), roundTripMs: context.roundTripMs, exclude, failureMs, random }
-    const worker = chooseWorker(directory.fleet.serving(request.service.name), options)
-    if (worker === undefined) return finishFailed(request, attempt, mayHaveRun, last, { reason: 'no_worker', retryAfterMs })
-    const delayMs = getSendDelayMs(worker, timer.now())
-    if (delayMs > maxSendDelayShare * request.route.targetLatencyMs) {
-      return finishFailed(request, attempt, mayHaveRun, last, { reason: 'worker_limit', retryAfterMs: Math.round(delayMs * (1 + random())) })
-    }
-    if ((worker.pacer?.take(timer.now()) ?? 0) > 0) {
+    const options = { nowMs: timer.now(), drainMs: context.settings.drainMs, roundTripMs: context.roundTripMs, exclude, failureMs, random }
+    const workers = directory.fleet.serving(request.service.name)
+    const held = recordHeld(context, request.service.name, workers)
+    const worker = chooseWorker(workers, options)
+    if (worker === undefined) return finishFailed(request, attempt, mayHaveRun, last, { reason: 'no_worker', retryAfterMs, held })
+    const refusal = findRefusal(context, request, workers, worker)
+    if (refusal !== undefined) return finishFailed(request, attempt, mayHaveRun, last, { ...refusal, held })
+    const delayMs = takeSendPlace(worker, timer.now())
+    if (delayMs > 0) {
       await new Promise<void>((resolve) => { timer.after(delayMs, resolve) })
       const reason = request.stopReason()
-      if (reason !== undefined) return finishFailed(request, attempt, mayHaveRun, last, { reason, retryAfterMs })
+      if (reason !== undefined) return finishFailed(request, attempt, mayHaveRun, last, { reason, retryAfterMs, held })
     }
     attempt++
     const result = await sendOnce(context, request, worker)
     if (result.end === SendEnd.Stopped) return finishStopped(request, attempt, mayHaveRun || result.hasArrived, worker)
     mayHaveRun ||= result.end !== SendEnd.NotRun
     const hasFailed = result.response !== undefined && result.response.head.status >= minFailureStatus
-    if (result.end === SendEnd.Completed && !(hasFailed && idempotent)) return deliver(request, attempt, result, worker)
+    if (result.end === SendEnd.Completed && !(hasFailed && idempotent)) return { ...deliver(request, attempt, result, worker), held }
     last = result.response === undefined ? last : result
     exclude.add(worker.entry.id)
     const fields = {
@@ -83,11 +85,22 @@
       { outcome, idempotent, attempt, deadlineMs: request.deadlineMs, lastBackend: worker.entry.id },
       { budget: context.retryBudget(request.service.name), nowMs: timer.now(), random, maxAttempts: request.route.maxAttempts }
     )
-    if (plan.err) return finishFailed(request, attempt, mayHaveRun, last, { reason: plan.val, retryAfterMs, detail: result.reason })
+    if (plan.err) return finishFailed(request, attempt, mayHaveRun, last, { reason: plan.val, retryAfterMs, detail: result.reason, held })
     context.metrics.count(Count.Retries, { service: request.service.name })
   }
 }
 
+/** Returns why a request is refused at once instead of waiting for the chosen worker; undefined when it is sent or waits for a moment. */
+function findRefusal (context: GatewayContext, request: ClientRequest, workers: Worker[], worker: Worker): PlainFailure | undefined {
+  const { timer, random } = context
+  const { reason, untilMs } = checkWorker(context, worker)
+  const delayMs = untilMs - timer.now()
+  const isHeld = reason === HoldReason.RetryAfter
+  if ((!isHeld && reason !== HoldReason.Limit) || delayMs <= maxSendDelayShare * request.route.targetLatencyMs) return undefined
+  if (isHeld) return { reason: 'worker_retry_after', retryAfterMs: getReturnMs(context, workers) ?? Math.round(delayMs) }
+  return { reason: 'worker_limit', retryAfterMs: Math.round(delayMs * (1 + random())) }
+}
+
 /** Sends a buffered response to the client; a streamed one has been sent already. */
 function deliver (request: ClientRequest, attempts: number, result: SendResult, worker: Worker): RequestResult {
   if (result.response !== undefined) request.reply.sendWhole(result.response.head, result.response.body)
@@ -100,21 +113,23 @@
   /** Time in milliseconds after which the client may retry, if the request has not run. */
   retryAfterMs: number
   detail?: string
+  /** Workers that the choice held back, for the log. */
+  held?: string | undefined
 }
 
 /** Ends a request that is not sent again, with the last response of a worker if there is one. */
 function finishFailed (
   request: ClientRequest, attempts: number, mayHaveRun: boolean, last: SendResult | undefined, failure: PlainFailure
 ): RequestResult {
-  const { reason, retryAfterMs, detail } = failure
+  const { reason, retryAfterMs, detail, held } = failure
   if (last?.response !== undefined) {
     request.reply.sendWhole(last.response.head, last.response.body)
-    return { status: last.response.head.status, reason: 'worker_failed', attempts }
+    return { status: last.response.head.status, reason: 'worker_failed', attempts, held }
   }
   if (request.reply.hasBegun()) request.reply.abort()
   else if (mayHaveRun) request.reply.sendLocal({ status: 502, reason })
   else request.reply.sendLocal({ status: 503, reason, retryAfterMs })
-  return { status: mayHaveRun ? 502 : 503, reason, detail, attempts }
+  return { status: mayHaveRun ? 502 : 503, reason, detail, attempts, held }
 }
 
 /** Ends a request whose client has disconnected or whose deadline has passed. */
@@ -167,7 +182,12 @@
           { end: SendEnd.Completed, hasArrived: true, reason: 'answered', ...response }, (head?.status ?? minFailureStatus) >= minFailureStatus
         )
       },
-      onRefused ({ hasArrived, reason }) { settle({ end: SendEnd.NotRun, hasArrived, reason }, true) },
+      onRefused ({ hasArrived, isWithheld, reason }) {
+        // Sending nothing says nothing about the worker.
+        if (!isWithheld) return settle({ end: SendEnd.NotRun, hasArrived, reason }, true)
+        isSettled = true
+        resolve({ end: SendEnd.NotRun, hasArrived, reason })
+      },
       onLost (reason) { settle({ end: SendEnd.Lost, hasArrived: true, reason }, true) }
     })
 
--- a/gateway/_sidecar_client.ts
+++ b/gateway/_sidecar_client.ts
@@ -7,11 +7,11 @@
 import type { Result } from '../core/results/mod.ts'
 import type { PromptEvidence } from '../core/quarantine/mod.ts'
 import type { PackRequest } from '../core/packing/mod.ts'
-import type { Worker } from '../core/fleet/mod.ts'
+import type { LeavingWorker, Worker } from '../core/fleet/mod.ts'
 import type { Directory } from '../directory/mod.ts'
 import type { Log } from '../log/mod.ts'
 import type { Timer } from '../timer/mod.ts'
-import type { Connection, Message } from '../wire/mod.ts'
+import type { Connection, Message, MessageOf } from '../wire/mod.ts'
 
 /** Configures the connections to the sidecars. */
 export interface SidecarClientOptions {
@@ -37,6 +37,8 @@
   reportStreamEnd (worker: Worker, requestId: string, whole: boolean): void
   /** Sends evidence on prompts to up to `count` connected sidecars, chosen at random. */
   sendEvidence (evidence: PromptEvidence, count: number): void
+  /** Tells up to `count` connected sidecars, chosen at random, of workers that leave. */
+  sendLeaving (leaving: LeavingWorker[], count: number): void
   close (): void
 }
 
@@ -89,12 +91,22 @@
   const handlers: { [K in MessageKind]?: (link: SidecarLink, msg: Message & { kind: K }) => void } = {
     [MessageKind.Admitted]: (link, msg) => settle(link, msg, Ok(msg.hold)),
     [MessageKind.Refused]: (link, msg) => settle(link, msg, Err(msg.code)),
-    [MessageKind.PromptEvidence]: (_link, { crashes, sound }) => options.onEvidence({ crashes, sound }),
+    [MessageKind.PromptEvidence]: (_link, { crashes, sound, leaving = [] }) => {
+      options.onEvidence({ crashes, sound })
+      for (const worker of leaving) {
+        if (directory.fleet.markLeaving(worker, timer.now())) log.warn({ worker: worker.id, bornMs: worker.bornMs }, 'worker leaving, told')
+      }
+    },
     [MessageKind.EngineCapacity]: (_link, msg) => {
       const worker = directory.fleet.get(msg.workerId)
       if (worker === undefined) return
       worker.capacity = {
-        receivedAtMs: timer.now(), freeTokens: msg.roomTokens, isPrefill: msg.reads, waitingRequests: msg.waiting, gateways: msg.senders
+        receivedAtMs: timer.now(),
+        freeTokens: msg.roomTokens,
+        isPrefill: msg.reads,
+        waitingRequests: msg.waiting,
+        gateways: msg.senders,
+        ...(msg.heldMs === undefined ? {} : { heldUntilMs: timer.now() + msg.heldMs })
       }
     }
   }
@@ -111,6 +123,14 @@
     }
   }
 
+  function sendToSome (evidence: Omit<MessageOf<MessageKind.PromptEvidence>, 'kind'>, count: number): void {
+    const connections = [...links.values()].flatMap(({ connection }) => connection ?? [])
+    for (let sent = 0; sent < count && connections.length > 0; sent++) {
+      const [connection] = connections.splice(Math.floor(options.random() * connections.length), 1)
+      connection?.send({ kind: MessageKind.PromptEvidence, ...evidence })
+    }
+  }
+
   const reconnectTimer = timer.every(reconnectMs, connectMissing)
   let attempts = 0
 
@@ -139,13 +159,8 @@
     reportStreamEnd (worker, requestId, whole) {
       links.get(addressOf(worker) ?? '')?.connection?.send({ kind: MessageKind.StreamEnded, requestId, attempt: 0, whole })
     },
-    sendEvidence (evidence, count) {
-      const connections = [...links.values()].flatMap(({ connection }) => connection ?? [])
-      for (let sent = 0; sent < count && connections.length > 0; sent++) {
-        const [connection] = connections.splice(Math.floor(options.random() * connections.length), 1)
-        connection?.send({ kind: MessageKind.PromptEvidence, ...evidence })
-      }
-    },
+    sendEvidence: (evidence, count) => sendToSome(evidence, count),
+    sendLeaving: (leaving, count) => sendToSome({ crashes: [], sound: [], leaving }, count),
     close () {
       isClosed = true
       reconnectTimer.cancel()
--- a/gateway/_types.ts
+++ b/gateway/_types.ts
@@ -69,6 +69,8 @@
   detail?: string | undefined
   /** Id of the engine that ran the prefill, when another one generated. */
   prefilled?: string | undefined
+  /** Workers that the choice held back, with the reasons, as in `i-1:leaving`. */
+  held?: string | undefined
   bytes?: number
   /** Times in milliseconds; absent when they do not apply. */
   firstMs?: number
--- a/gateway/gateway_test.ts
+++ b/gateway/gateway_test.ts
@@ -118,7 +118,7 @@
   })
 }
 
-async function open (world: World, workers: FakeWorkerOptions[], options: SiteOptions = {}): Promise<void> {
+export async function open (world: Pick<World, 'gatewaySite'>, workers: FakeWorkerOptions[], options: SiteOptions = {}): Promise<void> {
   world.gatewaySite = await startSite(options)
   assert.equal(await isReady(world.gatewaySite), false)
   world.gatewaySite.writeConfiguration(1)
--- a/gateway/worker_limit_test.ts
+++ b/gateway/worker_limit_test.ts
@@ -9,6 +9,8 @@
 interface TimedResponse {
   response: Awaited<ReturnType<typeof send>>
   tookMs: number
+  /** Time in milliseconds on the monotonic clock. */
+  endedMs: number
 }
 
 interface World {
@@ -38,7 +40,7 @@
   for (let i = 0; i < times; i++) {
     const startedMs = performance.now()
     pending.push(send(this.gatewaySite, line, { headers, ...(line.startsWith('POST') ? { chunks: ['prompt'] } : {}) })
-      .then((response) => ({ response, tookMs: performance.now() - startedMs })))
+      .then((response) => ({ response, tookMs: performance.now() - startedMs, endedMs: performance.now() })))
     await sleep(gapMs)
   }
   this.timedResponses = await Promise.all(pending)
--- a/metrics/create_prometheus_metrics.ts
+++ b/metrics/create_prometheus_metrics.ts
@@ -35,6 +35,8 @@
   StreamsLost = 'streams_lost_total',
   /** Crashes of engines just after a request had begun, as this process observed them, by service. */
   EngineCrashes = 'engine_crashes_total',
+  /** Workers that a choice held back, by service and reason. */
+  SendsHeld = 'sends_held_total',
   /** Calls to the configuration store, by result. */
   StoreReads = 'store_reads_total'
 }
@@ -47,6 +49,7 @@
   [Count.RetriesDenied]: ['service'],
   [Count.StreamsLost]: ['phase'],
   [Count.EngineCrashes]: ['service'],
+  [Count.SendsHeld]: ['service', 'reason'],
   [Count.StoreReads]: ['result']
 }
 
@@ -58,6 +61,7 @@
   [Count.RetriesDenied]: 'Repeated sends that the shared bound did not allow by service',
   [Count.StreamsLost]: 'Streams of engines that broke, by phase',
   [Count.EngineCrashes]: 'Crashes of engines just after a request had begun, by service',
+  [Count.SendsHeld]: 'Workers that the choice for a request held back, by service and reason',
   [Count.StoreReads]: 'Calls to the store by result',
   [Latency.Request]: 'Time from a request to its final answer in ms',
   [Latency.FirstEvent]: 'Time from a request to the first event in ms',
--- a/sidecar/_admission_task.ts
+++ b/sidecar/_admission_task.ts
@@ -1,21 +1,22 @@
 /**
  * Admits streams of the connected gateways to the memory of the engine on this machine.
  */
-import { Stage } from '../core/fleet/mod.ts'
+import { checkSend, HoldReason, SendRank, Stage, takeSendPlace } from '../core/fleet/mod.ts'
 import { createPacer } from '../core/pacing/mod.ts'
 import { createPacker } from '../core/packing/mod.ts'
 import { defaultPrefillMsPerToken, estimateDecodeEngineMs } from '../core/prefill/mod.ts'
 import { createQuarantine } from '../core/quarantine/mod.ts'
 import { RefusalCode } from '../core/types/mod.ts'
+import { recordWord } from '../directory/mod.ts'
 import { callJson } from '../exchange/mod.ts'
-import { decodeReservationId, buildReleaseCall, buildReserveCall } from '../platform/mod.ts'
+import { decodeReservationId, decodeResponseHead, buildReleaseCall, buildReserveCall } from '../platform/mod.ts'
 import { MessageKind } from '../wire/mod.ts'
-import type { WorkerEntry } from '../core/fleet/mod.ts'
+import type { LeavingWorker, Worker, WorkerEntry } from '../core/fleet/mod.ts'
 import type { PromptEvidence } from '../core/quarantine/mod.ts'
 import type { Pacer } from '../core/pacing/mod.ts'
 import type { PackerOptions } from '../core/packing/mod.ts'
 import type { Directory } from '../directory/mod.ts'
-import type { ExchangePool } from '../exchange/mod.ts'
+import type { ExchangePool, JsonResponse } from '../exchange/mod.ts'
 import type { Log } from '../log/mod.ts'
 import type { EngineReport } from '../platform/mod.ts'
 import type { Timer } from '../timer/mod.ts'
@@ -30,6 +31,10 @@
   packing: PackerOptions
   /** Tells whether another stage of the engine is due or being ordered. */
   isSwitching: () => boolean
+  /** Returns a number from 0 up to but not including 1. */
+  random: () => number
+  /** Time in milliseconds for which the engine takes requests after it has said that it leaves. */
+  drainMs: number
 }
 
 /** Admits streams to one engine. */
@@ -40,6 +45,12 @@
   onReport (entry: WorkerEntry, report: EngineReport): void
   /** Applies the limit in requests per second that the engine names now; undefined when it names none. */
   setLimit (limitPerS: number | undefined): void
+  /** Records what the engine says of itself in the answer to a call; `own` is its entry, when that may not be known here. */
+  recordAnswer (response: JsonResponse, own?: WorkerEntry): void
+  /** Tells whether the engine wants no requests from this machine now. */
+  isHeld (): boolean
+  /** Tells whether the engine has said that it leaves. */
+  isLeaving (): boolean
   /** Returns the tokens that are free for streams. */
   roomTokens (): number
   /** Returns the number of connected gateways. */
@@ -72,22 +83,28 @@
   let prefillingUntilMs = 0
   /** Keeps the limit of the engine's request rate for all gateways; undefined while the engine names none. */
   let pacer: Pacer | undefined
-  let lastSent: { roomTokens: number, reads: boolean, waiting: number, senders: number, atMs: number } | undefined
+  let lastSent: { roomTokens: number, reads: boolean, waiting: number, senders: number, heldUntilMs: number, atMs: number } | undefined
 
   async function admit (connection: Connection, msg: Admit): Promise<void> {
     const { requestId, attempt, promptTokens, likelyTokens, maxTokens } = msg
-    const refuse = (code: RefusalCode): void => {
-      connection.send({ kind: MessageKind.Refused, requestId, attempt, code, retryAfterMs: 0 })
+    const refuse = (code: RefusalCode, retryAfterMs = 0): void => {
+      connection.send({ kind: MessageKind.Refused, requestId, attempt, code, retryAfterMs })
     }
     if (entry === undefined || entry.id !== msg.workerId) return refuse(RefusalCode.Stale)
     if (!canGenerate()) return refuse(RefusalCode.Draining)
     const request = { requestId, promptTokens, maxTokens }
     if (msg.reads && prefillingUntilMs > timer.now()) return refuse(RefusalCode.TargetMissed)
+    const worker = own()
+    const verdict = worker === undefined ? undefined : checkSend(worker, { nowMs: timer.now(), drainMs: options.drainMs })
+    if (verdict?.rank === SendRank.Held) return refuse(RefusalCode.LimitExceeded, verdict.untilMs - timer.now())
+    if (verdict?.reason === HoldReason.Leaving && verdict.rank === SendRank.Never) return refuse(RefusalCode.Draining)
     if (pacer !== undefined && pacer.delayMs(timer.now()) > 0) return refuse(RefusalCode.LimitExceeded)
     if (!packer.admit(likelyTokens === undefined ? request : { ...request, likelyTokens }, timer.now())) return refuse(RefusalCode.NoCapacity)
     pacer?.take(timer.now())
+    if (worker !== undefined) takeSendPlace(worker, timer.now())
     const call = buildReserveCall(entry.id, promptTokens + tokensPerEvent(), packing.startMs)
-    const response = await callJson(entry.address, call, { pool, timer, timeoutMs: reservationTimeoutMs })
+    const response = await callJson(entry.address, call, { pool, timer, timeoutMs: reservationTimeoutMs, mayStart: () => !isHeld() })
+    if (response.ok) recordAnswer(response.val)
     const hold = response.ok && response.val.status === 200 ? decodeReservationId(response.val.body) : undefined
     if (hold === undefined) {
       packer.releaseUnstarted(requestId)
@@ -98,14 +115,51 @@
     sendCapacity()
   }
 
+  /** Returns the engine on this machine; undefined before its entry is known. */
+  function own (): Worker | undefined {
+    return entry === undefined ? undefined : directory.fleet.get(entry.id)
+  }
+
+  function isHeld (): boolean {
+    return (own()?.word.hold?.untilMs() ?? -Infinity) > timer.now()
+  }
+
+  function isLeaving (): boolean {
+    return own()?.word.leavingSinceMs !== undefined
+  }
+
+  function recordAnswer (response: JsonResponse, ownEntry?: WorkerEntry): void {
+    entry ??= ownEntry
+    const worker = own()
+    if (worker === undefined) return
+    const { fleet } = directory
+    const head = decodeResponseHead(response.status, response.headers)
+    const isNew = recordWord(worker, head, { fleet, log, nowMs: timer.now(), random: options.random })
+    if (isNew) sendLeaving([{ id: worker.entry.id, bornMs: worker.entry.bornMs }])
+    if (isNew || isHeld()) sendCapacity()
+  }
+
+  function sendLeaving (leaving: LeavingWorker[]): void {
+    for (const gateway of gateways) gateway.send({ kind: MessageKind.PromptEvidence, crashes: [], sound: [], leaving })
+  }
+
+  /** Passes on to all gateways which of the workers are not yet known to leave. */
+  function relayLeaving (leaving: readonly LeavingWorker[]): void {
+    const news = leaving.filter((worker) => directory.fleet.markLeaving(worker, timer.now()))
+    for (const { id, bornMs } of news) log.warn({ worker: id, bornMs }, 'worker leaving, told')
+    if (news.length > 0) sendLeaving(news)
+  }
+
   function canGenerate (): boolean {
-    return report !== undefined && report.stage === Stage.Decode && !report.busy && !options.isSwitching()
+    return report !== undefined && report.stage === Stage.Decode && !report.busy && !options.isSwitching() && !isHeld()
   }
 
   function releaseReservation (requestId: string, hold: string): void {
     packer.releaseUnstarted(requestId)
-    if (entry === undefined) return
+    // An engine that wants no requests for a time releases the reservation when it expires.
+    if (entry === undefined || isHeld()) return
     callJson(entry.address, buildReleaseCall(hold), { pool, timer, timeoutMs: reservationTimeoutMs })
+      .then((response) => { if (response.ok) recordAnswer(response.val) })
   }
 
   function tokensPerEvent (): number {
@@ -117,13 +171,15 @@
     const waiting = report.waiting + (report.stage === Stage.Prefill ? report.running : 0)
     const roomTokens = canGenerate() ? Math.max(0, Math.floor(packer.freeTokens(timer.now()))) : 0
     const reads = report.stage === Stage.Prefill && !report.busy && !options.isSwitching()
-    const now = { roomTokens, reads, waiting, senders: gateways.size, atMs: timer.now() }
+    const heldUntilMs = own()?.word.hold?.untilMs() ?? -Infinity
+    const heldMs = Math.max(0, heldUntilMs - timer.now())
+    const now = { roomTokens, reads, waiting, senders: gateways.size, heldUntilMs, atMs: timer.now() }
     const hasChanged = lastSent === undefined || lastSent.reads !== reads ||
-      lastSent.waiting !== now.waiting || lastSent.senders !== now.senders ||
+      lastSent.waiting !== now.waiting || lastSent.senders !== now.senders || lastSent.heldUntilMs !== heldUntilMs ||
       Math.abs(lastSent.roomTokens - now.roomTokens) >= minChangeShare * report.totalTokens
     if (!hasChanged && now.atMs - (lastSent?.atMs ?? 0) < resendMs) return
     lastSent = now
-    const { atMs: _atMs, ...room } = now
+    const room = { roomTokens, reads, waiting, senders: gateways.size, ...(heldMs > 0 ? { heldMs } : {}) }
     for (const gateway of gateways) gateway.send({ kind: MessageKind.EngineCapacity, workerId: entry.id, ...room })
   }
 
@@ -137,19 +193,28 @@
   const handlers: { [K in MessageKind]?: (connection: Connection, msg: MessageOf<K>) => void } = {
     [MessageKind.Admit]: (connection, msg) => { admit(connection, msg) },
     [MessageKind.Cancel]: (_connection, msg) => { packer.releaseUnstarted(msg.requestId) },
-    [MessageKind.PromptEvidence]: (_connection, { crashes, sound }) => relayEvidence({ crashes, sound }),
+    [MessageKind.PromptEvidence]: (_connection, { crashes, sound, leaving = [] }) => {
+      relayEvidence({ crashes, sound })
+      relayLeaving(leaving)
+    },
     [MessageKind.StreamEnded]: (_connection, msg) => { packer.recordEnd(msg.requestId, msg.whole) }
   }
 
   return {
     roomTokens: () => packer.freeTokens(timer.now()),
     gateways: () => gateways.size,
+    recordAnswer,
+    isHeld,
+    isLeaving,
     addGateway (connection) {
       gateways.add(connection)
       lastSent = undefined
       connection.onClose(() => { gateways.delete(connection) })
       const known = quarantine.snapshot(timer.now())
-      if (known !== undefined) connection.send({ kind: MessageKind.PromptEvidence, ...known })
+      const leaving = directory.fleet.leaving()
+      if (known !== undefined || leaving.length > 0) {
+        connection.send({ kind: MessageKind.PromptEvidence, ...(known ?? { crashes: [], sound: [] }), ...(leaving.length > 0 ? { leaving } : {}) })
+      }
       connection.onMessage((msg) => {
         const handle = handlers[msg.kind] as ((connection: Connection, msg: Message) => void) | undefined
         handle?.(connection, msg)
--- a/sidecar/_stage_task.ts
+++ b/sidecar/_stage_task.ts
@@ -8,7 +8,7 @@
 import type { ChooseStagesOptions } from '../core/balance/mod.ts'
 import type { Stage, WorkerEntry } from '../core/fleet/mod.ts'
 import type { Directory } from '../directory/mod.ts'
-import type { ExchangePool } from '../exchange/mod.ts'
+import type { ExchangePool, JsonResponse } from '../exchange/mod.ts'
 import type { Log } from '../log/mod.ts'
 import type { EngineReport } from '../platform/mod.ts'
 import type { Timer } from '../timer/mod.ts'
@@ -22,6 +22,10 @@
   timer: Timer
   log: Log
   balance: ChooseStagesOptions
+  /** Receives each answer of the engine to an order. */
+  onAnswer: (response: JsonResponse) => void
+  /** Tells whether the engine leaves, so that it gets no order. */
+  isLeaving: () => boolean
 }
 
 /** Orders the stage of one engine. */
@@ -48,7 +52,7 @@
   function findDueStage (entry: WorkerEntry, report: EngineReport): Stage | undefined {
     const engines = directory.fleet.serving(entry.service).map((worker) => worker.entry)
     const stage = chooseStages(engines, options.balance).get(entry.id)
-    if (stage === undefined || stage === report.stage || report.busy) {
+    if (stage === undefined || stage === report.stage || report.busy || options.isLeaving()) {
       dueSinceMs = undefined
       return undefined
     }
@@ -60,6 +64,7 @@
     const fence = createFence({ revision: directory.revision(), engineFence: refusedFence, incarnation: report.orders }).next()
     const call = buildOrderCall({ stage, holder: machine, fence, expectedOrders: report.orders, workerId: entry.id })
     const response = await callJson(entry.address, call, { pool, timer, timeoutMs: orderTimeoutMs })
+    if (response.ok) options.onAnswer(response.val)
     const result = response.err ? response.val.message : decodeOrderResult(response.val.status)
     if (result === OrderResult.Fenced) refusedFence = fence + fenceStep
     dueSinceMs = undefined
--- a/sidecar/start_sidecar.ts
+++ b/sidecar/start_sidecar.ts
@@ -12,7 +12,7 @@
 import type { PackerOptions } from '../core/packing/mod.ts'
 import type { WorkerEntry } from '../core/fleet/mod.ts'
 import type { Log } from '../log/mod.ts'
-import type { NodeSettings } from '../platform/mod.ts'
+import type { EngineReport, NodeSettings } from '../platform/mod.ts'
 import type { Timer } from '../timer/mod.ts'
 
 /** Configures a sidecar. */
@@ -69,9 +69,20 @@
   const { regions, zone, internalPort } = settings
   const readers = (): string[] => listStoreReaders({ fleet: directory.fleet, regions, zone, internalPort })
   const view = await shareView({ directory, timer, log, address: formatAddress(settings.ip, internalPort + viewPortOffset), readers })
-  const stages = createStageTask({ machine: settings.machine, directory, pool, timer, log, balance: options.stages })
   const packing = { ...options.packing, startMs }
-  const admission = createAdmissionTask({ directory, pool, timer, log, packing, isSwitching: () => stages.isSwitching() })
+  const admission = createAdmissionTask({
+    directory, pool, timer, log, packing, random, drainMs: settings.drainMs, isSwitching: () => stages.isSwitching()
+  })
+  const stages = createStageTask({
+    machine: settings.machine,
+    directory,
+    pool,
+    timer,
+    log,
+    balance: options.stages,
+    onAnswer: (response) => admission.recordAnswer(response),
+    isLeaving: () => admission.isLeaving()
+  })
   const listener = await listen({
     host: settings.ip, port: settings.internalPort, firstMessageTimeoutMs: 0, onConnection: (connection) => admission.addGateway(connection)
   })
@@ -95,15 +106,22 @@
     return directory.fleet.all().find(({ entry }) => entry.address === settings.workerAddress)?.entry
   }
 
+  /** Tells whether a report may be that of the incarnation of an entry. */
+  function isOf (entry: WorkerEntry, report: EngineReport | undefined): boolean {
+    return report === undefined || report.bornMs === 0 || report.bornMs === entry.bornMs
+  }
+
   async function readReport (): Promise<void> {
     const address = settings.workerAddress
     const entry = findOwnEntry()
-    if (address === undefined || entry === undefined || isReadingReport) return
+    if (address === undefined || entry === undefined || isReadingReport || admission.isHeld()) return
     isReadingReport = true
     const response = await callJson(address, buildReportCall(), { pool, timer, timeoutMs: reportTimeoutMs })
     const report = response.err ? undefined : decodeEngineReport(response.val.body)
     if (response.ok) admission.setLimit(decodeResponseHead(response.val.status, response.val.headers).limitPerS)
     if (report !== undefined) admission.onReport(entry, report)
+    // The report may be that of another incarnation than the entry, whose word the entry's is not.
+    if (response.ok && isOf(entry, report)) admission.recordAnswer(response.val, entry)
     if (report !== undefined && directory.hasReadStore()) await stages.onReport(entry, report)
     isReadingReport = false
   }
--- a/testing/fleuve/start_worker.ts
+++ b/testing/fleuve/start_worker.ts
@@ -75,8 +75,8 @@
   readonly address: string
   /** Lists the received requests, without the calls about memory, reports and orders. */
   listRequests (): ReceivedRequest[]
-  /** Lists the calls about memory, reports and orders: method and path, and the body. */
-  listControlCalls (): Array<{ call: string, body: string }>
+  /** Lists the calls about memory, reports and orders: method and path, the body, and the time in milliseconds on the monotonic clock. */
+  listControlCalls (): Array<{ call: string, body: string, receivedMs: number }>
   /** Returns the number of bytes sent on all connections that have closed or are open. */
   sentBytes (): number
   /** Sets the modes of the next requests, one each; the last one stays. */
@@ -91,6 +91,14 @@
   resetAfterEvent (event: number, times: number): void
   /** Sets the limit in requests per second that the worker names in its responses; undefined for none. */
   setLimit (perS: number | undefined): void
+  /** Sets the time in milliseconds that a plain worker takes for a response. */
+  setResponseMs (ms: number): void
+  /** Sets whether the worker says in its answers that it leaves. */
+  setLeaving (isLeaving: boolean): void
+  /** Makes the worker turn requests and reservations away with status 503 and this header `Retry-After`; undefined ends that. */
+  setRetryAfter (text: string | undefined): void
+  /** Lists the times in milliseconds on the monotonic clock at which requests were turned away with a `Retry-After`, and its values. */
+  listTurnedAway (): Array<{ atMs: number, text: string }>
   /** Makes an engine crash under a part of a prompt; undefined ends that. */
   setPromptCrash (crash: PromptCrash | undefined): void
   /** Sets the time in milliseconds that a prefill takes. */
@@ -136,7 +144,8 @@
 export async function startWorker (options: FakeWorkerOptions): Promise<FakeWorker> {
   const { id, service, zone = 'levis', events = 3, eventMs = 5, eventBytes = 0 } = options
   const requests: ReceivedRequest[] = []
-  const controlCalls: Array<{ call: string, body: string }> = []
+  const controlCalls: Array<{ call: string, body: string, receivedMs: number }> = []
+  const turnedAway: Array<{ atMs: number, text: string }> = []
   let modes: WorkerMode[] = [WorkerMode.Good]
   let resumeMode: WorkerMode | undefined
   let stage = options.stage
@@ -146,17 +155,30 @@
   let prefillMs = 0
   let reset = { event: 0, times: 0 }
   let limitPerS: number | undefined
+  let responseMs = 0
+  let isLeaving = false
+  let retryAfter: string | undefined
   let promptCrash: PromptCrash | undefined
   let born = 1
   const running = new Set<string>()
   const sockets = new Set<Socket>()
 
-  function limitHeaders (): Record<string, string> {
-    return limitPerS === undefined ? {} : { 'Server-Limit': String(limitPerS) }
+  /** Returns the headers in which the worker speaks of itself. */
+  function wordHeaders (): Record<string, string> {
+    return { ...(limitPerS === undefined ? {} : { 'Server-Limit': String(limitPerS) }), ...(isLeaving ? { 'Server-Leaving': '1' } : {}) }
+  }
+
+  function turnAway (req: IncomingMessage, res: ServerResponse, text: string): void {
+    turnedAway.push({ atMs: performance.now(), text })
+    const id = req.headers['x-request-id']
+    res.writeHead(503, {
+      'X-Not-Executed': '1', 'Retry-After': text, 'Content-Length': 0, ...(id === undefined ? {} : { 'X-Request-Id': String(id) }), ...wordHeaders()
+    })
+    res.end()
   }
 
   function createHeaders (req: IncomingMessage, extra: object = {}): Record<string, string> {
-    return { 'X-Request-Id': String(req.headers['x-request-id']), 'X-Server-Seal': `seal-${id}`, ...limitHeaders(), ...extra }
+    return { 'X-Request-Id': String(req.headers['x-request-id']), 'X-Server-Seal': `seal-${id}`, ...wordHeaders(), ...extra }
   }
 
   function writeRaw (socket: Socket, req: IncomingMessage, lines: string[], body: string): void {
@@ -166,11 +188,16 @@
 
   const responders: { readonly [K in WorkerMode]: (req: IncomingMessage, res: ServerResponse) => void } = {
     [WorkerMode.Good]: (req, res) => {
-      res.writeHead(200, createHeaders(req, { 'Content-Length': responseText.length }))
-      res.end(responseText)
+      const respond = (): void => {
+        res.writeHead(200, createHeaders(req, { 'Content-Length': responseText.length }))
+        res.end(responseText)
+      }
+      if (responseMs > 0) setTimeout(respond, responseMs)
+      else respond()
     },
     [WorkerMode.Full]: (req, res) => {
-      res.writeHead(503, { 'X-Not-Executed': '1', 'X-Request-Id': String(req.headers['x-request-id']), 'Content-Length': 0 })
+      const id = String(req.headers['x-request-id'])
+      res.writeHead(503, { 'X-Not-Executed': '1', 'X-Request-Id': id, 'Content-Length': 0, ...wordHeaders() })
       res.end()
     },
     [WorkerMode.FullWithoutId]: (_req, res) => {
@@ -289,7 +316,7 @@
 
   function sendJson (res: ServerResponse, status: number, body: object): void {
     const text = JSON.stringify(body)
-    res.writeHead(status, { 'Content-Type': 'application/json', 'Content-Length': text.length, ...limitHeaders() })
+    res.writeHead(status, { 'Content-Type': 'application/json', 'Content-Length': text.length, ...wordHeaders() })
     res.end(text)
   }
 
@@ -321,12 +348,14 @@
       const body = Buffer.concat(chunks).toString()
       const call = `${req.method} ${req.url}`
       if (req.url?.startsWith('/v1/')) {
-        controlCalls.push({ call, body })
+        controlCalls.push({ call, body, receivedMs: performance.now() })
+        if (retryAfter !== undefined && call === 'POST /v1/hold-take') return turnAway(req, res, retryAfter)
         return (controlHandlers[call] ?? ((response: ServerResponse) => sendJson(response, 200, {})))(res, body)
       }
       const request: ReceivedRequest = { method: req.method ?? '', path: req.url ?? '', headers: req.headers, body, isAborted: false, receivedMs: performance.now() }
       requests.push(request)
       res.on('close', () => { request.isAborted = !res.writableFinished })
+      if (retryAfter !== undefined) return turnAway(req, res, retryAfter)
       const mode = modes.length > 1 ? modes.shift() as WorkerMode : modes[0] as WorkerMode
       if (resumeMode !== undefined && req.headers['last-event-id'] !== undefined) return responders[resumeMode](req, res)
       if (mode !== WorkerMode.Good || stage === undefined) return responders[mode](req, res)
@@ -354,6 +383,10 @@
     setReservableTokens (tokens) { memoryTokens = tokens },
     resetAfterEvent (event, times) { reset = { event, times } },
     setLimit (perS) { limitPerS = perS },
+    setResponseMs (ms) { responseMs = ms },
+    setLeaving (next) { isLeaving = next },
+    setRetryAfter (text) { retryAfter = text },
+    listTurnedAway: () => turnedAway,
     setPromptCrash (next) { promptCrash = next },
     setPrefillMs (ms) { prefillMs = ms },
     setStage (next) { stage = next as 'prefill' | 'decode' },
--- a/wire/_message_checks.ts
+++ b/wire/_message_checks.ts
@@ -5,6 +5,7 @@
 import {
   isAmount, isBytes, isCount, isBoolean, isMap, isName, isString, isStringMap, listOf, nullable, oneOf, optional, shape
 } from './_checks.ts'
+import type { LeavingWorker } from '../core/fleet/mod.ts'
 import type { CrashObservation } from '../core/quarantine/mod.ts'
 import type { AttemptRef } from '../core/types/mod.ts'
 import type { ConfigChange } from '../source/mod.ts'
@@ -27,6 +28,7 @@
   caller: isName, requests: isAmount, tokens: isAmount, concurrency: isAmount, waiting: isAmount
 })
 const isCrash = shape<CrashObservation>({ crash: isName, parts: listOf(isName), ageMs: isAmount })
+const isLeaving = shape<LeavingWorker>({ id: isName, bornMs: isAmount })
 
 /** The check for each field of each kind of message; `kind` itself selects the entry. */
 export const messageChecks: { [K in MessageKind]: FieldChecks<K> } = {
@@ -141,8 +143,8 @@
   },
   [MessageKind.Admitted]: { ...attempt, hold: isName },
   [MessageKind.StreamEnded]: { ...attempt, whole: isBoolean },
-  [MessageKind.EngineCapacity]: { workerId: isName, roomTokens: isAmount, reads: isBoolean, waiting: isAmount, senders: isCount },
-  [MessageKind.PromptEvidence]: { crashes: listOf(isCrash), sound: listOf(isName) },
+  [MessageKind.EngineCapacity]: { workerId: isName, roomTokens: isAmount, reads: isBoolean, waiting: isAmount, senders: isCount, heldMs: optional(isAmount) },
+  [MessageKind.PromptEvidence]: { crashes: listOf(isCrash), sound: listOf(isName), leaving: optional(listOf(isLeaving)) },
   [MessageKind.Status]: {},
   [MessageKind.StatusReply]: { status: isMap },
   [MessageKind.Explain]: { requestId: isName },
--- a/wire/pack_messages.ts
+++ b/wire/pack_messages.ts
@@ -1,6 +1,7 @@
 /**
  * The messages between gateways and the sidecars of engines, by which streams are admitted to an engine's memory.
  */
+import type { LeavingWorker } from '../core/fleet/mod.ts'
 import type { PromptEvidence } from '../core/quarantine/mod.ts'
 import type { AttemptRef } from '../core/types/mod.ts'
 import type { MessageKind } from './message_kind.ts'
@@ -48,9 +49,13 @@
   waiting: number
   /** Number of processes that send requests to the engine. */
   senders: number
+  /** Time in milliseconds for which the engine still wants no requests; absent when it takes some. */
+  heldMs?: number
 }
 
-/** Tells of crashes of engines and of prompts that did not cause them; sidecars pass it on to the gateways that are connected. */
+/** Tells of crashes of engines, of prompts that did not cause them, and of workers that leave; sidecars pass it on to the gateways that are connected. */
 export interface PromptEvidenceMessage extends PromptEvidence {
   kind: MessageKind.PromptEvidence
+  /** Incarnations of workers that have said in an answer that they leave; a hint. */
+  leaving?: LeavingWorker[]
 }
