Share the hold of a worker among its incarnations, and test what sidecars do with workers' words

A sidecar that holds its engine back says `limit_exceeded` with the time that is left, where it said `draining`.

Sidecars: no call while held, told words passed on once and to later gateways, no order to an engine that leaves.

--- a/core/fleet/_types.ts
+++ b/core/fleet/_types.ts
@@ -75,8 +75,8 @@
   bornMs: number
   /** Time in milliseconds at which this process learned from an answer that the worker leaves. */
   leavingSinceMs?: number
-  /** Holds requests back while the worker wants none; absent before it has said so. */
-  hold?: Hold
+  /** Holds requests back while the worker wants none; all incarnations share it. */
+  hold: Hold
 }
 
 /** Describes a worker with what this process has measured of it. */
--- a/core/fleet/check_send.ts
+++ b/core/fleet/check_send.ts
@@ -81,7 +81,7 @@
   const hasLeft = word.leavingSinceMs !== undefined && nowMs >= word.leavingSinceMs + drainMs
   if (hasLeft) return { rank: SendRank.Never, reason: HoldReason.Leaving, untilMs: Infinity }
   if (quarantineMs > 0) return { rank: SendRank.Never, reason: HoldReason.Quarantine, untilMs: nowMs + quarantineMs }
-  const holdMs = hasPlace ? (word.hold?.untilMs() ?? -Infinity) - nowMs : word.hold?.delayMs(nowMs) ?? 0
+  const holdMs = hasPlace ? word.hold.untilMs() - nowMs : word.hold.delayMs(nowMs)
   if (holdMs > 0) return { rank: SendRank.Held, reason: HoldReason.RetryAfter, untilMs: nowMs + holdMs }
   if (hasPlace) return { rank: SendRank.Open, untilMs: nowMs }
   const toldMs = worker.capacity?.heldUntilMs ?? -Infinity
--- a/core/fleet/create_fleet.ts
+++ b/core/fleet/create_fleet.ts
@@ -66,7 +66,8 @@
   function getWord (id: string, bornMs: number): WorkerWord {
     const known = words.get(id)
     if (known !== undefined && bornMs <= known.bornMs) return known
-    const word: WorkerWord = { bornMs }
+    // The hold is that of all incarnations, since a later one may answer before its entry is known.
+    const word: WorkerWord = { bornMs, hold: known?.hold ?? createHold() }
     words.delete(id)
     words.set(id, word)
     for (const oldest of words.keys()) {
@@ -108,8 +109,7 @@
     leaving: () => [...words].flatMap(([id, { bornMs, leavingSinceMs }]) => leavingSinceMs === undefined ? [] : [{ id, bornMs }]),
     hold ({ word }, forMs, nowMs, random) {
       const boundedMs = Math.min(maxHoldMs, forMs)
-      word.hold ??= createHold(random)
-      word.hold.extend(nowMs + boundedMs)
+      word.hold.extend(nowMs + boundedMs, random())
       return boundedMs
     }
   }
--- a/core/fleet/get_send_delay_ms.ts
+++ b/core/fleet/get_send_delay_ms.ts
@@ -18,5 +18,5 @@
  * ```
  */
 export function getSendDelayMs (worker: Worker, nowMs: number): number {
-  return Math.max(worker.pacer?.delayMs(nowMs) ?? 0, worker.word.hold?.delayMs(nowMs) ?? 0)
+  return Math.max(worker.pacer?.delayMs(nowMs) ?? 0, worker.word.hold.delayMs(nowMs))
 }
--- a/core/fleet/take_send_place.ts
+++ b/core/fleet/take_send_place.ts
@@ -18,5 +18,5 @@
  * ```
  */
 export function takeSendPlace (worker: Worker, nowMs: number): number {
-  return Math.max(worker.pacer?.take(nowMs) ?? 0, worker.word.hold?.take(nowMs) ?? 0)
+  return Math.max(worker.pacer?.take(nowMs) ?? 0, worker.word.hold.take(nowMs))
 }
--- a/gateway/_reserve_memory.ts
+++ b/gateway/_reserve_memory.ts
@@ -132,7 +132,7 @@
   const { rank } = checkWorker(context, worker)
   if (rank >= SendRank.Held) return Err(RefusalCode.LimitExceeded)
   // The stream goes to the engine from here, so it takes a place after the end of a hold, whoever reserves the memory.
-  worker.word.hold?.take(context.timer.now())
+  worker.word.hold.take(context.timer.now())
   if (!context.sidecars.isConnected(worker)) {
     // A connected sidecar keeps the limit of its engine for all gateways.
     if (rank === SendRank.Delayed) return Err(RefusalCode.LimitExceeded)
--- a/gateway/start_gateway.ts
+++ b/gateway/start_gateway.ts
@@ -85,7 +85,7 @@
       requests_in_flight: () => clientServer.inFlight(),
       limited_workers: () => directory.fleet.all().filter((worker) => worker.pacer !== undefined).length,
       leaving_workers: () => directory.fleet.all().filter((worker) => worker.word.leavingSinceMs !== undefined).length,
-      held_workers: () => directory.fleet.all().filter((worker) => (worker.word.hold?.untilMs() ?? -Infinity) > timer.now()).length,
+      held_workers: () => directory.fleet.all().filter((worker) => worker.word.hold.untilMs() > timer.now()).length,
       quarantines: () => promptGuard.quarantines(),
       log_lines_dropped: () => options.droppedLines?.() ?? 0
     },
--- a/sidecar/_admission_task.ts
+++ b/sidecar/_admission_task.ts
@@ -91,13 +91,12 @@
       connection.send({ kind: MessageKind.Refused, requestId, attempt, code, retryAfterMs })
     }
     if (entry === undefined || entry.id !== msg.workerId) return refuse(RefusalCode.Stale)
-    if (!canGenerate()) return refuse(RefusalCode.Draining)
-    const request = { requestId, promptTokens, maxTokens }
-    if (msg.reads && prefillingUntilMs > timer.now()) return refuse(RefusalCode.TargetMissed)
     const worker = own()
     const verdict = worker === undefined ? undefined : checkSend(worker, { nowMs: timer.now(), drainMs: options.drainMs })
     if (verdict?.rank === SendRank.Held) return refuse(RefusalCode.LimitExceeded, verdict.untilMs - timer.now())
-    if (verdict?.reason === HoldReason.Leaving && verdict.rank === SendRank.Never) return refuse(RefusalCode.Draining)
+    if (!canGenerate() || (verdict?.reason === HoldReason.Leaving && verdict.rank === SendRank.Never)) return refuse(RefusalCode.Draining)
+    const request = { requestId, promptTokens, maxTokens }
+    if (msg.reads && prefillingUntilMs > timer.now()) return refuse(RefusalCode.TargetMissed)
     if (pacer !== undefined && pacer.delayMs(timer.now()) > 0) return refuse(RefusalCode.LimitExceeded)
     if (!packer.admit(likelyTokens === undefined ? request : { ...request, likelyTokens }, timer.now())) return refuse(RefusalCode.NoCapacity)
     pacer?.take(timer.now())
@@ -121,7 +120,7 @@
   }
 
   function isHeld (): boolean {
-    return (own()?.word.hold?.untilMs() ?? -Infinity) > timer.now()
+    return (own()?.word.hold.untilMs() ?? -Infinity) > timer.now()
   }
 
   function isLeaving (): boolean {
@@ -171,7 +170,7 @@
     const waiting = report.waiting + (report.stage === Stage.Prefill ? report.running : 0)
     const roomTokens = canGenerate() ? Math.max(0, Math.floor(packer.freeTokens(timer.now()))) : 0
     const reads = report.stage === Stage.Prefill && !report.busy && !options.isSwitching()
-    const heldUntilMs = own()?.word.hold?.untilMs() ?? -Infinity
+    const heldUntilMs = own()?.word.hold.untilMs() ?? -Infinity
     const heldMs = Math.max(0, heldUntilMs - timer.now())
     const now = { roomTokens, reads, waiting, senders: gateways.size, heldUntilMs, atMs: timer.now() }
     const hasChanged = lastSent === undefined || lastSent.reads !== reads ||
--- a/sidecar/sidecar.feature
+++ b/sidecar/sidecar.feature
@@ -42,3 +42,36 @@
     Then the sidecar admits 1 of 8 streams that come at once, and refuses the others for "limit_exceeded"
     When the engine of the sidecar no longer limits its rate
     Then the sidecar admits 8 of 8 streams that come at once, and refuses the others for "limit_exceeded"
+
+  # Guards against calls that reach an engine while it wants none from this machine.
+  Scenario: A sidecar makes no call to an engine that turns a reservation away, for the time that the engine names
+    Given a sidecar beside an engine of 100000 tokens with the stage "decode"
+    When the engine of the sidecar turns reservations away with the Retry-After "1.5"
+    Then the sidecar admits 0 of 4 streams that come at once, and refuses the others for "no_capacity, limit_exceeded"
+    And the sidecar gives its gateways a hold of 1000 to 1500 ms
+    When 1400 ms pass at the sidecar
+    Then the sidecar engine got at most 2 calls in the time in which it wanted none
+    When the engine of the sidecar takes reservations again
+    Then the sidecar admits streams to the engine within 1000 ms
+
+  # Guards against gateways that go on sending to an engine of whose leaving only its sidecar knows.
+  Scenario: A sidecar whose engine says in a report that it leaves tells its gateways, also one that connects later
+    Given a sidecar beside an engine of 100000 tokens with the stage "decode"
+    And a gateway that is connected to the sidecar
+    When the engine of the sidecar says that it leaves
+    Then the sidecar tells its gateways within 300 ms that "i-5" leaves
+    When another gateway connects to the sidecar
+    Then the sidecar tells its gateways within 300 ms that "i-5" leaves
+
+  Scenario: A sidecar passes on what one gateway tells of a worker that leaves, once
+    Given a sidecar beside an engine of 100000 tokens with the stage "decode"
+    And a gateway that is connected to the sidecar
+    When another gateway connects to the sidecar
+    And that gateway tells the sidecar 3 times that "i-9" leaves
+    Then the sidecar tells its gateways within 300 ms that "i-9" leaves
+    And the sidecar has told each gateway 1 times of "i-9"
+
+  Scenario: A sidecar gives no order to an engine that leaves
+    Given a sidecar beside an engine of 1000 tokens with the stage "prefill" among 5 engines of which 2 prefill
+    When the engine of the sidecar says that it leaves
+    Then the sidecar sends 0 orders within 2500 ms
