Play several gateways whose workers want no requests in turns, and explain the refusal

Four gateways get requests for 8 s, about 190 a second in all, half of which must not be repeated; six plain workers take 150 ms, and half of them turn requests away with a `Retry-After` in turns of 1.5 s.

--- a/gateway/worker_retry_after.feature
+++ b/gateway/worker_retry_after.feature
@@ -76,6 +76,13 @@
     Then each gateway worker got at most 2 requests in a time in which it wanted none
     And the gateway responses from number 4 on are 503 "worker_retry_after" within 60 ms, with a Retry-After that ends 0 to 600 ms after the first hold
 
+  # Guards against a load that goes on to workers in need, where those that are left are slower than a refusal.
+  Scenario: Several gateways serve nearly all while half of the workers want no requests in turns
+    Given a gateway site with the plain workers "a, b, c, d, e, f"
+    And gateway workers that take 150 ms for a response
+    When 4 gateways get 50 requests a second each for 8 s, while half of their workers turn requests away in turns of 1500 ms
+    Then at least 95 of 100 of the requests at these gateways are served, none takes longer than 600 ms, and no gateway sends more than 2 in a time in which a worker wants none
+
   Scenario: The choice is counted and logged with its reason
     Given a gateway site with metrics and the plain workers "a, b"
     And a gateway worker "a" that turns requests away with the Retry-After "2"
--- a/gateway/worker_word_test.ts
+++ b/gateway/worker_word_test.ts
@@ -60,6 +60,10 @@
   workerOf(this, id).setResponseMs(ms)
 })
 
+Given('gateway workers that take {int} ms for a response', function (this: World, ms: number) {
+  for (const worker of this.gatewaySite.workers.values()) worker.setResponseMs(ms)
+})
+
 When('the gateway worker {string} takes requests again', function (this: World, id: string) { workerOf(this, id).setRetryAfter(undefined) })
 
 When('the gateway worker {string} says that it leaves', function (this: World, id: string) {
--- a/testing/fleuve/start_worker.ts
+++ b/testing/fleuve/start_worker.ts
@@ -95,10 +95,16 @@
   setResponseMs (ms: number): void
   /** Sets whether the worker says in its answers that it leaves. */
   setLeaving (isLeaving: boolean): void
-  /** Makes the worker turn requests and reservations away with status 503 and this header `Retry-After`; undefined ends that. */
-  setRetryAfter (text: string | undefined): void
-  /** Lists the times in milliseconds on the monotonic clock at which requests were turned away with a `Retry-After`, and its values. */
-  listTurnedAway (): Array<{ atMs: number, text: string }>
+  /**
+   * Makes the worker turn requests and reservations away with status 503 and this header `Retry-After`, or one that a function returns;
+   * undefined ends that.
+   */
+  setRetryAfter (text: string | (() => string) | undefined): void
+  /**
+   * Lists the times in milliseconds on the monotonic clock at which requests were turned away with a `Retry-After`, its values, and the
+   * header `X-Origin` of the requests.
+   */
+  listTurnedAway (): Array<{ atMs: number, text: string, origin: string | undefined }>
   /** Makes an engine crash under a part of a prompt; undefined ends that. */
   setPromptCrash (crash: PromptCrash | undefined): void
   /** Sets the time in milliseconds that a prefill takes. */
@@ -145,7 +151,7 @@
   const { id, service, zone = 'levis', events = 3, eventMs = 5, eventBytes = 0 } = options
   const requests: ReceivedRequest[] = []
   const controlCalls: Array<{ call: string, body: string, receivedMs: number }> = []
-  const turnedAway: Array<{ atMs: number, text: string }> = []
+  const turnedAway: Array<{ atMs: number, text: string, origin: string | undefined }> = []
   let modes: WorkerMode[] = [WorkerMode.Good]
   let resumeMode: WorkerMode | undefined
   let stage = options.stage
@@ -157,7 +163,7 @@
   let limitPerS: number | undefined
   let responseMs = 0
   let isLeaving = false
-  let retryAfter: string | undefined
+  let retryAfter: (() => string) | undefined
   let promptCrash: PromptCrash | undefined
   let born = 1
   const running = new Set<string>()
@@ -169,7 +175,7 @@
   }
 
   function turnAway (req: IncomingMessage, res: ServerResponse, text: string): void {
-    turnedAway.push({ atMs: performance.now(), text })
+    turnedAway.push({ atMs: performance.now(), text, origin: req.headers['x-origin'] as string | undefined })
     const id = req.headers['x-request-id']
     res.writeHead(503, {
       'X-Not-Executed': '1', 'Retry-After': text, 'Content-Length': 0, ...(id === undefined ? {} : { 'X-Request-Id': String(id) }), ...wordHeaders()
@@ -349,13 +355,13 @@
       const call = `${req.method} ${req.url}`
       if (req.url?.startsWith('/v1/')) {
         controlCalls.push({ call, body, receivedMs: performance.now() })
-        if (retryAfter !== undefined && call === 'POST /v1/hold-take') return turnAway(req, res, retryAfter)
+        if (retryAfter !== undefined && call === 'POST /v1/hold-take') return turnAway(req, res, retryAfter())
         return (controlHandlers[call] ?? ((response: ServerResponse) => sendJson(response, 200, {})))(res, body)
       }
       const request: ReceivedRequest = { method: req.method ?? '', path: req.url ?? '', headers: req.headers, body, isAborted: false, receivedMs: performance.now() }
       requests.push(request)
       res.on('close', () => { request.isAborted = !res.writableFinished })
-      if (retryAfter !== undefined) return turnAway(req, res, retryAfter)
+      if (retryAfter !== undefined) return turnAway(req, res, retryAfter())
       const mode = modes.length > 1 ? modes.shift() as WorkerMode : modes[0] as WorkerMode
       if (resumeMode !== undefined && req.headers['last-event-id'] !== undefined) return responders[resumeMode](req, res)
       if (mode !== WorkerMode.Good || stage === undefined) return responders[mode](req, res)
@@ -385,7 +391,7 @@
     setLimit (perS) { limitPerS = perS },
     setResponseMs (ms) { responseMs = ms },
     setLeaving (next) { isLeaving = next },
-    setRetryAfter (text) { retryAfter = text },
+    setRetryAfter (text) { retryAfter = typeof text === 'string' ? () => text : text },
     listTurnedAway: () => turnedAway,
     setPromptCrash (next) { promptCrash = next },
     setPrefillMs (ms) { prefillMs = ms },
