--- a/gateway/_prepare_attempt.ts
+++ b/gateway/_prepare_attempt.ts
@@ -71,11 +71,11 @@
 }
 
 function logReservation (context: GatewayContext, request: ClientRequest, reservation: Reservation, waitedMs: number): void {
-  const { worker, prefillEngine, tokens } = reservation
+  const { worker, prefillEngine, tokens, held } = reservation
   const capacityFields = worker.capacity === undefined
     ? {}
     : { roomTokens: worker.capacity.freeTokens, roomAgeMs: Math.round(context.timer.now() - worker.capacity.receivedAtMs) }
   context.log.info({
-    request: request.requestId, worker: worker.entry.id, reader: prefillEngine?.entry.id, tokens, waitedMs: Math.round(waitedMs), ...capacityFields
+    request: request.requestId, worker: worker.entry.id, reader: prefillEngine?.entry.id, tokens, waitedMs: Math.round(waitedMs), held, ...capacityFields
   }, 'reserved')
 }
--- a/gateway/_serve_generation.ts
+++ b/gateway/_serve_generation.ts
@@ -1,11 +1,13 @@
 /**
  * Serves generations: reserves memory at a decode engine, then has the prompt prefilled, then forwards the stream.
  */
+import { Stage, stageOf } from '../core/fleet/mod.ts'
 import { createEventSplitter } from '../core/stream/mod.ts'
 import { Count } from '../metrics/mod.ts'
 import { forwardStream, StreamEnd } from './_forward_stream.ts'
 import { prepareAttempt, releaseAttempt } from './_prepare_attempt.ts'
-import { reserveAtEngine } from './_reserve_memory.ts'
+import { areAllHeld, reserveAtEngine } from './_reserve_memory.ts'
+import { getReturnMs } from './_send_to_worker.ts'
 import { StopReason } from './_types.ts'
 import type { EventSplitter } from '../core/stream/mod.ts'
 import type { Worker } from '../core/fleet/mod.ts'
@@ -40,7 +42,7 @@
   for (;;) {
     if (prepared === undefined) {
       const result = await prepareAttempt(context, request, { exclude: state.exclude, takesRetry: false })
-      if (result.err) return failRequest(context, request, state, result.val)
+      if (result.err) return failRequest(context, request, state, result.val === 'no_memory' ? findRefusalReason(context, request) : result.val)
       prepared = result.val
     }
     const { reservation: { worker }, kvCache, holdMs, prefillMs } = prepared
@@ -126,9 +128,20 @@
   return failure
 }
 
+function listDecodeEngines (context: GatewayContext, request: ClientRequest): Worker[] {
+  return context.directory.fleet.serving(request.service.name).filter((worker) => stageOf(worker) !== Stage.Prefill)
+}
+
+/** Returns why no engine has reserved memory. */
+function findRefusalReason (context: GatewayContext, request: ClientRequest): string {
+  const engines = listDecodeEngines(context, request)
+  return areAllHeld(context, engines) && getReturnMs(context, engines) !== undefined ? 'worker_retry_after' : 'no_memory'
+}
+
 /** Returns the delay in milliseconds after which a client may retry a request that failed for the given reason. */
 function getRetryAfterMs (context: GatewayContext, request: ClientRequest, reason: string): number {
   if (reason === 'no_memory') return getMemoryRetryMs(context, request)
+  if (reason === 'worker_retry_after') return getReturnMs(context, listDecodeEngines(context, request)) ?? retryAfterMs
   return Math.round(context.promptGuard.find(request.head.sharedParts)?.remainingMs ?? retryAfterMs)
 }
 
--- a/metrics/create_prometheus_metrics.ts
+++ b/metrics/create_prometheus_metrics.ts
@@ -37,6 +37,8 @@
   StreamsSilent = 'streams_silent_total',
   /** Crashes of engines just after a request had begun, as this process observed them, by service. */
   EngineCrashes = 'engine_crashes_total',
+  /** Workers that a choice held back, by service and reason. */
+  SendsHeld = 'sends_held_total',
   /** Calls to the configuration store, by result. */
   StoreReads = 'store_reads_total',
   /** Connections of clients that closed while a request had no complete response, by the side that closed them. */
@@ -54,6 +56,7 @@
   [Count.StreamsLost]: ['phase'],
   [Count.StreamsSilent]: ['service'],
   [Count.EngineCrashes]: ['service'],
+  [Count.SendsHeld]: ['service', 'reason'],
   [Count.StoreReads]: ['result'],
   [Count.Unanswered]: ['closed_by'],
   [Count.RecordsPassedOver]: ['reason']
@@ -68,6 +71,7 @@
   [Count.StreamsLost]: 'Streams of engines that broke, by phase',
   [Count.StreamsSilent]: 'Silences of streams that may resume elsewhere, by service',
   [Count.EngineCrashes]: 'Crashes of engines just after a request had begun, by service',
+  [Count.SendsHeld]: 'Workers that the choice for a request held back, by service and reason',
   [Count.StoreReads]: 'Calls to the store by result',
   [Count.Unanswered]: 'Requests whose connection closed before their response was complete, by the side that closed it',
   [Count.RecordsPassedOver]: 'Records of the store without effect, by reason',
