Serve the requests of a connection one by one, and end those that cannot be completed

Cause: bad bytes always waited for the response that was due, also when that response waited for these bytes; and requests behind one without a response were served at once.

A request is served when those before it have their responses, and not at all behind the last one. A client that ends its side inside a message has left. A body that cannot be completed is refused at once.

--- a/entry/_http_server.ts
+++ b/entry/_http_server.ts
@@ -90,15 +90,16 @@
   const connections = manageConnections(server, { timer, log, idleTimeoutMs: keepAliveTimeoutMs })
   server.on('request', (req, res) => {
     const requestId = options.nextRequestId()
-    const admitted = connections.admit({ req, res, requestId }, ({ requestId: request, ...fields }) => {
-      log.warn({ request, ...fields }, 'closed without a complete response')
-    })
-    if (!admitted) return
     res.on('error', () => {})
-    serve(req, res, requestId).catch((err: unknown) => {
-      options.onHandlerError(requestId, err)
-      if (res.headersSent) res.destroy()
-      else sendRefusal(res, createHandlerError())
+    connections.admit({ req, res, requestId }, {
+      serve () {
+        serve(req, res, requestId).catch((err: unknown) => {
+          options.onHandlerError(requestId, err)
+          if (res.headersSent) res.destroy()
+          else sendRefusal(res, createHandlerError())
+        })
+      },
+      onUnanswered: ({ requestId: request, ...fields }) => log.warn({ request, ...fields }, 'closed without a complete response')
     })
   })
   return new Promise((resolve) => {
--- a/gateway/_client_server.ts
+++ b/gateway/_client_server.ts
@@ -74,8 +74,13 @@
     const head = decodeRequestHead(req.rawHeaders)
     const reply = createReply(res, head.requestId)
     const version = directory.routeTable()?.version
-    const onUnanswered = (unanswered: UnansweredRequest): void => logUnanswered(unanswered, reply, version)
-    if (!connections.admit({ req, res, requestId: head.requestId }, onUnanswered)) return
+    connections.admit({ req, res, requestId: head.requestId }, {
+      serve: () => begin(req, res, head, reply),
+      onUnanswered: (unanswered) => logUnanswered(unanswered, reply, version)
+    })
+  }
+
+  function begin (req: IncomingMessage, res: ServerResponse, head: RequestHead, reply: Reply): void {
     inFlight++
     openResponses.add(res)
     res.once('close', () => {
--- a/gateway/client_connections.feature
+++ b/gateway/client_connections.feature
@@ -14,6 +14,7 @@
       | what                     |
       | no protocol              |
       | a large header           |
+      | the method CONNECT       |
 
   Scenario: A request that is completed behind the refusal of its head does not run
     When a raw gateway client writes half a head
@@ -22,6 +23,34 @@
     And 300 ms pass at the gateway
     Then the gateway workers saw 0 requests
 
+  Scenario: Requests that arrive together are answered in their order, each once
+    When a raw gateway client writes 3 requests at once
+    Then the raw gateway client gets 3 responses with 200 within 2000 ms
+    And the gateway workers saw 3 requests
+
+  Scenario: A request behind the last response of its connection does not run
+    Given gateway workers that are "slow"
+    When the gateway is stopped
+    And a raw gateway client writes 2 requests at once
+    Then the raw gateway client gets 1 response with 200 within 2000 ms
+    And the connection of the raw gateway client ends without a reset
+    And the gateway workers saw 1 requests
+
+  Scenario: A client that leaves inside its next request is noticed
+    Given gateway workers that are "hang"
+    When a raw gateway client writes a request and 50 ms later half a head, and ends its side
+    Then the request at the gateway worker is aborted within 400 ms
+
+  Scenario Outline: A body that cannot be completed is refused at once when <what>
+    When a raw gateway client writes a head whose body <what>
+    Then the connection of the raw gateway client ends within 400 ms, with the statuses "<statuses>"
+    And the gateway workers saw 0 requests
+
+    Examples:
+      | what             | statuses |
+      | has a bad chunk  | 400      |
+      | ends in its midst |          |
+
   Scenario Outline: A refusal reaches a client that still sends <what>
     When a raw gateway client writes <what> and 100 ms later the rest, before it reads
     Then the raw gateway client gets 1 response with <status> within 1500 ms
--- a/gateway/unexpected_errors.feature
+++ b/gateway/unexpected_errors.feature
@@ -8,6 +8,6 @@
 
     Examples:
       | what                                            | ms   |
-      | the accounting of requests throws               | 300  |
+      | the accounting of requests throws               | 700  |
       | a reservation is never answered                 | 1200 |
-      | the head of the worker's response is not usable | 300  |
+      | the head of the worker's response is not usable | 700  |
