Count a page whose last key is not above the one before as a failed call

The next page begins after the last key, so an item with another key than its own could have had the same pages read again and again. The last key must now be above that of the page before, in the order of bytes; else the call has failed and is tried again after its delay.

--- a/directory/_follow_prefix.ts
+++ b/directory/_follow_prefix.ts
@@ -99,8 +99,11 @@
       firstRevision ??= page.revision
       changes.push(...page.changes)
       if (!page.more) break
-      // A page without a new key has no next one that could be named.
-      if (page.lastKey === undefined || page.lastKey === afterKey) return fail(`GET ${address}: a page after "${afterKey ?? ''}" has no key`) ?? false
+      // A page whose last key is not above that of the page before names no next one.
+      if (page.lastKey === undefined || !isAbove(page.lastKey, afterKey)) {
+        fail(`GET ${address}${buildRangeCall(prefix, afterKey).path}: the last key is "${page.lastKey ?? ''}"`)
+        return false
+      }
       afterKey = page.lastKey
     }
     hasRead = true
@@ -140,3 +143,8 @@
     }
   }
 }
+
+/** Tells whether a key comes after another one in the order of the store, that of their bytes. */
+function isAbove (key: string, other: string | undefined): boolean {
+  return other === undefined || Buffer.compare(Buffer.from(key), Buffer.from(other)) > 0
+}
--- a/directory/share_view.feature
+++ b/directory/share_view.feature
@@ -65,3 +65,11 @@
     When 300 ms pass at the view
     And version 2 and the worker "i-1" are written to the view stores
     Then all view processes know version 2 and the worker "i-1" within 1000 ms
+
+  # Guards against pages that are read again and again, in a loop without end.
+  Scenario: A page whose last key is not above the one before counts as a failed call
+    Given the workers "i-1, i-2, i-3, i-4, i-5" in the view stores, of which "i-4" has the key "servers/a"
+    And the view calls are counted from now on
+    And a view process whose receiver of rules throws
+    When 1000 ms pass at the view
+    Then the second view store has got at most 60 calls
--- a/directory/share_view_test.ts
+++ b/directory/share_view_test.ts
@@ -100,6 +100,11 @@
 
 Given('the worker {string} in the view stores', function (this: World, id: string) { writeToAll(this, `servers/${id}`, entryOf(id)) })
 
+Given('the workers {string} in the view stores, of which {string} has the key {string}', function (this: World, ids: string, odd: string, key: string) {
+  for (const store of this.viewStores) store.corrupt(`servers/${odd}`, { key })
+  for (const id of ids.split(', ')) writeToAll(this, `servers/${id}`, entryOf(id))
+})
+
 When('{int} ms pass at the view', async function (ms: number) { await sleep(ms) })
 
 When('the view calls are counted from now on', function (this: World) {
@@ -180,3 +185,7 @@
 Then('the first view store has got at most {int} calls', function (this: World, calls: number) {
   assert.ok(countCalls(this, 0) <= calls, `${countCalls(this, 0)} calls`)
 })
+
+Then('the second view store has got at most {int} calls', function (this: World, calls: number) {
+  assert.ok(countCalls(this, 1) <= calls, `${countCalls(this, 1)} calls`)
+})
