Check the types of each answer and event of an engine

The parsers of the engine adapter trusted the engine: an answer without a field or with a text for a number threw in the agent or went on as NaN, and an event with odd tokens was passed on in a message which the entry refuses with its whole connection.

Answers are checked by schemas and the events of a stream by hand; an invalid one is an error `broken` that names the field. engine.feature passes 15 of 15 with the change. Agent, entry and deployment scenarios were not run again after this change.

--- a/engine/_engine_codec.ts
+++ b/engine/_engine_codec.ts
@@ -1,8 +1,9 @@
 /**
- * Converts between the types of the adapter interface and the JSON bodies of the engine protocol. The parsers trust the engine:
- * they check no types.
+ * Converts between the types of the adapter interface and the JSON bodies of the engine protocol.
  */
-import { TierClass } from '../core/types/mod.ts'
+import { z } from 'zod'
+import { Role, TierClass } from '../core/types/mod.ts'
+import type { ZodType } from 'zod'
 import type { AttemptRef } from '../core/types/mod.ts'
 import type {
   CacheEvent, DecodeJob, EngineLoad, EngineOrder, EngineState, HeldStream, PrefillJob, PrefillResult
@@ -49,54 +50,52 @@
   return { fence, role, model, version, adapter }
 }
 
-/** Parses the result of a prefill. */
-export function parsePrefillResult (body: JsonObject): PrefillResult {
-  return {
-    handle: String(body.handle),
-    kvAddress: String(body.kv_address),
-    promptTokens: Number(body.prompt_tokens),
-    cachedTokens: Number(body.cached_tokens),
-    keepsMs: Number(body.keeps_ms)
-  }
-}
+const maxNameLength = 512
+const name = z.string().max(maxNameLength)
+const count = z.int().nonnegative()
+const amount = z.number().nonnegative()
 
-/** Parses the list of work that the engine holds memory for. */
-export function parseHeldStreams (body: JsonObject): HeldStream[] {
-  return (body.streams as JsonObject[]).map((stream) => ({
-    requestId: String(stream.request_id),
-    attempt: Number(stream.attempt),
-    pieces: Number(stream.pieces),
-    offset: Number(stream.offset),
-    phase: stream.phase as HeldStream['phase']
-  }))
-}
+/** Decodes the result of a prefill. */
+export const prefillResultSchema: ZodType<PrefillResult> = z.object({
+  handle: name, kv_address: name, prompt_tokens: count, cached_tokens: count, keeps_ms: amount
+}).transform((body) => ({
+  handle: body.handle,
+  kvAddress: body.kv_address,
+  promptTokens: body.prompt_tokens,
+  cachedTokens: body.cached_tokens,
+  keepsMs: body.keeps_ms
+}))
 
-/** Parses a load report. */
-export function parseLoad (body: JsonObject): EngineLoad {
-  return {
-    seats: Number(body.seats),
-    seatsUsed: Number(body.seats_used),
-    pieces: Number(body.pieces),
-    piecesUsed: Number(body.pieces_used),
-    queuedTokens: Number(body.queued_tokens),
-    ageMs: Number(body.age_ms)
-  }
-}
+/** Decodes the number of pieces that a cancel has freed. */
+export const cancelledPiecesSchema: ZodType<number> = z.object({ pieces: count }).transform(({ pieces }) => pieces)
 
-/** Parses the state of the engine. */
-export function parseState (body: JsonObject): EngineState {
-  return {
-    role: body.role as EngineState['role'],
-    model: String(body.model),
-    version: String(body.version),
-    adapter: String(body.adapter),
-    fence: Number(body.fence),
-    loading: body.loading === true,
-    tokensPerPiece: Number(body.tokens_per_piece)
-  }
-}
+/** Decodes the list of work that the engine holds memory for. */
+export const heldStreamsSchema: ZodType<HeldStream[]> = z.object({
+  streams: z.array(z.object({ request_id: name, attempt: count, pieces: count, offset: count, phase: z.enum(['prefill', 'kv', 'decode']) }))
+}).transform(({ streams }) => streams.map(({ request_id: requestId, attempt, pieces, offset, phase }) => ({
+  requestId, attempt, pieces, offset, phase
+})))
 
-/** Parses a list of cache events. */
-export function parseCacheEvents (body: JsonObject): CacheEvent[] {
-  return body.events as CacheEvent[]
-}
+/** Decodes a load report. */
+export const loadSchema: ZodType<EngineLoad> = z.object({
+  seats: count, seats_used: count, pieces: count, pieces_used: count, queued_tokens: amount, age_ms: amount
+}).transform((body) => ({
+  seats: body.seats,
+  seatsUsed: body.seats_used,
+  pieces: body.pieces,
+  piecesUsed: body.pieces_used,
+  queuedTokens: body.queued_tokens,
+  ageMs: body.age_ms
+}))
+
+/** Decodes the state of the engine. */
+export const stateSchema: ZodType<EngineState> = z.object({
+  role: z.enum(Role), model: name, version: name, adapter: name, fence: count, loading: z.boolean().optional(), tokens_per_piece: count
+}).transform(({ role, model, version, adapter, fence, loading, tokens_per_piece: tokensPerPiece }) => ({
+  role, model, version, adapter, fence, loading: loading === true, tokensPerPiece
+}))
+
+/** Decodes a list of cache events. */
+export const cacheEventsSchema: ZodType<CacheEvent[]> = z.object({
+  events: z.array(z.object({ seq: count, kind: z.enum(['stored', 'evicted']), prefix: name, tokens: count }))
+}).transform(({ events }) => events)
--- a/engine/_read_stream.ts
+++ b/engine/_read_stream.ts
@@ -9,29 +9,35 @@
 import { EngineErrorKind } from './_types.ts'
 import type { DecodeEnd, EngineError, TokenBatch } from './_types.ts'
 
-interface StreamEvent {
-  offset?: number
-  tokens?: string[]
-  end?: DecodeEnd
-  error?: string
-}
-
 const maxEventChars = 1_048_576
 
 function brokenStream (message: string): Result<DecodeEnd, EngineError> {
   return Err({ kind: EngineErrorKind.Broken, sent: true, message })
 }
 
-function handleEvent (event: StreamEvent, reorderBuffer: ReorderBuffer): Result<DecodeEnd, EngineError> | undefined {
-  if (event.tokens !== undefined && event.offset !== undefined) {
+const isCount = (value: unknown): value is number => Number.isSafeInteger(value) && (value as number) >= 0
+
+function isTokens (value: unknown): value is string[] {
+  return Array.isArray(value) && value.every((token) => typeof token === 'string')
+}
+
+function isEnd (value: unknown): value is DecodeEnd {
+  const { tokens, reason } = (value ?? {}) as { tokens?: unknown, reason?: unknown }
+  return isCount(tokens) && (reason === 'stop' || reason === 'length')
+}
+
+function handleEvent (value: unknown, reorderBuffer: ReorderBuffer): Result<DecodeEnd, EngineError> | undefined {
+  const event = (value ?? {}) as { offset?: unknown, tokens?: unknown, end?: unknown, error?: unknown }
+  if (isCount(event.offset) && isTokens(event.tokens)) {
     reorderBuffer.add({ offset: event.offset, tokens: event.tokens })
     return undefined
   }
   if (event.error === 'cancelled') {
     return Err({ kind: EngineErrorKind.Cancelled, sent: true, message: 'the engine cancelled the stream' })
   }
-  if (event.error !== undefined) return brokenStream(`the engine ended the stream: ${event.error}`)
-  if (event.end === undefined) return undefined
+  if (typeof event.error === 'string') return brokenStream(`the engine ended the stream: ${event.error}`)
+  if (event.tokens === undefined && event.end === undefined && event.error === undefined) return undefined
+  if (!isEnd(event.end)) return brokenStream('an event of the stream has invalid tokens or an invalid end')
   if (event.end.tokens === reorderBuffer.nextOffset()) return Ok(event.end)
   return brokenStream(`the stream ended at offset ${event.end.tokens} but tokens arrived only up to ${reorderBuffer.nextOffset()}`)
 }
@@ -54,7 +60,7 @@
       text = events.pop() ?? ''
       if (text.length > maxEventChars) return brokenStream(`an event of the stream is longer than ${maxEventChars} characters`)
       for (const event of events) {
-        const end = handleEvent(JSON.parse(event.slice('data: '.length)) as StreamEvent, reorderBuffer)
+        const end = handleEvent(JSON.parse(event.slice('data: '.length)), reorderBuffer)
         if (end) return end
       }
     }
--- a/engine/create_engine_http.ts
+++ b/engine/create_engine_http.ts
@@ -2,20 +2,23 @@
  * The adapter for engines with an HTTP interface of JSON bodies and event streams.
  */
 import { Agent, request } from 'undici'
+import { z } from 'zod'
+import type { ZodType } from 'zod'
 import { Err, Ok } from '../core/results/mod.ts'
 import type { Result } from '../core/results/mod.ts'
 import type { AttemptRef } from '../core/types/mod.ts'
 import { createSystemTimer } from '../timer/mod.ts'
 import type { Timer } from '../timer/mod.ts'
 import {
-  buildAttemptBody, buildDecodeBody, buildOrderBody, buildPrefillBody, parseCacheEvents, parseHeldStreams, parseLoad,
-  parsePrefillResult, parseState
+  buildAttemptBody, buildDecodeBody, buildOrderBody, buildPrefillBody, cacheEventsSchema, cancelledPiecesSchema, heldStreamsSchema, loadSchema,
+  prefillResultSchema, stateSchema
 } from './_engine_codec.ts'
 import type { JsonObject } from './_engine_codec.ts'
 import { startDeadline } from './_deadline.ts'
 import { toEngineError, toStatusError } from './_http_errors.ts'
 import { createOpenCalls } from './_open_calls.ts'
 import { readStream } from './_read_stream.ts'
+import { EngineErrorKind } from './_types.ts'
 import type { DecodeEnd, EngineAdapter, EngineError, TokenBatch } from './_types.ts'
 
 /** Configures an engine adapter. */
@@ -65,16 +68,20 @@
     })
   }
 
-  async function callJson (
-    method: 'GET' | 'POST', path: string, body?: JsonObject, waitMs = timeoutMs, signal?: AbortSignal
-  ): Promise<Result<JsonObject, EngineError>> {
+  async function callJson<T> (
+    method: 'GET' | 'POST', path: string, schema: ZodType<T>, body?: JsonObject, waitMs = timeoutMs, signal?: AbortSignal
+  ): Promise<Result<T, EngineError>> {
     const what = `${method} ${path} at ${options.address}`
     const deadline = startDeadline(timer, waitMs, signal)
     try {
       const res = await send(method, path, body, deadline.signal)
       const text = await res.body.text()
       if (res.statusCode !== 200) return Err(toStatusError(what, res.statusCode, text))
-      return Ok(JSON.parse(text) as JsonObject)
+      const parsed = schema.safeParse(JSON.parse(text))
+      if (parsed.success) return Ok(parsed.data)
+      const [issue] = parsed.error.issues
+      const message = `${what} was answered with an invalid field "${issue?.path.join('.') ?? ''}": ${issue?.message ?? ''}`
+      return Err({ kind: EngineErrorKind.Broken, sent: true, message })
     } catch (err) {
       return Err(deadline.toEngineError(what, err))
     } finally {
@@ -104,31 +111,30 @@
 
   async function cancel (ref: AttemptRef): Promise<Result<number, EngineError>> {
     const wasAwaitingAnswer = openCalls.isAwaitingAnswer(ref)
-    const firstAnswer = await callJson('POST', '/v1/cancel', buildAttemptBody(ref))
+    const firstAnswer = await callJson('POST', '/v1/cancel', cancelledPiecesSchema, buildAttemptBody(ref))
     openCalls.abort(ref)
-    if (firstAnswer.err || firstAnswer.val.pieces !== 0 || !wasAwaitingAnswer) return firstAnswer.map((body) => Number(body.pieces))
+    if (firstAnswer.err || firstAnswer.val !== 0 || !wasAwaitingAnswer) return firstAnswer
     // Nothing was freed while the call was unanswered: the call may have reached the engine after the cancel, on another
     // connection, so the cancel is sent again.
-    const secondAnswer = await callJson('POST', '/v1/cancel', buildAttemptBody(ref))
-    return secondAnswer.map((body) => Number(body.pieces))
+    return await callJson('POST', '/v1/cancel', cancelledPiecesSchema, buildAttemptBody(ref))
   }
 
   return {
     async prefill (job) {
       const call = openCalls.open(job)
-      const body = await callJson('POST', '/v1/prefill', buildPrefillBody(job), 0, call.signal)
+      const result = await callJson('POST', '/v1/prefill', prefillResultSchema, buildPrefillBody(job), 0, call.signal)
       call.close()
-      return body.map(parsePrefillResult)
+      return result
     },
     decode: (job, onTokens) => openStream('/v1/decode', job, buildDecodeBody(job), job.startOffset, onTokens),
     resume: (ref, offset, onTokens) => openStream('/v1/resume', ref, { ...buildAttemptBody(ref), offset }, offset, onTokens),
     cancel,
-    setPaused: async (ref, paused) => (await callJson('POST', '/v1/pause', { ...buildAttemptBody(ref), paused })).map(() => undefined),
-    readHeldStreams: async () => (await callJson('GET', '/v1/held')).map(parseHeldStreams),
-    readLoad: async () => (await callJson('GET', '/v1/load')).map(parseLoad),
-    readState: async () => (await callJson('GET', '/v1/state')).map(parseState),
-    sendOrder: async (order) => (await callJson('POST', '/v1/orders', buildOrderBody(order))).map(parseState),
-    readCacheEvents: async (afterSeq) => (await callJson('GET', `/v1/cache/events?after=${afterSeq}`)).map(parseCacheEvents),
+    setPaused: async (ref, paused) => (await callJson('POST', '/v1/pause', z.unknown(), { ...buildAttemptBody(ref), paused })).map(() => undefined),
+    readHeldStreams: () => callJson('GET', '/v1/held', heldStreamsSchema),
+    readLoad: () => callJson('GET', '/v1/load', loadSchema),
+    readState: () => callJson('GET', '/v1/state', stateSchema),
+    sendOrder: (order) => callJson('POST', '/v1/orders', stateSchema, buildOrderBody(order)),
+    readCacheEvents: (afterSeq) => callJson('GET', `/v1/cache/events?after=${afterSeq}`, cacheEventsSchema),
     async close () {
       openCalls.abortAll()
       await dispatcher.destroy()
--- a/engine/engine.feature
+++ b/engine/engine.feature
@@ -59,3 +59,7 @@
       | with its port closed          | unreachable | false | 0    |
       | with the cut after the run    | broken      | true  | 1    |
       | while frozen for 400 ms       | timed_out   | true  | 1    |
+
+  # Guards against an odd answer of one engine that throws in its agent, or that its agent passes on in a message which entries refuse.
+  Scenario: Each answer of an engine with any field odd is decoded or an error, and nothing throws
+    Then each engine call and stream whose answer has any field odd ends as a value of the right form
--- a/engine/engine_test.ts
+++ b/engine/engine_test.ts
@@ -2,6 +2,8 @@
  * Steps for the engine and service adapters, which call stand-ins for engines and services.
  */
 import assert from 'node:assert/strict'
+import { createServer } from 'node:http'
+import type { AddressInfo } from 'node:net'
 import { After, Given, Then, When } from '@cucumber/cucumber'
 import { Role, TierClass } from '../core/types/mod.ts'
 import { computeExpectedAnswer, EngineRole, startEngine } from '../testing/engine/mod.ts'
@@ -238,3 +240,58 @@
     assert.equal(this.outcome, `${kind} ${sent}`)
     assert.equal(this.service.countRuns('c1'), runs)
   })
+
+const nested = `${'['.repeat(20_000)}${']'.repeat(20_000)}`
+const oddTexts = [nested, 'null', '[]', '{}', '"odd"', '-1', '0.5', '1e308', '{"toString":1}', '[1]', '[null]']
+const ref = { requestId: 'r', attempt: 1 }
+const odd = { model: 'm', version: 'v', handle: 'h', kvAddress: 'a', promptTokens: 1, maxTokens: 1, startOffset: 0, tierClass: TierClass.Paid, prompt: 'p' }
+
+/** Calls of an engine, a sound answer to each, and the check of the value that an odd one may still give. */
+const calls: Array<{ call: (engine: EngineAdapter) => Promise<{ ok: boolean, val: unknown }>, answer: object, isEvent?: boolean }> = [
+  { call: (engine) => engine.prefill({ ...ref, ...odd }), answer: { handle: 'h', kv_address: 'a', prompt_tokens: 1, cached_tokens: 0, keeps_ms: 5 } },
+  { call: (engine) => engine.cancel(ref), answer: { pieces: 1 } },
+  { call: (engine) => engine.readHeldStreams(), answer: { streams: [{ request_id: 'r', attempt: 1, pieces: 1, offset: 0, phase: 'kv' }] } },
+  { call: (engine) => engine.readLoad(), answer: { seats: 1, seats_used: 1, pieces: 1, pieces_used: 1, queued_tokens: 1, age_ms: 1 } },
+  {
+    call: (engine) => engine.readState(),
+    answer: { role: Role.Decode, model: 'm', version: 'v', adapter: 'a', fence: 1, loading: false, tokens_per_piece: 1 }
+  },
+  { call: (engine) => engine.readCacheEvents(0), answer: { events: [{ seq: 1, kind: 'stored', prefix: 'p', tokens: 1 }] } },
+  ...[{ offset: 0, tokens: ['a'] }, { end: { tokens: 1, reason: 'stop' } }, { error: 'x' }].map((answer) => ({
+    call: async (engine: EngineAdapter) => {
+      const batches: TokenBatch[] = []
+      const end = await engine.decode({ ...ref, ...odd }, (batch) => batches.push(batch))
+      return { ok: end.ok, val: { batches, end: end.val } }
+    },
+    answer,
+    isEvent: true
+  }))
+]
+
+/** Lists the JSON texts of a value in which it, or one field or item at any depth, is replaced by an odd text. */
+function listOddTexts (value: unknown): string[] {
+  if (typeof value !== 'object' || value === null) return oddTexts
+  const entries = Object.entries(value)
+  return [...oddTexts, ...entries.flatMap(([name, inner]) => listOddTexts(inner).map((text) => {
+    const parts = entries.map(([key, other]) => [key, key === name ? text : JSON.stringify(other)])
+    return Array.isArray(value) ? `[${parts.map(([, part]) => part).join()}]` : `{${parts.map(([key, part]) => `"${key}":${part}`).join()}}`
+  }))]
+}
+
+Then('each engine call and stream whose answer has any field odd ends as a value of the right form', { timeout: 20_000 }, async function () {
+  let answer = ''
+  const server = createServer((_req, res) => { res.end(answer) })
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+  const engine = createEngineHttp({ address: `127.0.0.1:${(server.address() as AddressInfo).port}` })
+  for (const { call, answer: sound, isEvent } of calls) {
+    for (const text of listOddTexts(sound)) {
+      answer = isEvent ? `data: ${text}\n\n` : text
+      const { ok, val } = await call(engine)
+      // Only texts and numbers from 0 up can be passed on in messages.
+      if (ok || isEvent) assert.doesNotMatch(JSON.stringify(val), /null|-1|"tokens":"|"tokens":\[(1|null)/, text.slice(0, 200))
+      else assert.equal(typeof (val as { message: string }).message, 'string')
+    }
+  }
+  await engine.close()
+  server.close()
+})
