Keep the stop of a request in one place, and stop it when its handler fails

Two parts kept the same list of stop handlers. A request whose handler had failed was answered, but an exchange that was still open ran on at its worker (found by reading in the review). createStopSignal serves both, and a failed handler stops what it had begun.

--- a/gateway/_client_server.ts
+++ b/gateway/_client_server.ts
@@ -7,6 +7,7 @@
 import { ClosedBy, manageConnections } from '../http/mod.ts'
 import { decodeRequestHead } from '../platform/mod.ts'
 import { createReply } from './_reply.ts'
+import { createStopSignal } from './_stop_signal.ts'
 import { serveGeneration } from './_serve_generation.ts'
 import { servePlain } from './_serve_plain.ts'
 import { StopReason } from './_types.ts'
@@ -147,17 +148,15 @@
     if (service === undefined) return refuse(503, 'no_service', notReadyRetryMs)
     if (Number(req.headers['content-length'] ?? 0) > table.limits.maxBodyBytes) return refuse(413, 'body_too_large')
 
-    let stopReason: StopReason | undefined
-    const stopHandlers: Array<(reason: StopReason) => void> = []
-    const stop = (reason: StopReason): void => {
-      if (stopReason !== undefined) return
-      stopReason = reason
-      for (const fn of stopHandlers.splice(0)) fn(reason)
+    const { stop, onStop, stopReason } = createStopSignal()
+    const fail = (err: unknown): void => {
+      failUnexpectedly(reply, head.requestId, err)
+      stop(StopReason.HandlerFailed)
     }
     const deadlineTimer = timer.after(deadlineMs - timer.now(), () => stop(StopReason.DeadlineExceeded))
     // The part that serves a request ends it when it stops, unless an error has ended that part first.
     const unansweredTimer = timer.after(deadlineMs + unansweredMarginMs - timer.now(), () => {
-      if (!reply.isFinished()) failUnexpectedly(reply, head.requestId, new Error('no response by the deadline'))
+      if (!reply.isFinished()) fail(new Error('no response by the deadline'))
     })
     stops.add(stop)
     res.once('close', () => {
@@ -166,15 +165,11 @@
       unansweredTimer.cancel()
       if (!res.writableFinished) stop(StopReason.ClientDisconnected)
     })
-    const onStop = (fn: (reason: StopReason) => void): void => {
-      if (stopReason === undefined) stopHandlers.push(fn)
-      else fn(stopReason)
-    }
     let isReadingBody = true
     onStop((reason) => { if (isReadingBody && reason !== StopReason.ClientDisconnected) refuse(408, 'body_too_slow') })
     const onBody = (body: Buffer | undefined): void => {
       isReadingBody = false
-      if (stopReason !== undefined) return
+      if (stopReason() !== undefined) return
       if (body === undefined) return refuse(413, 'body_too_large')
       // The process may have begun to stop while the body came.
       if (!canFinishBeforeExit(route, deadlineMs)) return refuseStopping()
@@ -190,16 +185,16 @@
         startedMs,
         deadlineMs,
         onStop,
-        stopReason: () => stopReason
+        stopReason
       }
       context.retryBudget(service.name).recordRequest(timer.now())
-      serve(request).catch((err) => failUnexpectedly(reply, request.requestId, err))
+      serve(request).catch(fail)
     }
     readBody(req, table.limits.maxBodyBytes, (body) => {
       try {
         onBody(body)
       } catch (err) {
-        failUnexpectedly(reply, head.requestId, err)
+        fail(err)
       }
     })
   }
--- a/gateway/_create_search_request.ts
+++ b/gateway/_create_search_request.ts
@@ -1,6 +1,7 @@
 /**
  * Derives the request under which another engine is sought while the stream of the first one is still listened to.
  */
+import { createStopSignal } from './_stop_signal.ts'
 import { StopReason } from './_types.ts'
 import type { ClientRequest } from './_types.ts'
 
@@ -13,25 +14,7 @@
 
 /** Derives a request that has a stop of its own. */
 export function createSearchRequest (request: ClientRequest): SearchRequest {
-  const stopHandlers: Array<(reason: StopReason) => void> = []
-  let stopReason: StopReason | undefined
-
-  function stop (reason: StopReason): void {
-    if (stopReason !== undefined) return
-    stopReason = reason
-    for (const fn of stopHandlers.splice(0)) fn(reason)
-  }
-
+  const { stop, onStop, stopReason } = createStopSignal()
   request.onStop(stop)
-  return {
-    request: {
-      ...request,
-      stopReason: () => stopReason,
-      onStop (fn) {
-        if (stopReason === undefined) stopHandlers.push(fn)
-        else fn(stopReason)
-      }
-    },
-    cancel: () => stop(StopReason.StreamGoesOn)
-  }
+  return { request: { ...request, onStop, stopReason }, cancel: () => stop(StopReason.StreamGoesOn) }
 }
--- a/gateway/_types.ts
+++ b/gateway/_types.ts
@@ -58,6 +58,8 @@
 export enum StopReason {
   ClientDisconnected = 'client_left',
   DeadlineExceeded = 'time_up',
+  /** An unexpected error has ended the serving of the request. */
+  HandlerFailed = 'handler_failed',
   /** The process exits, and the request has not ended within the grace period. */
   ProcessStops = 'process_stops',
   /** The search for another engine is over, because the silent stream goes on. */
