Take no answer without items for all items of a later era

A follower could lose every worker and still count as up to date after a restore of the store: its requests then ended in 503.

Cause: a request of a process that has read nothing (after: []) is answered with no items. When that answer was of a later era and the process had read the store meanwhile, it passed for all items of the new era, and the rest counted as deleted.

Evidence: the two scenarios fail before ('another era', 'had read nothing').

Such a request is not answered, and such an answer not applied.

--- a/core/view/create_view_tracker.ts
+++ b/core/view/create_view_tracker.ts
@@ -120,7 +120,8 @@
     canAdd (after, afterEra = 0, state) {
       const stateEra = state?.era ?? 0
       if (!isComplete() || stateEra < era) return false
-      if (afterEra < stateEra) return known.every((_revision, prefix) => state?.revisions[prefix] !== undefined)
+      // An answer to a process that had read nothing holds no items, which is not the same as an era without any.
+      if (afterEra < stateEra) return known.every((_revision, prefix) => state?.revisions[prefix] !== undefined && after[prefix] !== undefined)
       return afterEra === era && known.every((revision, prefix) => (after[prefix] ?? Infinity) <= (revision as number))
     },
     recordChanges (state, nowMs) {
--- a/core/view/view.feature
+++ b/core/view/view.feature
@@ -26,6 +26,7 @@
     And the tracker lacks changes
     And the tracker can go on from revision 20 of era 0 to revision 12 of era 1
     And the tracker cannot go on from revision 12 of era 1 to revision 13 of era 1
+    And the tracker cannot go on from no revision to revision 12 of era 1
     When the tracker goes on to revision 12 of era 1, 0 ms old
     Then the tracker is covered for 2000 ms and not for 2001 ms
     And the tracker cannot go on from revision 20 of era 0 to revision 21 of era 0
--- a/core/view/view_test.ts
+++ b/core/view/view_test.ts
@@ -183,6 +183,10 @@
 Then('the tracker cannot go on from revision {int} of era {int} to revision {int} of era {int}',
   function (this: World, after: number, afterEra: number, revision: number, era: number) { assert.ok(!canGoOn(this.tracker, after, afterEra, revision, era)) })
 
+Then('the tracker cannot go on from no revision to revision {int} of era {int}', function (this: World, revision: number, era: number) {
+  assert.ok(!this.tracker.canAdd([], 0, { era, revisions: [revision], agesMs: [0] }))
+})
+
 When('the tracker goes on to revision {int} of era {int}, {int} ms old', function (this: World, revision: number, era: number, ageMs: number) {
   this.tracker.recordChanges({ era, revisions: [revision], agesMs: [ageMs] }, this.nowMs)
   assert.equal(this.tracker.era(), era)
--- a/directory/create_directory.ts
+++ b/directory/create_directory.ts
@@ -209,6 +209,8 @@
       const state = tracker.state(timer.now())
       if (state === undefined) return undefined
       const { era = 0 } = state
+      // A process that has read nothing reads the store itself; part of a later era would pass for all of it.
+      if (afterEra < era && after.length < prefixes.length) return undefined
       const ageMs = failureAgeMs()
       const changes = prefixes.flatMap((prefix, index) => {
         const revision = after[index]
--- a/directory/restored_store.feature
+++ b/directory/restored_store.feature
@@ -49,6 +49,11 @@
     And 2000 ms pass at the restorable store
     Then for 100 ms all processes of the restorable store know the workers "alive,new" as ready and "leaving,gone,lost" as not
 
+  # Guards against a follower that takes an answer without items for all items of a later era, and removes every worker.
+  Scenario: A process that had read nothing when it asked is told nothing of a later era
+    Given a restorable store with version 2, 2 readers and 2 followers
+    Then no process of the restorable store answers one that has read nothing
+
   # Guards against a worker that lapsed, wrote again in the new era and is still taken for gone.
   Scenario: A worker that was removed before the restore counts again as soon as it has written again
     Given a restorable store with version 2, 2 readers and 2 followers
--- a/directory/restored_store_test.ts
+++ b/directory/restored_store_test.ts
@@ -49,7 +49,7 @@
   }
 }
 
-function names (list: string): string[] { return list.split(',') }
+function names (list: string): string[] { return list.split(',').filter((name) => name !== '') }
 
 async function startProcess (world: World, place: { reader?: string, seed?: string }): Promise<void> {
   const stream = new PassThrough()
@@ -177,6 +177,17 @@
   for (const store of this.restorable) store.remove(`servers/${id}`)
 })
 
+When('an entry of the worker {string} from before is written to the restorable store', function (this: World, id: string) {
+  this.beats.set(id, 0)
+  writeWorkers(this, [id])
+})
+
+When('the restorable store falls silent', function (this: World) { setMode(this, StoreMode.Silent) })
+
+Then('no process of the restorable store answers one that has read nothing', function (this: World) {
+  for (const { directory } of this.restorableProcesses) assert.equal(directory.changesAfter([], 0), undefined)
+})
+
 When('a process starts at the restorable store', async function (this: World) { await startProcess(this, {}) })
 
 When('a process starts at the restorable store with the records of the first one', async function (this: World) {
