Keep a worker draining or gone while a restored store replays or goes away again

After a restore, a worker that had declared draining counted as ready when an older entry of it was written again in the new era, and one that was gone came back after 5 s although the store could not be heard meanwhile. Requests went to workers that had left (DRAIN binds a machine that knows it also while the store is away).

Cause: the order within the new era was taken from the revision alone, and the hold of an older entry ended by time alone. Found in the review.

Evidence: 'A worker that is draining stays so ...' and 'A worker that is gone does not come back ...' fail before.

An entry that names a draining incarnation as ready counts only with a later sequence; the hold for a worker that is gone lasts while calls to the store fail.

--- a/directory/_worker_records.ts
+++ b/directory/_worker_records.ts
@@ -85,7 +85,17 @@
     options.onRecordPassedOver(PassedOver.OlderEntry)
     latest.set(id, { ...known, era })
     if (isReturnOfDraining(known, entry)) return
+    release(id, entry, { era, waitMs, isGone: known.goneAtMs !== undefined })
+  }
+
+  /** Takes a held entry into use once its worker had time to write again, or the store to drop it: while it can be heard. */
+  function release (id: string, entry: WorkerEntry, { era, waitMs, isGone }: { era: number, waitMs: number, isGone: boolean }): void {
+    const sinceMs = timer.now()
     held.set(id, timer.after(waitMs, () => {
+      if (isGone && options.lastFailureMs() > sinceMs) {
+        release(id, entry, { era, waitMs, isGone })
+        return
+      }
       held.delete(id)
       upsert(id, entry, era)
     }))
@@ -105,7 +115,8 @@
         return
       }
       const known = latest.get(id)
-      if (known !== undefined && known.era < era && isEarlier(entry, known)) hold(id, entry, known, era)
+      const isOlder = known !== undefined && (known.era < era ? isEarlier(entry, known) : isOlderReturn(known, entry))
+      if (isOlder) hold(id, entry, known, era)
       else upsert(id, entry, era)
     },
     close () {
@@ -119,6 +130,11 @@
   return known.bornMs === entry.bornMs && known.state === WorkerState.Draining && entry.state === WorkerState.Ready
 }
 
+/** Tells whether an entry that names a draining worker as ready was written before it declared that. */
+function isOlderReturn (known: LatestEntry, entry: WorkerEntry): boolean {
+  return isReturnOfDraining(known, entry) && (entry.sequence ?? 0) <= (known.entry.sequence ?? 0)
+}
+
 /** Tells whether an entry was written before the known one, whose record belongs to an earlier era of the store. */
 function isEarlier (entry: WorkerEntry, known: LatestEntry): boolean {
   const { bornMs, sequence = 0 } = known.entry
--- a/directory/restored_store.feature
+++ b/directory/restored_store.feature
@@ -54,6 +54,26 @@
     Given a restorable store with version 2, 2 readers and 2 followers
     Then no process of the restorable store answers one that has read nothing
 
+  Scenario: A worker that is draining stays so when an older entry of it is written again in the new era
+    Given a restorable store with version 2, 2 readers and 2 followers
+    And the workers "leaving" in the restorable store
+    When the restorable store is copied
+    And the worker "leaving" is draining and the worker "none" is removed from the restorable store
+    And the restorable store comes back from the copy, after an outage
+    And 500 ms pass at the restorable store
+    And an entry of the worker "leaving" from before is written to the restorable store
+    Then for 1000 ms all processes of the restorable store know the workers "" as ready and "leaving" as not
+
+  Scenario: A worker that is gone does not come back while a restored store is away again
+    Given a restorable store with version 2, 2 readers and 2 followers
+    And the workers "gone" in the restorable store
+    When the restorable store is copied
+    And the worker "none" is draining and the worker "gone" is removed from the restorable store
+    And the restorable store comes back from the copy, after an outage
+    And 1500 ms pass at the restorable store
+    And the restorable store falls silent
+    Then for 4500 ms all processes of the restorable store know the workers "" as ready and "gone" as not
+
   # Guards against a worker that lapsed, wrote again in the new era and is still taken for gone.
   Scenario: A worker that was removed before the restore counts again as soon as it has written again
     Given a restorable store with version 2, 2 readers and 2 followers
