--- a/directory/share_view.feature
+++ b/directory/share_view.feature
@@ -71,6 +71,14 @@
     And version 2 and the worker "i-1" are written to the view stores
     Then all view processes know version 2 and the worker "i-1" within 1000 ms
 
+  # Guards against one key that no request can name, and that ends the read of all others.
+  Scenario: A key with a lone surrogate keeps nobody from the other items
+    Given the workers "i-1, i-2, i-3, i-4, i-5" in the view stores, of which "i-4" has a key with a lone surrogate
+    And a view process whose receiver of rules throws
+    When 500 ms pass at the view
+    And version 2 and the worker "i-6" are written to the view stores
+    Then all view processes know version 2 and the worker "i-5" within 1000 ms
+
   # Guards against pages that are read again and again, in a loop without end.
   Scenario: A page whose last key is not above the one before counts as a failed call
     Given the workers "i-1, i-2, i-3, i-4, i-5" in the view stores, of which "i-4" has the key "servers/a"
--- a/directory/share_view_test.ts
+++ b/directory/share_view_test.ts
@@ -105,6 +105,18 @@
   for (const id of ids.split(', ')) writeToAll(this, `servers/${id}`, entryOf(id))
 })
 
+Given('the workers {string} in the view stores, of which {string} has a key with a lone surrogate', function (this: World, ids: string, odd: string) {
+  for (const store of this.viewStores) store.corrupt(`servers/${odd}`, { key: `servers/${odd}\ud800` })
+  for (const id of ids.split(', ')) writeToAll(this, `servers/${id}`, entryOf(id))
+})
+
+When('the item of {string} has the revision {float} and the view stores forget their history', function (this: World, id: string, revision: number) {
+  for (const store of this.viewStores) {
+    store.corrupt(`servers/${id}`, { revision })
+    store.compact()
+  }
+})
+
 When('{int} ms pass at the view', async function (ms: number) { await sleep(ms) })
 
 When('the view calls are counted from now on', function (this: World) {
