Send a request with a place at a draining worker within the drain time only

A generation whose prompt was read for longer than the drain time was sent to the engine reserved for it although the store had said meanwhile that this engine leaves (DRAIN).

Cause: a request with a place passed the check of the entry's state without a bound. Evidence: 'A request that has its place at a draining worker ...' fails before. The bound is that of a worker that says itself that it leaves.

--- a/core/fleet/check_send.ts
+++ b/core/fleet/check_send.ts
@@ -74,8 +74,9 @@
 export function checkSend (worker: Worker, options: CheckSendOptions): SendVerdict {
   const { nowMs, drainMs, quarantineMs = 0, hasPlace = false } = options
   const { word } = worker
-  // A request that has its place was assigned before the entry said so, and the worker takes it for a while.
-  if (worker.entry.state === WorkerState.Draining && !hasPlace) {
+  // A request that has its place was assigned before the entry said so, and the worker takes it for the drain time.
+  const drainEndMs = hasPlace ? (worker.drainingSinceMs ?? nowMs) + drainMs : nowMs
+  if (worker.entry.state === WorkerState.Draining && nowMs >= drainEndMs) {
     return { rank: SendRank.Never, reason: HoldReason.Draining, untilMs: Infinity }
   }
   const hasLeft = word.leavingSinceMs !== undefined && nowMs >= word.leavingSinceMs + drainMs
--- a/core/fleet/fleet.feature
+++ b/core/fleet/fleet.feature
@@ -1,5 +1,9 @@
 Feature: One decision says whether a request may be sent to a worker now
 
+  # Guards against a prompt that is read for longer than the drain time, and then sent to the engine that has left meanwhile.
+  Scenario: A request that has its place at a draining worker is sent within the drain time only
+    Then the fleet lets a request with its place reach a worker 2499 ms after it began to drain, and not 2500 ms after
+
   # Guards against requests that reach a worker while it wants none, or long after it has said that it leaves.
   Scenario: Whatever workers answer, whoever starts again and whatever copy of the store comes back, workers get what they take
     Then in 150 random schedules no worker gets more than 2 requests from 500 ms on in a time in which it wants none, nor any later than the drain time
--- a/core/fleet/fleet_test.ts
+++ b/core/fleet/fleet_test.ts
@@ -4,7 +4,7 @@
 import assert from 'node:assert/strict'
 import { Given, Then, When } from '@cucumber/cucumber'
 import fc from 'fast-check'
-import { checkSend, createFleet, takeSendPlace, WorkerState } from './mod.ts'
+import { checkSend, createFleet, SendRank, takeSendPlace, WorkerState } from './mod.ts'
 import { simulateFleet } from './_simulated_words_test.ts'
 import type { Fleet, Worker, WorkerEntry } from './mod.ts'
 
@@ -94,3 +94,13 @@
     }), { numRuns: count, seed: 19 })
     assert.ok(arrivals > 100 * count && refusals > 2 * count, `${arrivals} arrivals and ${refusals} refusals in all`)
   })
+
+Then('the fleet lets a request with its place reach a worker {int} ms after it began to drain, and not {int} ms after',
+  function (withinMs: number, afterMs: number) {
+    const fleet = createFleet()
+    const startMs = 100
+    fleet.upsert({ ...buildEntry('a', 1), state: WorkerState.Draining }, startMs)
+    const worker = fleet.get('a') as Worker
+    const rankAfter = (ms: number): SendRank => checkSend(worker, { nowMs: startMs + ms, drainMs, hasPlace: true }).rank
+    assert.deepEqual([rankAfter(withinMs), rankAfter(afterMs)], [SendRank.Open, SendRank.Never])
+  })
