Keep what is known of an item that a complete read found and could not use

Cause: items left out of a page counted as missing, and missing as deleted. Evidence: 'A worker whose item cannot be used in a complete read stays known' fails before. Left-out items name their keys, which count as present.

--- a/core/view/create_record_set.ts
+++ b/core/view/create_record_set.ts
@@ -12,6 +12,12 @@
   passedOver: StoreChange[]
 }
 
+/** Configures the application of a complete read. */
+export interface ApplyAllOptions {
+  /** Keys of items that the read found and could not use: what is known of them stays. */
+  unusableKeys?: readonly string[]
+}
+
 /** Holds the latest change of each key, by era and revision. */
 export interface RecordSet {
   /** Returns the latest change of a key, which may be its deletion. */
@@ -23,7 +29,7 @@
   /** Takes changes that are later than the known ones of their keys. */
   apply (changes: readonly StoreChange[]): AppliedChanges
   /** Takes all items with a prefix, as a complete read up to a position found them; known ones that it did not find are deleted. */
-  applyAll (prefix: string, items: readonly StoreChange[], position: StorePosition): AppliedChanges
+  applyAll (prefix: string, items: readonly StoreChange[], position: StorePosition, options?: ApplyAllOptions): AppliedChanges
   /** Returns the changes with a prefix after a position, with deletions; all of a later era are after all of an earlier one. */
   listAfter (prefix: string, after: StorePosition): StoreChange[]
 }
@@ -69,8 +75,8 @@
       return { era: latest.era ?? 0, revision: latest.revision }
     },
     apply,
-    applyAll (prefix, items, position) {
-      const present = new Set(items.map(({ key }) => key))
+    applyAll (prefix, items, position, { unusableKeys = [] } = {}) {
+      const present = new Set([...items.map(({ key }) => key), ...unusableKeys])
       const isMissing = (change: StoreChange): boolean =>
         change.key.startsWith(prefix) && change.value !== null && !present.has(change.key) && comparePositions(change, position) < 0
       const deletions = [...known.values()].filter(isMissing).map(({ key }) => ({ key, ...position, value: null }))
--- a/directory/_follow_prefix.ts
+++ b/directory/_follow_prefix.ts
@@ -8,6 +8,14 @@
 import type { Call, StorePage } from '../platform/mod.ts'
 import type { Subscription, Timer } from '../timer/mod.ts'
 
+/** Tells what a call has read. */
+export interface ReadKind {
+  /** True when the changes are all items with the prefix. */
+  isComplete: boolean
+  /** Keys of items that a complete read found and could not use. */
+  unusableKeys: readonly string[]
+}
+
 /** Configures the watch of a prefix. */
 export interface FollowOptions {
   address: string
@@ -25,7 +33,7 @@
   /** Tells whether other processes pass on the changes, so that the prefix need not be watched. */
   isCovered (): boolean
   /** Receives the changes up to a position; `isComplete` when they are all items with the prefix, as always for a later era than the known one. */
-  onChanges (changes: StoreChange[], position: StorePosition, isComplete: boolean): void
+  onChanges (changes: StoreChange[], position: StorePosition, read: ReadKind): void
   /** Called when the store no longer has the changes after the known revision. */
   onHistoryGone (): void
   /** Receives the result of each call: undefined when the store responded, or why the call failed. */
@@ -105,7 +113,7 @@
     backoffMs = minBackoffMs
     hasFailed = false
     options.onCallResult(undefined)
-    if (page.leftOut.length > 0) options.onLeftOut(page.leftOut)
+    if (page.leftOut.length > 0) options.onLeftOut(page.leftOut.map(({ reason }) => reason))
     return { ...page, era, changes: era === 0 ? page.changes : page.changes.map((change) => ({ ...change, era })) }
   }
 
@@ -118,6 +126,7 @@
 
   async function readAll (): Promise<boolean> {
     const changes: StoreChange[] = []
+    const unusableKeys: string[] = []
     const announcedEra = hasRead ? Math.max(options.era(), namedEra) : Infinity
     let first: EraPage | undefined
     let afterKey: string | undefined
@@ -127,6 +136,7 @@
       // The pages aren't one snapshot: the watch begins at the revision of the first page, so that it repeats changes made meanwhile.
       first ??= page
       changes.push(...page.changes)
+      unusableKeys.push(...page.leftOut.flatMap(({ key }) => key ?? []))
       if (!page.more) break
       // A page whose last key is not above that of the page before names no next one.
       if (page.lastKey === undefined || !isAbove(page.lastKey, afterKey)) {
@@ -136,7 +146,7 @@
       afterKey = page.lastKey
     }
     hasRead = true
-    options.onChanges(changes, { era: first.era, revision: first.revision }, true)
+    options.onChanges(changes, { era: first.era, revision: first.revision }, { isComplete: true, unusableKeys })
     return true
   }
 
@@ -145,7 +155,7 @@
     const era = options.era()
     const page = await read(buildWatchCall(prefix, after, watchMs), watchMs + watchTimeoutMarginMs)
     if (page === undefined) return options.revision() === undefined || namedEra > options.era()
-    if (page.era === era) options.onChanges(page.changes, { era, revision: page.revision }, false)
+    if (page.era === era) options.onChanges(page.changes, { era, revision: page.revision }, { isComplete: false, unusableKeys: [] })
     return true
   }
 
--- a/directory/create_directory.ts
+++ b/directory/create_directory.ts
@@ -162,14 +162,15 @@
       log.info({ prefix, revision: tracker.revision(index) }, 'store has no history after the known revision')
       tracker.forget(index)
     },
-    onChanges (changes, { era = 0, revision }, isComplete) {
+    onChanges (changes, { era = 0, revision }, { isComplete, unusableKeys }) {
       const isNewEra = era > tracker.era()
       const hasReadBefore = readPrefixes.size > 0
       if (isNewEra) {
         onNewEra(era)
         tracker.enterEra(era)
       }
-      takeEffect(isComplete ? records.applyAll(prefix, blankUnreadable(changes), { era, revision }) : records.apply(blankUnreadable(changes)))
+      const readable = blankUnreadable(changes)
+      takeEffect(isComplete ? records.applyAll(prefix, readable, { era, revision }, { unusableKeys }) : records.apply(readable))
       if (isComplete) readPrefixes.add(prefix)
       tracker.recordRead(index, revision, timer.now())
       notifyView()
--- a/directory/share_view.feature
+++ b/directory/share_view.feature
@@ -79,6 +79,15 @@
     And version 2 and the worker "i-6" are written to the view stores
     Then all view processes know version 2 and the worker "i-5" within 1000 ms
 
+  # Guards against a live worker that counts as deleted because its item cannot be read for a while.
+  Scenario: A worker whose item cannot be used in a complete read stays known
+    Given the worker "i-1" in the view stores
+    When 300 ms pass at the view
+    And the item of "i-1" has the revision 1.5 and the view stores forget their history
+    And version 2 and the worker "i-2" are written to the view stores
+    And 3000 ms pass at the view
+    Then all view processes know version 2 and the worker "i-1" within 100 ms
+
   # Guards against pages that are read again and again, in a loop without end.
   Scenario: A page whose last key is not above the one before counts as a failed call
     Given the workers "i-1, i-2, i-3, i-4, i-5" in the view stores, of which "i-4" has the key "servers/a"
