--- a/gateway/_client_server.ts
+++ b/gateway/_client_server.ts
@@ -3,9 +3,11 @@
  */
 import { createServer } from 'node:http'
 import { chooseTarget, RequestKind } from '../core/route/mod.ts'
-import { Count, Latency } from '../metrics/mod.ts'
+import { Count } from '../metrics/mod.ts'
 import { ClosedBy, manageConnections } from '../http/mod.ts'
 import { decodeRequestHead } from '../platform/mod.ts'
+import { readBody } from './_read_body.ts'
+import { recordResult } from './_record_result.ts'
 import { createReply } from './_reply.ts'
 import { createStopSignal } from './_stop_signal.ts'
 import { serveGeneration } from './_serve_generation.ts'
@@ -215,17 +217,7 @@
     }
     if (result.status >= minFailureStatus) log.warn(fields, 'ended')
     else log.info(fields, 'ended')
-    recordMetrics(request, result, tookMs)
-  }
-
-  function recordMetrics (request: ClientRequest, result: RequestResult, tookMs: number): void {
-    const reason = result.reason.length > 0 ? result.reason : 'answered'
-    context.metrics.count(Count.Requests, { service: request.service.name, status: String(result.status), reason })
-    context.metrics.observe(Latency.Request, tookMs)
-    const latencies: Array<[Latency, number | undefined]> = [
-      [Latency.FirstEvent, result.firstMs], [Latency.Pause, result.pauseMs], [Latency.Reservation, result.holdMs], [Latency.Prefill, result.prefillMs]
-    ]
-    for (const [metric, ms] of latencies) if (ms !== undefined) context.metrics.observe(metric, ms)
+    recordResult(context.metrics, request, result, tookMs)
   }
 
   return {
@@ -252,16 +244,3 @@
     }
   }
 }
-
-/** Reads a complete body; calls `done` with undefined as soon as it is longer than `maxBytes`. */
-function readBody (req: IncomingMessage, maxBytes: number, done: (body: Buffer | undefined) => void): void {
-  const chunks: Buffer[] = []
-  let bytes = 0
-  req.on('data', (chunk: Buffer) => {
-    bytes += chunk.length
-    if (bytes <= maxBytes) chunks.push(chunk)
-    else if (bytes - chunk.length <= maxBytes) done(undefined)
-  })
-  req.on('end', () => { if (bytes <= maxBytes) done(Buffer.concat(chunks, bytes)) })
-  req.on('error', () => {}) // The response closes with the request, and that stops the request.
-}
--- a/gateway/silent_engine_test.ts
+++ b/gateway/silent_engine_test.ts
@@ -119,7 +119,7 @@
     // In a callback of the file system, so that expired timers run before sockets are read, as after a stop of the process.
     setTimeout(() => stat('.', () => {
       const endMs = performance.now() + ms
-      while (performance.now() < endMs);
+      while (performance.now() < endMs) { /* empty */ }
     }), afterMs)
     this.response = await requestGeneration(this, path)
   })
--- a/http/manage_connections.ts
+++ b/http/manage_connections.ts
@@ -154,11 +154,7 @@
       return
     }
     // A body that cannot be completed has no other response to wait for.
-    if (isIncomplete) {
-      refuse(socket, state, err.code)
-      return
-    }
-    if (err.code !== 'ERR_HTTP_REQUEST_TIMEOUT') {
+    if (isIncomplete || err.code !== 'ERR_HTTP_REQUEST_TIMEOUT') {
       refuse(socket, state, err.code)
       return
     }
