--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -54,13 +54,14 @@
   onEnd(() => clearInterval(ticker))
 
   deployment.store.put('op/config', buildConfiguration(1, { routes: { sign: { timeout_ms: timeoutMs, target_latency_ms: 250 } } }))
+  const sides = []
   for (const [i, stage] of ['prefill', 'decode', 'decode'].entries()) {
     const id = `d${i + 1}`
     const host = `127.0.0.${11 + i}`
     const engine = await startWorker({ id, service: 'llm', stage, host, serve: (req, res) => serveStream(id, req, res) })
     onEnd(() => engine.close())
     deployment.store.put(`servers/${id}`, engine.entry())
-    deployment.startSidecar(`side-${i + 1}`, host, engine.address)
+    sides.push([`side-${i + 1}`, host, engine.address])
   }
   const plain = await startWorker({
     id: 'p1',
@@ -76,6 +77,7 @@
   onEnd(() => plain.close())
   deployment.store.put('servers/p1', plain.entry())
   const gateway = await deployment.startGateway('edge-1', '127.0.0.2')
+  for (const side of sides) deployment.startSidecar(...side, { seeds: [`${gateway.ip}:${gateway.ports.control}`] })
   if (!await until(gateway.ready, 10_000)) throw new Error('the gateway is not ready')
   await sleep(7000)
 
--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -76,7 +76,7 @@
   store.put('servers/d1', engine.entry())
   store.put('servers/p1', plain.entry())
   const gateway = await deployment.startGateway('edge-1', '127.0.0.2')
-  deployment.startSidecar('side-1', '127.0.0.12', engine.address)
+  deployment.startSidecar('side-1', '127.0.0.12', engine.address, { seeds: [`${gateway.ip}:${gateway.ports.control}`] })
   if (!await until(gateway.ready, 10_000)) throw new Error('the gateway is not ready')
   await sleep(4000)
 
--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -31,7 +31,7 @@
   store.put('servers/p1', worker.entry())
   store.put('servers/d1', engine.entry())
   const gateway = await deployment.startGateway('edge-1', '127.0.0.2')
-  deployment.startSidecar('side-1', '127.0.0.11', engine.address)
+  deployment.startSidecar('side-1', '127.0.0.11', engine.address, { seeds: [`${gateway.ip}:${gateway.ports.control}`] })
   if (!await until(gateway.ready, 10_000)) throw new Error('the gateway is not ready')
   await sleep(inTouchMs + 1000)
 
--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -32,6 +32,9 @@
   thaw_ms: 300
 }
 
+/** Region of each zone. */
+const zones = { levis: 'qc-est', gatineau: 'qc-ouest' }
+
 export function sleep (ms) { return new Promise((resolve) => setTimeout(resolve, ms)) }
 
 export async function until (fn, withinMs) {
@@ -52,6 +55,9 @@
   })
 }
 
+/** Time in milliseconds that the store takes for an answer, as on the site's sheet. */
+const answerMs = 4
+
 /** Starts the stand-in for the store: items by key, pages, watches and the revision counter of the protocol page. */
 export async function startStore () {
   const items = new Map()
@@ -73,7 +79,8 @@
       sendJson(watch.res, 200, { events, store_revision: revision })
     }
   }
-  const server = createHttpServer((req, res) => {
+  const server = createHttpServer((req, res) => { setTimeout(() => answer(req, res), answerMs) })
+  function answer (req, res) {
     const { pathname, searchParams: query } = new URL(req.url, 'http://store')
     const prefix = query.get('prefix') ?? ''
     if (pathname === '/v1/kv-range') {
@@ -92,7 +99,7 @@
       waiting.delete(watch)
       clearTimeout(timer)
     })
-  })
+  }
   await new Promise((resolve) => server.listen(0, '127.0.0.1', resolve))
   return {
     address: `127.0.0.1:${server.address().port}`,
@@ -231,7 +238,7 @@
   const policy = JSON.parse(readFileSync('target/policy.json', 'utf8'))
   writeFileSync(policyFile, JSON.stringify({ ...policy, metrics: { gatewayPort: metricsPort, sidecarPort: metricsPort } }))
 
-  function start (kind, name, { ip, listen, app, seeds = [], memoryMb, heapMb }) {
+  function start (kind, name, { zone = 'levis', ip, listen, app, seeds = [], memoryMb, heapMb }) {
     const file = join(folder, `${name}.json`)
     writeFileSync(file, JSON.stringify({
       node_name: name,
@@ -239,9 +246,9 @@
       machine_class: kind === 'gateway' ? 'edge' : 'side',
       serves: [],
       ip,
-      zone: 'levis',
-      region: 'qc-est',
-      zones: { levis: 'qc-est' },
+      zone,
+      region: zones[zone],
+      zones,
       listen,
       internal_port_range: [internalPort, internalPort + 15],
       seeds,
@@ -276,14 +283,14 @@
     store,
     internalPort,
     /** Starts a gateway; its machine has the memory of the class `edge`. */
-    async startGateway (name, ip, known) {
+    async startGateway (name, ip, { ports: known, zone, seeds } = {}) {
       const ports = known ?? { front: await findFreePort(ip), ready: await findFreePort(ip), control: await findFreePort(ip) }
       const listen = Object.fromEntries(Object.entries(ports).map(([key, port]) => [key, `${ip}:${port}`]))
-      const running = start('gateway', name, { ip, listen, memoryMb: 200, heapMb: 90 })
+      const running = start('gateway', name, { ip, zone, seeds, listen, memoryMb: 200, heapMb: 90 })
       return Object.assign(running, { ip, ports, ready: () => checkReady(ip, ports.ready) })
     },
     /** Starts the sidecar beside a worker; its machine has the memory of the class `side`. */
-    startSidecar: (name, ip, app) => Object.assign(start('sidecar', name, { ip, listen: {}, app, memoryMb: 282, heapMb: 70 }), { ip }),
+    startSidecar: (name, ip, app, { zone, seeds } = {}) => Object.assign(start('sidecar', name, { ip, zone, listen: {}, app, seeds, memoryMb: 282, heapMb: 70 }), { ip }),
     async close () {
       for (const child of children) child.kill('SIGKILL')
       await until(() => children.size === 0, 3000)
