--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -323,7 +323,7 @@
 }
 
 /** Sends one request as a client and resolves when its connection is done with it. */
-export function sendRequest ({ host, port, method = 'POST', path, id, deadlineMs = 14_000, headers = {}, body = '', gapMs }) {
+export function sendRequest ({ host, port, method = 'POST', path, id, deadlineMs = 14_000, headers = {}, body = '', gapMs, maxBytes = 1e6 }) {
   return new Promise((resolve) => {
     const answer = { id, status: 0, headers: {}, body: '', isComplete: false, error: undefined, tookMs: 0 }
     const startedMs = performance.now()
@@ -345,7 +345,7 @@
       answer.headers = res.headers
       res.on('data', (chunk) => {
         restartGap()
-        if (answer.body.length < 1e6) answer.body += String(chunk)
+        if (answer.body.length < maxBytes) answer.body += String(chunk)
       })
       res.on('end', () => {
         answer.isComplete = res.complete
