--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -1,107 +1,122 @@
 /**
- * Half of the processes are killed at the same moment while a release replaces a plain worker: the three gateways that the settings name as
- * seeds, and the one sidecar that reads the store for the region of the fourth gateway. All are back half a second later. The old worker's
- * entry is removed meanwhile. The fourth gateway, which nothing has happened to, must stop sending to that worker.
+ * A decode engine refuses some streams because the KV cache of their prompt has lapsed; the gateway asks it once more, to read the prompt
+ * itself. The engine repeats a few of its answers, late, where the next one is due. A client whose stream has run must not be told that it
+ * has not.
  */
-import { buildConfiguration, findFreePort, sendRequest, sleep, startWorker, until } from '../lib/deployment.mjs'
+import { buildConfiguration, generationHeaders, sendRequest, sleep, startWorker, until } from '../lib/deployment.mjs'
 import { runCase } from '../lib/run_case.mjs'
 
-const rounds = 5
-const drainMs = 2500
-const inTouchMs = 4000
-const restartMs = 500
+/** One in so many KV caches lapses before it is fetched. */
+const lapsedEvery = 3
+/** Share of the engine's answers that come twice, chosen by a seeded generator. */
+const repeatedShare = 0.03
+const seed = 7
+const events = 5
+const eventMs = 20
+const everyMs = 60
+const warmUpMs = 12_000
+const playMs = 60_000
 
 await runCase(import.meta.url, async ({ deployment, note, hasTrouble, onEnd }) => {
-  const { store } = deployment
-  /** Arrivals by worker: time and request id. */
-  const arrivals = new Map()
+  const state = { isOver: false, isRepeating: false }
+  const counts = { fetches: 0, lapsed: 0, answers: 0, repeated: 0, repeatedRefusals: 0 }
+  const ran = new Set()
+  let random = seed
+  /** Copies that are due on a connection in front of its next answer. */
+  const copies = new WeakMap()
 
-  async function addWorker (id, host) {
-    arrivals.set(id, [])
-    const worker = await startWorker({
-      id,
-      service: 'plain',
-      host,
-      zone: 'gatineau',
-      serve (req, res) {
-        arrivals.get(id).push({ atMs: performance.now(), request: req.headers['x-request-id'] })
-        res.writeHead(200, { 'X-Request-Id': req.headers['x-request-id'], 'X-Server-Seal': `seal-${id}`, 'Content-Length': 6 })
-        res.end('signed')
-      }
-    })
-    onEnd(() => worker.close())
-    store.put(`servers/${id}`, worker.entry())
-    note(`store accepted: servers/${id} at ${worker.address}`)
+  /** Returns a number from 0 up to but not including 1. */
+  function draw () {
+    random = (random * 1_103_515_245 + 12_345) % 2_147_483_648
+    return random / 2_147_483_648
   }
 
-  // Three gateways and three engines with their sidecars in one region, one of each in the other, as on the site in small.
-  store.put('op/config', buildConfiguration(1))
+  function refuse (req, res) {
+    const id = req.headers['x-request-id']
+    res.writeHead(503, { 'X-Not-Executed': '1', 'X-Request-Id': id, 'Content-Length': 0 })
+    res.end()
+    return `HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nX-Request-Id: ${id}\r\nContent-Length: 0\r\n\r\n`
+  }
+
+  function stream (req, res) {
+    const id = req.headers['x-request-id']
+    ran.add(id)
+    const head = { 'X-Request-Id': id, 'X-Server-Seal': `seal-${id}`, 'Content-Type': 'text/event-stream' }
+    let text = ''
+    res.writeHead(200, head)
+    let sent = 0
+    const timer = setInterval(() => {
+      const event = `id: ${++sent}\ndata: piece ${sent}\n\n`
+      text += event
+      res.write(event)
+      if (sent < events) return
+      clearInterval(timer)
+      res.end()
+    }, eventMs)
+    res.on('close', () => clearInterval(timer))
+    return () => `HTTP/1.1 200 OK\r\n${Object.entries(head).map(([name, value]) => `${name}: ${value}\r\n`).join('')}Content-Length: ${text.length}\r\n\r\n${text}`
+  }
+
+  function serve (req, res) {
+    const { socket } = req
+    const copy = copies.get(socket)
+    if (copy !== undefined) {
+      copies.delete(socket)
+      socket.write(typeof copy === 'string' ? copy : copy())
+    }
+    const hasLapsed = req.headers['x-kv-source'] !== undefined && ++counts.fetches % lapsedEvery === 0
+    if (hasLapsed) counts.lapsed++
+    const answer = hasLapsed ? refuse(req, res) : stream(req, res)
+    counts.answers++
+    if (draw() >= repeatedShare || !state.isRepeating) return
+    counts.repeated++
+    if (hasLapsed) {
+      counts.repeatedRefusals++
+      note(`engine will repeat its refusal of ${req.headers['x-request-id']} late`)
+    }
+    copies.set(socket, answer)
+  }
+
+  deployment.store.put('op/config', buildConfiguration(1))
   const engines = []
-  for (const [i, zone] of ['levis', 'levis', 'levis', 'gatineau'].entries()) {
-    const engine = await startWorker({
-      id: `d${i + 1}`, service: 'llm', stage: i === 0 ? 'prefill' : 'decode', host: `127.0.0.${11 + i}`, zone, serve: (_req, res) => res.destroy()
-    })
+  for (const [i, stage] of ['prefill', 'decode'].entries()) {
+    const id = `d${i + 1}`
+    const engine = await startWorker({ id, service: 'llm', stage, host: `127.0.0.${11 + i}`, serve })
     onEnd(() => engine.close())
-    store.put(`servers/d${i + 1}`, engine.entry())
+    deployment.store.put(`servers/${id}`, engine.entry())
     engines.push(engine)
   }
-  await addWorker('q0', '127.0.0.19')
-  await addWorker('p0', '127.0.0.20')
-  const ports = { front: await findFreePort('127.0.0.5'), ready: await findFreePort('127.0.0.5'), control: await findFreePort('127.0.0.5') }
-  const seeds = [2, 3, 4].map((host) => `127.0.0.${host}:${ports.control}`)
-  const zoneOf = (i) => i < 3 ? 'levis' : 'gatineau'
-  const startGateway = (i) => deployment.startGateway(`edge-${i + 1}`, `127.0.0.${2 + i}`, { ports, zone: zoneOf(i), seeds })
-  const startSidecar = (i) => deployment.startSidecar(`side-${i + 1}`, `127.0.0.${11 + i}`, engines[i].address, { zone: zoneOf(i), seeds })
-  const gateways = await Promise.all([0, 1, 2, 3].map(startGateway))
-  const sidecars = [0, 1, 2, 3].map(startSidecar)
-  const observed = gateways[3]
-  for (const gateway of gateways) if (!await until(gateway.ready, 10_000)) throw new Error(`${gateway.name} is not ready`)
-  await sleep(inTouchMs + 2000)
+  const gateway = await deployment.startGateway('edge-1', '127.0.0.2')
+  const seeds = [`${gateway.ip}:${gateway.ports.control}`]
+  for (const [i, engine] of engines.entries()) deployment.startSidecar(`side-${i + 1}`, `127.0.0.${11 + i}`, engine.address, { seeds })
+  if (!await until(gateway.ready, 10_000)) throw new Error('the gateway is not ready')
+  await sleep(3000)
 
-  const state = { isOver: false }
+  const breaches = []
+  const ends = {}
   let sent = 0
-  const answered = {}
+  const pending = []
   const load = (async () => {
     while (!state.isOver) {
-      sendRequest({ host: observed.ip, port: ports.front, path: '/sign/1', id: `r${++sent}`, deadlineMs: 4000 })
-        .then(({ status, error }) => { answered[status || error] = (answered[status || error] ?? 0) + 1 })
-      await sleep(30)
+      const id = `s${++sent}`
+      pending.push(sendRequest({ host: gateway.ip, port: gateway.ports.front, path: '/scan/1', id, headers: generationHeaders(`aa${sent}`) }).then(({ status, error, body, isComplete }) => {
+        const end = error ?? `${status}${isComplete ? '' : ' incomplete'}`
+        ends[end] = (ends[end] ?? 0) + 1
+        if (status !== 503 || !ran.has(id)) return
+        const text = `${id} was answered 503 ${body} and has run`
+        note(text)
+        breaches.push(text)
+      }))
+      await sleep(everyMs)
     }
   })()
-
-  const breaches = []
-  for (let round = 1; round <= rounds; round++) {
-    const leaving = `p${round - 1}`
-    await addWorker(`p${round}`, `127.0.0.${20 + round}`)
-    await sleep(100)
-    const killed = [...gateways.slice(0, 3), sidecars[3]]
-    const killMs = performance.now()
-    if (hasTrouble) {
-      for (const { child } of killed) child.kill('SIGKILL')
-      await Promise.all(killed.map(({ exit }) => exit))
-      note(`killed: ${killed.map(({ name }) => name).join(' ')}, four of eight processes`)
-    }
-    await sleep(200)
-    store.remove(`servers/${leaving}`)
-    const goneMs = performance.now()
-    note(`store accepted: servers/${leaving} removed`)
-    await sleep(Math.max(0, restartMs - (performance.now() - killMs)))
-    if (hasTrouble) {
-      for (const i of [0, 1, 2]) gateways[i] = await startGateway(i)
-      sidecars[3] = startSidecar(3)
-      note('all are started again')
-    }
-    await sleep(inTouchMs + 2500)
-    const late = arrivals.get(leaving).filter(({ atMs }) => atMs > goneMs + drainMs)
-    note(`${leaving}: ${arrivals.get(leaving).length} requests ran, ${late.length} of them reached it later than ${drainMs} ms after its removal`)
-    const last = late.at(-1)
-    if (last !== undefined) {
-      breaches.push(`${late.length} requests reached ${leaving} too late, the last (${last.request}) ${Math.round(last.atMs - goneMs)} ms after its removal`)
-    }
-  }
+  await sleep(warmUpMs)
+  state.isRepeating = hasTrouble
+  if (hasTrouble) note(`from now on the engine repeats a share of ${repeatedShare} of its answers`)
+  await sleep(playMs)
   state.isOver = true
   await load
-  await sleep(500)
-  note(`requests sent to ${observed.name}: ${sent}; answers by status: ${JSON.stringify(answered)}`)
+  await Promise.all(pending)
+  note(`streams: ${sent}, ends: ${JSON.stringify(ends)}, at the engine: ${JSON.stringify(counts)}`)
   return breaches
 })
