--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -10,6 +10,10 @@
 const drainMs = 2500
 const inTouchMs = 4000
 const restartMs = 500
+/** Time that a plain worker takes for an answer, and the requests that it runs at once, so that each worker gets some. */
+const workMs = 60
+const slots = 2
+const everyMs = 20
 
 await runCase(import.meta.url, async ({ deployment, note, hasTrouble, onEnd }) => {
   const { store } = deployment
@@ -25,12 +29,14 @@
       zone: 'gatineau',
       serve (req, res) {
         arrivals.get(id).push({ atMs: performance.now(), request: req.headers['x-request-id'] })
-        res.writeHead(200, { 'X-Request-Id': req.headers['x-request-id'], 'X-Server-Seal': `seal-${id}`, 'Content-Length': 6 })
-        res.end('signed')
+        setTimeout(() => {
+          res.writeHead(200, { 'X-Request-Id': req.headers['x-request-id'], 'X-Server-Seal': `seal-${id}`, 'Content-Length': 6 })
+          res.end('signed')
+        }, workMs)
       }
     })
     onEnd(() => worker.close())
-    store.put(`servers/${id}`, worker.entry())
+    store.put(`servers/${id}`, worker.entry({ slots }))
     note(`store accepted: servers/${id} at ${worker.address}`)
   }
 
@@ -65,7 +71,7 @@
     while (!state.isOver) {
       sendRequest({ host: observed.ip, port: ports.front, path: '/sign/1', id: `r${++sent}`, deadlineMs: 4000 })
         .then(({ status, error }) => { answered[status || error] = (answered[status || error] ?? 0) + 1 })
-      await sleep(30)
+      await sleep(everyMs)
     }
   })()
 
