--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -233,10 +233,6 @@
   const children = new Set()
   const store = await startStore()
   const internalPort = await findFreePort('127.0.0.1')
-  const metricsPort = await findFreePort('127.0.0.1')
-  const policyFile = join(folder, 'policy.json')
-  const policy = JSON.parse(readFileSync('target/policy.json', 'utf8'))
-  writeFileSync(policyFile, JSON.stringify({ ...policy, metrics: { gatewayPort: metricsPort, sidecarPort: metricsPort } }))
 
   function start (kind, name, { zone = 'levis', ip, listen, app, seeds = [], memoryMb, heapMb }) {
     const file = join(folder, `${name}.json`)
@@ -265,7 +261,7 @@
       platform: { address: store.address, form: 'read', reads_per_s: 2000, history_s: 20, value_bytes: 1_048_576 },
       ...(app === undefined ? {} : { app })
     }))
-    const child = spawn(process.execPath, [`--max-old-space-size=${heapMb}`, 'target/briarloom.js', kind, policyFile], {
+    const child = spawn(process.execPath, [`--max-old-space-size=${heapMb}`, 'target/briarloom.js', kind, 'target/policy.json'], {
       env: { PATH: process.env.PATH, HOME: process.env.HOME, BRIARLOOM_NODE_FILE: file }, stdio: ['ignore', 'pipe', 'pipe']
     })
     children.add(child)
