--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -1,24 +1,29 @@
 /**
- * A decode engine refuses some streams because the KV cache of their prompt has lapsed; the gateway asks it once more, to read the prompt
- * itself. The engine repeats a few of its answers, late, where the next one is due. A client whose stream has run must not be told that it
- * has not.
+ * KV caches lapse at once for some seconds at the one engine of four that reads prompts, so the decode engines refuse to fetch them, and the
+ * gateway asks the same engine once more, to read the prompt itself. Two engines repeat a few of their answers, late, where the next one
+ * is due. A client whose stream has run must not be told that it has not.
  */
 import { buildConfiguration, generationHeaders, sendRequest, sleep, startWorker, until } from '../lib/deployment.mjs'
 import { runCase } from '../lib/run_case.mjs'
 
-/** One in so many KV caches lapses before it is fetched. */
-const lapsedEvery = 3
+/** Times for which KV caches lapse at once, and for which they do not. */
+const lapseMs = 4000
+const calmMs = 8000
 /** Share of the engine's answers that come twice, chosen by a seeded generator. */
 const repeatedShare = 0.03
 const seed = 7
+const repeating = new Set(['d2', 'd3'])
 const events = 5
 const eventMs = 20
-const everyMs = 60
+const everyMs = 40
 const warmUpMs = 12_000
 const playMs = 60_000
 
-await runCase(import.meta.url, async ({ deployment, note, hasTrouble, onEnd }) => {
-  const state = { isOver: false, isRepeating: false }
+/** `TROUBLE=0` leaves the disruption out. */
+const options = { recordFile: new URL('record.txt', import.meta.url), hasTrouble: process.env.TROUBLE !== '0' }
+
+await runCase(options, async ({ deployment, note, hasTrouble, onEnd }) => {
+  const state = { isOver: false, isRepeating: false, isLapsing: false }
   const counts = { fetches: 0, lapsed: 0, answers: 0, repeated: 0, repeatedRefusals: 0 }
   const ran = new Set()
   let random = seed
@@ -57,18 +62,20 @@
     return () => `HTTP/1.1 200 OK\r\n${Object.entries(head).map(([name, value]) => `${name}: ${value}\r\n`).join('')}Content-Length: ${text.length}\r\n\r\n${text}`
   }
 
-  function serve (req, res) {
+  function serve (engine, req, res) {
     const { socket } = req
     const copy = copies.get(socket)
     if (copy !== undefined) {
       copies.delete(socket)
       socket.write(typeof copy === 'string' ? copy : copy())
     }
-    const hasLapsed = req.headers['x-kv-source'] !== undefined && ++counts.fetches % lapsedEvery === 0
+    const isFetch = req.headers['x-kv-source'] !== undefined
+    if (isFetch) counts.fetches++
+    const hasLapsed = isFetch && state.isLapsing
     if (hasLapsed) counts.lapsed++
     const answer = hasLapsed ? refuse(req, res) : stream(req, res)
     counts.answers++
-    if (draw() >= repeatedShare || !state.isRepeating) return
+    if (!repeating.has(engine) || draw() >= repeatedShare || !state.isRepeating) return
     counts.repeated++
     if (hasLapsed) {
       counts.repeatedRefusals++
@@ -79,9 +86,9 @@
 
   deployment.store.put('op/config', buildConfiguration(1))
   const engines = []
-  for (const [i, stage] of ['prefill', 'decode'].entries()) {
+  for (const [i, stage] of ['prefill', 'decode', 'decode', 'decode'].entries()) {
     const id = `d${i + 1}`
-    const engine = await startWorker({ id, service: 'llm', stage, host: `127.0.0.${11 + i}`, serve })
+    const engine = await startWorker({ id, service: 'llm', stage, host: `127.0.0.${11 + i}`, serve: (req, res) => serve(id, req, res) })
     onEnd(() => engine.close())
     deployment.store.put(`servers/${id}`, engine.entry())
     engines.push(engine)
@@ -112,8 +119,15 @@
   })()
   await sleep(warmUpMs)
   state.isRepeating = hasTrouble
-  if (hasTrouble) note(`from now on the engine repeats a share of ${repeatedShare} of its answers`)
-  await sleep(playMs)
+  if (hasTrouble) note(`from now on d2 and d3 repeat a share of ${repeatedShare} of their answers`)
+  const endMs = performance.now() + playMs
+  while (performance.now() < endMs) {
+    state.isLapsing = hasTrouble
+    if (hasTrouble) note('KV caches lapse at once')
+    await sleep(lapseMs)
+    state.isLapsing = false
+    await sleep(calmMs)
+  }
   state.isOver = true
   await load
   await Promise.all(pending)
--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -15,7 +15,10 @@
 const slots = 2
 const everyMs = 20
 
-await runCase(import.meta.url, async ({ deployment, note, hasTrouble, onEnd }) => {
+/** `TROUBLE=0` leaves the disruption out. */
+const options = { recordFile: new URL('record.txt', import.meta.url), hasTrouble: process.env.TROUBLE !== '0' }
+
+await runCase(options, async ({ deployment, note, hasTrouble, onEnd }) => {
   const { store } = deployment
   /** Arrivals by worker: time and request id. */
   const arrivals = new Map()
--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -13,7 +13,10 @@
 const buildEvent = (id) => `id: ${id}\ndata: piece ${id} of ${events}\n\n`
 const wholeBody = Array.from({ length: events }, (_, i) => buildEvent(i + 1)).join('')
 
-await runCase(import.meta.url, async ({ deployment, note, hasTrouble, onEnd }) => {
+/** `TROUBLE=0` leaves the disruption out. */
+const options = { recordFile: new URL('record.txt', import.meta.url), hasTrouble: process.env.TROUBLE !== '0' }
+
+await runCase(options, async ({ deployment, note, hasTrouble, onEnd }) => {
   const engine = await startWorker({
     id: 'd1',
     service: 'llm',
--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -23,7 +23,10 @@
 /** More closed connections than this break the rule. */
 const allowedLosses = 3
 
-await runCase(import.meta.url, async ({ deployment, note, hasTrouble, onEnd }) => {
+/** `TROUBLE=0` leaves the disruption out. */
+const options = { recordFile: new URL('record.txt', import.meta.url), hasTrouble: process.env.TROUBLE !== '0' }
+
+await runCase(options, async ({ deployment, note, hasTrouble, onEnd }) => {
   const endless = new Set()
   const state = { inTrouble: undefined, isOver: false }
   const buildEvent = (id) => `id: ${id}\ndata: piece ${id}\n\n`
--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,2 +1,7 @@
 #!/bin/bash
-cd "$(dirname "$0")/../.." && exec node review/5/case.mjs
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run; writes record.txt in this folder.
+# TROUBLE=0 does the same without the disruption.
+cd "$(dirname "$0")/../.." || exit 2
+export TROUBLE="${TROUBLE:-1}"
+rm -f review/5/record.txt
+exec node review/5/case.mjs
--- a/review/lib/run_case.mjs
+++ b/review/lib/run_case.mjs
@@ -2,24 +2,21 @@
  * Runs one case: writes the record, ends what was started, and exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
  */
 import { writeFileSync } from 'node:fs'
-import { dirname, join } from 'node:path'
-import { fileURLToPath } from 'node:url'
 import { createDeployment } from './deployment.mjs'
 
 const longestRunMs = 115_000
 
-/** Runs `play({ deployment, note, hasTrouble })`, which returns what broke the rule, one text for each breach. */
-export async function runCase (moduleUrl, play) {
+/** Runs `play({ deployment, note, hasTrouble, onEnd })`, which returns what broke the rule, one text for each breach. */
+export async function runCase ({ recordFile, hasTrouble }, play) {
   const startMs = performance.now()
   const lines = []
   const note = (text) => { lines.push(`${((performance.now() - startMs) / 1000).toFixed(3)} s  ${text}`) }
-  const hasTrouble = process.env.TROUBLE !== '0'
   const cleanups = []
   let deployment
   async function finish (code) {
     for (const fn of cleanups) fn()
     await deployment?.close()
-    writeFileSync(join(dirname(fileURLToPath(moduleUrl)), 'record.txt'), `${lines.join('\n')}\n`)
+    writeFileSync(recordFile, `${lines.join('\n')}\n`)
     process.exit(code)
   }
   const stop = (why) => {
