Bound the bytes of an event without end, and copy each byte of it once

Cause: the event splitter kept the bytes of an incomplete event without a bound, and joined all of them with each chunk that came, so the work grew with the square of their number.

The timers of the silence watch were late by 24 ms at most, so a late watch is no cause: by design it looks after 2.4 s.

Change: a byte is looked at once and copied a fixed number of times (`createEventScanner`, `createByteBuffer`). An event of more than 4 MiB, as long as operators allow the longest request, is one without end: the attempt is lost, the engine suspect, and the stream goes on elsewhere if it may. That holds for streams that may not resume too. What all responses hold back together, also the first bytes of plain answers, has a bound of an eighth of the memory of the process; the largest yields first (`createByteBudget`, gauge `held_bytes`).

Why it works: what one engine's bytes take is bounded by their number for time, and by a constant for memory, whatever it sends.

--- a/core/stream/create_event_splitter.ts
+++ b/core/stream/create_event_splitter.ts
@@ -1,6 +1,8 @@
 /**
  * A splitter for server-sent event streams that passes on only complete events.
  */
+import { createByteBuffer } from './create_byte_buffer.ts'
+import { createEventScanner } from './create_event_scanner.ts'
 
 /** Splits an event stream into complete events. */
 export interface EventSplitter {
@@ -10,13 +12,12 @@
   lastId (): string | undefined
   /** Tells whether an event has come whose number is not above that of the event before it; it is not passed on, nor is what follows. */
   hasRepeatedEvent (): boolean
-  /** Tells whether the bytes so far end inside an event. */
-  hasPartialEvent (): boolean
+  /** Returns the number of bytes that are held, those of the event that is not complete; 0 when the bytes so far end with an event. */
+  partialBytes (): number
   /** Discards an incomplete event, because the connection to its source was lost. */
   reset (): void
 }
 
-const eventEnd = '\n\n'
 const idLine = /^id: ?(.*)$/gm
 
 /**
@@ -35,7 +36,8 @@
  * ```
  */
 export function createEventSplitter (lastId?: string): EventSplitter {
-  let partial: Buffer = Buffer.alloc(0)
+  const scanner = createEventScanner()
+  const partial = createByteBuffer()
   let currentLastId = lastId
   let hasRepeated = false
 
@@ -52,22 +54,23 @@
 
   return {
     push (chunk) {
-      const bytes = partial.length === 0 ? chunk : Buffer.concat([partial, chunk])
-      const at = bytes.lastIndexOf(eventEnd)
-      if (at < 0) {
-        partial = bytes
+      const end = scanner.scan(chunk)
+      if (end === 0) {
+        partial.append(chunk)
         return Buffer.alloc(0)
       }
-      const whole = bytes.subarray(0, at + eventEnd.length)
-      partial = bytes.subarray(at + eventEnd.length)
+      const last = chunk.subarray(0, end)
+      const whole = partial.length() === 0 ? last : Buffer.concat([partial.take(), last])
+      if (end < chunk.length) partial.append(chunk.subarray(end))
       hasRepeated ||= !recordIds(whole.toString('latin1'))
       return hasRepeated ? Buffer.alloc(0) : whole
     },
     lastId: () => currentLastId,
-    hasPartialEvent: () => partial.length > 0,
+    partialBytes: scanner.partialBytes,
     hasRepeatedEvent: () => hasRepeated,
     reset () {
-      partial = Buffer.alloc(0)
+      scanner.reset()
+      partial.take()
       hasRepeated = false
     }
   }
--- a/core/stream/stream_test.ts
+++ b/core/stream/stream_test.ts
@@ -4,7 +4,7 @@
 import assert from 'node:assert/strict'
 import { Given, Then, When } from '@cucumber/cucumber'
 import fc from 'fast-check'
-import { createEventSplitter, createTokenAssembler } from './mod.ts'
+import { createByteBudget, createEventSplitter, createTokenAssembler } from './mod.ts'
 import type { EventSplitter } from './mod.ts'
 
 interface World {
@@ -14,6 +14,7 @@
 interface SplitterWorld {
   splitter: EventSplitter
   passedOn: Buffer
+  sent: Buffer
 }
 
 interface Batch {
@@ -56,3 +57,58 @@
   assert.equal(this.splitter.hasRepeatedEvent(), true)
   assert.equal(this.splitter.lastId(), String(last))
 })
+
+When('the event splitter gets an event of {int} MiB in {int} pieces within {int} ms',
+  function (this: SplitterWorld, mebibytes: number, pieces: number, ms: number) {
+    const pieceBytes = mebibytes * 1_048_576 / pieces
+    this.sent = Buffer.concat([Buffer.from('id: 3\ndata: '), Buffer.alloc(mebibytes * 1_048_576, 'x'), Buffer.from('\n\n')])
+    const startMs = performance.now()
+    for (let at = 0; at < this.sent.length; at += pieceBytes) this.passedOn = this.splitter.push(this.sent.subarray(at, at + pieceBytes))
+    const tookMs = performance.now() - startMs
+    assert.ok(tookMs < ms, `it took ${Math.round(tookMs)} ms`)
+  })
+
+Then('the event splitter passes on the whole event', function (this: SplitterWorld) {
+  assert.ok(this.passedOn.equals(this.sent))
+  assert.equal(this.splitter.partialBytes(), 0)
+})
+
+Then('an event splitter passes on the same of a stream in any pieces, and holds the rest', function () {
+  const text = fc.array(fc.constantFrom('id: 1\n', 'data: a', '\n', '\n\n', 'x'), { maxLength: 20 }).map((parts) => parts.join(''))
+  fc.assert(fc.property(text, fc.array(fc.integer({ min: 1, max: 5 })), (stream, lengths) => {
+    const splitter = createEventSplitter()
+    const passedOn: Buffer[] = []
+    let rest = Buffer.from(stream.replace(/id: 1/g, 'id: x'))
+    const all = rest
+    for (const length of [...lengths, all.length]) {
+      passedOn.push(splitter.push(rest.subarray(0, length)))
+      rest = rest.subarray(length)
+    }
+    const whole = Buffer.concat(passedOn)
+    assert.ok(all.subarray(0, whole.length).equals(whole))
+    assert.equal(splitter.partialBytes(), all.length - whole.length)
+    assert.equal(all.subarray(whole.length).includes('\n\n'), false)
+  }), { seed: 5, numRuns: 500 })
+})
+
+Then('a byte budget of {int} bytes keeps to its bound whatever the accounts hold, and evicts the largest first', function (maxBytes: number) {
+  fc.assert(fc.property(fc.array(fc.tuple(fc.nat(9), fc.nat(700))), (sets) => {
+    const budget = createByteBudget({ maxBytes })
+    const held = new Map<number, number>()
+    const evicted = new Set<number>()
+    const accounts = Array.from({ length: 10 }, (_, i) => budget.open(() => {
+      assert.equal(held.get(i), Math.max(...held.values()), 'a smaller account was evicted')
+      held.delete(i)
+      evicted.add(i)
+    }))
+    for (const [i, bytes] of sets) {
+      if (!evicted.has(i)) held.set(i, bytes)
+      accounts[i]?.set(bytes)
+      const total = [...held.values()].reduce((sum, value) => sum + value, 0)
+      assert.equal(budget.heldBytes(), total)
+      assert.ok(total <= maxBytes, `${total} bytes are held`)
+    }
+    for (const account of accounts) account.close()
+    assert.equal(budget.heldBytes(), 0)
+  }), { seed: 5, numRuns: 300 })
+})
--- a/gateway/_forward_stream.ts
+++ b/gateway/_forward_stream.ts
@@ -1,6 +1,7 @@
 /**
  * Forwards the response stream of a decode engine.
  */
+import { createEventScanner } from '../core/stream/mod.ts'
 import { observeStream } from './_observe_stream.ts'
 import { sendToWorker } from './_send_to_worker.ts'
 import { StopReason } from './_types.ts'
@@ -57,11 +58,12 @@
 
 const minFailureStatus = 500
 const minRefusalStatus = 300
-const eventEnd = '\n\n'
+/** Bytes beyond which an event counts as one without end: as many as the operators allow in the longest request. */
+const maxEventBytes = 4 * 1_048_576
 
 /** Forwards one stream and returns how it ended; the client's response is completed only when the stream is complete. */
 export function forwardStream (context: GatewayContext, request: ClientRequest, options: ForwardStreamOptions): Promise<StreamResult> {
-  const { timer } = context
+  const { timer, directory } = context
   const { reservation, kvSource, resumption } = options
   const events = resumption?.events
   const { worker } = reservation
@@ -75,8 +77,9 @@
     let isCloseDelimited = false
     /** True when the client has a part of the stream, so that only the events that follow it may be forwarded. */
     const isContinued = request.reply.hasBegun()
-    /** Last bytes of the response, at most as many as the end of an event has. */
-    let lastBytes = ''
+    const scanner = createEventScanner()
+    const partialBytes = events?.partialBytes ?? scanner.partialBytes
+    const held = context.heldBytes.open(() => loseEndless(`an event of ${partialBytes()} bytes is the longest of too many that are not complete`))
     const observer = observeStream(context.promptGuard, worker, request.head.sharedParts)
 
     const watch = resumption === undefined
@@ -100,6 +103,7 @@
       isSettled = true
       const next = replacement ?? (end === StreamEnd.Lost || end === StreamEnd.Refused ? watch?.takeSearch() : undefined)
       watch?.end()
+      held.close()
       worker.ownTokens -= reservation.tokens
       context.sidecars.reportStreamEnd(worker, request.requestId, end === StreamEnd.Completed)
       const ranMs = Math.round(timer.now() - sentMs)
@@ -108,8 +112,15 @@
 
     /** Tells whether the response ended inside an event, or before the first one. */
     function endsEarly (): boolean {
-      if (events !== undefined) return events.hasPartialEvent() || (isCloseDelimited && stats.bytes === 0)
-      return isCloseDelimited && lastBytes !== eventEnd
+      if (isCloseDelimited && stats.bytes === 0) return true
+      return (events !== undefined || isCloseDelimited) && partialBytes() > 0
+    }
+
+    /** Ends the attempt at an engine that sends bytes without the end of an event. */
+    function loseEndless (detail: string): void {
+      exchange.abort()
+      directory.fleet.markSuspect(worker, timer.now())
+      settle(StreamEnd.Lost, detail)
     }
 
     /** Tells whether the stream may go on elsewhere instead of passing on the engine's response. */
@@ -124,13 +135,20 @@
       else stats.pauseMs = Math.max(stats.pauseMs, Math.round(nowMs - lastDataMs))
       lastDataMs = nowMs
       stats.bytes += chunk.length
-      lastBytes = (lastBytes + chunk.toString('latin1', Math.max(0, chunk.length - eventEnd.length))).slice(-eventEnd.length)
-      const forwarded = events === undefined || stats.status >= minRefusalStatus ? chunk : events.push(chunk)
+      const hasEvents = stats.status < minRefusalStatus
+      if (events === undefined) scanner.scan(chunk)
+      const forwarded = events === undefined || !hasEvents ? chunk : events.push(chunk)
       if (events?.hasRepeatedEvent()) {
         exchange.abort()
         settle(StreamEnd.Lost, `an event after ${events.lastId()} was sent again`)
         return
       }
+      if (hasEvents && partialBytes() > maxEventBytes) {
+        loseEndless(`an event is longer than ${maxEventBytes} bytes`)
+        return
+      }
+      if (events !== undefined) held.set(events.partialBytes())
+      if (isSettled) return
       watch?.onData(forwarded.length > 0)
       if (forwarded.length === 0 || request.reply.write(forwarded)) return
       watch?.suspend()
--- a/gateway/_serve_plain.ts
+++ b/gateway/_serve_plain.ts
@@ -4,6 +4,7 @@
 import { chooseWorker, HoldReason, takeSendPlace } from '../core/fleet/mod.ts'
 import { RequestKind } from '../core/route/mod.ts'
 import { planRetry } from '../core/retry/mod.ts'
+import { createByteBuffer } from '../core/stream/mod.ts'
 import { Outcome } from '../core/types/mod.ts'
 import { Count } from '../metrics/mod.ts'
 import { checkWorker, recordHeld } from './_check_worker.ts'
@@ -149,14 +150,15 @@
   const startedMs = timer.now()
   return new Promise((resolve) => {
     let head: WorkerResponse | undefined
-    let chunks: Buffer[] = []
-    let bytes = 0
+    const buffered = createByteBuffer()
     let isStreaming = false
     let isSettled = false
+    const held = context.heldBytes.open(beginStreaming)
 
     function settle (result: SendResult, failed: boolean): void {
       if (isSettled) return
       isSettled = true
+      held.close()
       const latencyMs = result.end === SendEnd.Completed ? timer.now() - startedMs : undefined
       directory.fleet.recordResult(worker, latencyMs === undefined ? { failed } : { latencyMs, failed })
       resolve(result)
@@ -165,18 +167,17 @@
     const exchange = sendToWorker(context, request, worker, {}, {
       onHead (response) { head = response },
       onData (chunk) {
-        bytes += chunk.length
-        if (isStreaming) forward(chunk)
-        else chunks.push(chunk)
-        if (isStreaming || bytes <= maxBufferedBytes || head === undefined) return
-        isStreaming = true
-        request.reply.begin(head)
-        for (const buffered of chunks.splice(0)) forward(buffered)
+        if (isStreaming) {
+          forward(chunk)
+          return
+        }
+        buffered.append(chunk)
+        held.set(buffered.length())
+        if (buffered.length() > maxBufferedBytes) beginStreaming()
       },
       onEnd () {
         if (isStreaming) request.reply.end()
-        const body = Buffer.concat(chunks)
-        chunks = []
+        const body = buffered.take()
         const response = isStreaming || head === undefined ? {} : { response: { head, body } }
         settle(
           { end: SendEnd.Completed, hasArrived: true, reason: 'answered', ...response }, (head?.status ?? minFailureStatus) >= minFailureStatus
@@ -186,11 +187,21 @@
         // Sending nothing says nothing about the worker.
         if (!isWithheld) return settle({ end: SendEnd.NotRun, hasArrived, reason }, true)
         isSettled = true
+        held.close()
         resolve({ end: SendEnd.NotRun, hasArrived, reason })
       },
       onLost (reason) { settle({ end: SendEnd.Lost, hasArrived: true, reason }, true) }
     })
 
+    /** Begins to pass the response on, which can no longer be replaced by that of another worker then. */
+    function beginStreaming (): void {
+      if (isStreaming || head === undefined) return
+      isStreaming = true
+      held.close()
+      request.reply.begin(head)
+      forward(buffered.take())
+    }
+
     function forward (chunk: Buffer): void {
       if (request.reply.write(chunk)) return
       exchange.pause()
--- a/gateway/_types.ts
+++ b/gateway/_types.ts
@@ -8,6 +8,7 @@
 import type { NodeSettings, RequestHead } from '../platform/mod.ts'
 import type { SharedRetryBudget } from '../core/retry/mod.ts'
 import type { RouteRule, ServiceRule } from '../core/route/mod.ts'
+import type { ByteBudget } from '../core/stream/mod.ts'
 import type { Timer } from '../timer/mod.ts'
 import type { PromptGuard } from './_prompt_guard.ts'
 import type { SidecarClient } from './_sidecar_client.ts'
@@ -25,6 +26,8 @@
   controlPool: ExchangePool
   sidecars: SidecarClient
   promptGuard: PromptGuard
+  /** Bounds the bytes of responses that are held back until it is known whether they may be passed on. */
+  heldBytes: ByteBudget
   metrics: PrometheusMetrics
   random: () => number
   /** Returns the number of gateways that share the retry budgets and the limits of workers. */
--- a/gateway/start_gateway.ts
+++ b/gateway/start_gateway.ts
@@ -5,6 +5,7 @@
 import { Err, Ok } from '../core/results/mod.ts'
 import { createSharedRetryBudget } from '../core/retry/mod.ts'
 import { createDirectory, listStoreReaders, shareView, syncRecords } from '../directory/mod.ts'
+import { createByteBudget } from '../core/stream/mod.ts'
 import { createExchangePool } from '../exchange/mod.ts'
 import { Count, createPrometheusMetrics } from '../metrics/mod.ts'
 import { readyPath } from '../platform/mod.ts'
@@ -54,6 +55,10 @@
 /** Longest time in milliseconds for which the process waits until the responses to the requests that it stops have been sent. */
 const finalResponseMs = 150
 const finalCheckMs = 10
+/** Share of the memory of the process that responses may take while they are held back; the rest is for all else and for garbage. */
+const heldMemoryShare = 1 / 8
+/** Memory in bytes of a process whose platform names none. */
+const defaultMemoryBytes = 128 * 1_048_576
 
 /**
  * Starts a gateway.
@@ -91,6 +96,7 @@
       limited_workers: () => directory.fleet.all().filter((worker) => worker.pacer !== undefined).length,
       leaving_workers: () => directory.fleet.all().filter((worker) => worker.word.leavingSinceMs !== undefined).length,
       held_workers: () => directory.fleet.all().filter((worker) => worker.word.hold.untilMs() > timer.now()).length,
+      held_bytes: () => heldBytes.heldBytes(),
       quarantines: () => promptGuard.quarantines(),
       log_lines_dropped: () => options.droppedLines?.() ?? 0
     },
@@ -104,6 +110,8 @@
   })
   const promptGuard = createPromptGuard({ directory, timer, log, metrics, sendEvidence: sidecars.sendEvidence })
 
+  const heldBytes = createByteBudget({ maxBytes: heldMemoryShare * (settings.memoryBytes ?? defaultMemoryBytes) })
+
   const context: GatewayContext = {
     metrics,
     settings,
@@ -114,6 +122,7 @@
     controlPool: createExchangePool(),
     sidecars,
     promptGuard,
+    heldBytes,
     random,
     gatewayCount: gateways,
     retryBudget (service) {
