Read an event of an engine in time that grows with its length only

Cause: `readStream` joined and split all of the incomplete event with each piece. The bound of 1 MiB leaves that quadratic.

Change: the pieces are joined once, when the event is complete; an end that lies across two pieces is found by the last character.

--- a/engine/_read_stream.ts
+++ b/engine/_read_stream.ts
@@ -10,6 +10,7 @@
 import type { DecodeEnd, EngineError, TokenBatch } from './_types.ts'
 
 const maxEventChars = 1_048_576
+const eventEnd = '\n\n'
 
 function brokenStream (message: string): Result<DecodeEnd, EngineError> {
   return Err({ kind: EngineErrorKind.Broken, sent: true, message })
@@ -52,13 +53,23 @@
 ): Promise<Result<DecodeEnd, EngineError>> {
   const reorderBuffer = createReorderBuffer(offset, onTokens)
   const decoder = new TextDecoder()
-  let text = ''
+  let pieces: string[] = []
+  let pendingChars = 0
+  let lastChar = ''
   try {
     for await (const chunk of body) {
-      text += decoder.decode(chunk, { stream: true })
-      const events = text.split('\n\n')
-      text = events.pop() ?? ''
-      if (text.length > maxEventChars) return brokenStream(`an event of the stream is longer than ${maxEventChars} characters`)
+      const piece = decoder.decode(chunk, { stream: true })
+      pieces.push(piece)
+      pendingChars += piece.length
+      // Joining the pieces before the event is complete would take time that grows with the square of its length.
+      const hasEnd = (lastChar + piece).includes(eventEnd)
+      lastChar = piece.at(-1) ?? lastChar
+      const events = hasEnd ? pieces.join('').split(eventEnd) : []
+      if (hasEnd) {
+        pieces = [events.pop() ?? '']
+        pendingChars = (pieces[0] as string).length
+      }
+      if (pendingChars > maxEventChars) return brokenStream(`an event of the stream is longer than ${maxEventChars} characters`)
       for (const event of events) {
         const end = handleEvent(JSON.parse(event.slice('data: '.length)), reorderBuffer)
         if (end) return end
--- a/engine/engine.feature
+++ b/engine/engine.feature
@@ -63,3 +63,7 @@
   # Guards against an odd answer of one engine that throws in its agent, or that its agent passes on in a message which entries refuse.
   Scenario: Each answer of an engine with any field odd is decoded or an error, and nothing throws
     Then each engine call and stream whose answer has any field odd ends as a value of the right form
+
+  # Guards against a long event in small pieces, of which each one made the reader go through all that came before.
+  Scenario: The work for an incomplete event of an engine grows with its length only
+    Then an event of 1000000 characters in pieces of 16 bytes is read within 1500 ms, wherever the pieces part
--- a/engine/engine_test.ts
+++ b/engine/engine_test.ts
@@ -13,6 +13,7 @@
 import type { ServiceStandIn } from '../testing/service/mod.ts'
 import { createSystemTimer } from '../timer/mod.ts'
 import type { Timer } from '../timer/mod.ts'
+import { readStream } from './_read_stream.ts'
 import { createEngineHttp, createServiceHttp } from './mod.ts'
 import type { DecodeJob, EngineAdapter, PrefillResult, TokenBatch } from './mod.ts'
 
@@ -295,3 +296,22 @@
   await engine.close()
   server.close()
 })
+
+Then('an event of {int} characters in pieces of {int} bytes is read within {int} ms, wherever the pieces part',
+  async function (chars: number, pieceBytes: number, ms: number) {
+    const token = 'x'.repeat(chars)
+    const sent = Buffer.from([{ offset: 0, tokens: [token] }, { end: { tokens: 1, reason: 'stop' } }].map((event) => `data: ${JSON.stringify(event)}\n\n`).join(''))
+    for (const firstBytes of [pieceBytes, pieceBytes - 1]) {
+      async function * readPieces (): AsyncIterable<Buffer> {
+        yield sent.subarray(0, firstBytes)
+        for (let at = firstBytes; at < sent.length; at += pieceBytes) yield sent.subarray(at, at + pieceBytes)
+      }
+      const got: string[] = []
+      const startMs = performance.now()
+      const end = await readStream(readPieces(), 0, ({ tokens }) => got.push(...tokens))
+      const tookMs = performance.now() - startMs
+      assert.ok(end.ok, end.err ? end.val.message : '')
+      assert.deepEqual(got, [token])
+      assert.ok(tookMs < ms, `it took ${Math.round(tookMs)} ms`)
+    }
+  })
