Hear a refusal or an error whose body has no end

What callers saw: a worker that refuses a request with a body that never ends, or drips, was a refusal that nobody heard: the request was answered at its deadline instead of at another worker; a stream went on only once its engine counted as silent.

Cause: a refusal, and the error of an engine whose stream goes on elsewhere, are known from the head, but took effect at the end of a body that was read and thrown away without a bound.

--- a/gateway/_forward_stream.ts
+++ b/gateway/_forward_stream.ts
@@ -2,11 +2,13 @@
  * Forwards the response stream of a decode engine.
  */
 import { createEventScanner } from '../core/stream/mod.ts'
+import { discardBody } from './_discard_body.ts'
 import { observeStream } from './_observe_stream.ts'
 import { sendToWorker } from './_send_to_worker.ts'
 import { StopReason } from './_types.ts'
 import { watchSilence } from './_watch_silence.ts'
 import type { EventSplitter } from '../core/stream/mod.ts'
+import type { DiscardedBody } from './_discard_body.ts'
 import type { PreparedAttempt } from './_prepare_attempt.ts'
 import type { Reservation } from './_reserve_memory.ts'
 import type { ClientRequest, GatewayContext } from './_types.ts'
@@ -75,6 +77,8 @@
     let lastDataMs = sentMs
     let isSettled = false
     let isCloseDelimited = false
+    /** The body of a response that is not passed on. */
+    let failedBody: DiscardedBody | undefined
     /** True when the client has a part of the stream, so that only the events that follow it may be forwarded. */
     const isContinued = request.reply.hasBegun()
     const scanner = createEventScanner()
@@ -104,6 +108,7 @@
       const next = replacement ?? (end === StreamEnd.Lost || end === StreamEnd.Refused ? watch?.takeSearch() : undefined)
       watch?.end()
       held.close()
+      failedBody?.cancel()
       worker.ownTokens -= reservation.tokens
       context.sidecars.reportStreamEnd(worker, request.requestId, end === StreamEnd.Completed)
       const ranMs = Math.round(timer.now() - sentMs)
@@ -168,9 +173,19 @@
       onHead (head) {
         stats.status = head.status
         isCloseDelimited = head.isCloseDelimited
-        if (!hasFailed()) request.reply.begin(head)
+        if (!hasFailed()) {
+          request.reply.begin(head)
+          return
+        }
+        failedBody = discardBody(timer, () => {
+          exchange.abort()
+          settle(StreamEnd.Lost, `status ${stats.status}`)
+        })
+      },
+      onData (chunk) {
+        if (failedBody === undefined) forward(chunk)
+        else failedBody.add(chunk)
       },
-      onData (chunk) { if (!hasFailed()) forward(chunk) },
       onEnd () {
         if (hasFailed()) {
           settle(StreamEnd.Lost, `status ${stats.status}`)
--- a/gateway/_send_to_worker.ts
+++ b/gateway/_send_to_worker.ts
@@ -5,10 +5,12 @@
 import { Outcome } from '../core/types/mod.ts'
 import { FailureKind } from '../exchange/mod.ts'
 import { decodeResponseHead, encodeWorkerHeaders } from '../platform/mod.ts'
+import { discardBody } from './_discard_body.ts'
 import { getEarliestMs, mayStart, recordAnswer } from './_check_worker.ts'
 import type { Worker } from '../core/fleet/mod.ts'
 import type { Exchange, Failure } from '../exchange/mod.ts'
 import type { ResponseHead, WorkerHeaders } from '../platform/mod.ts'
+import type { DiscardedBody } from './_discard_body.ts'
 import type { ClientRequest, GatewayContext } from './_types.ts'
 
 /** The head of a worker's response. */
@@ -78,11 +80,17 @@
   const { timer, directory } = context
   const deadlineMs = request.deadlineMs - timer.now()
   const headers = [...request.head.forwarded, ...encodeWorkerHeaders({ ...added, workerId: worker.entry.id, deadlineMs })]
-  let isRefused = false
+  /** The body of a refusal; undefined when the worker has not refused the request. */
+  let refusalBody: DiscardedBody | undefined
   worker.inFlight++
 
   function decrementInFlight (): void { worker.inFlight-- }
 
+  function finishRefused (): void {
+    refusalBody?.cancel()
+    handlers.onRefused({ hasArrived: true, reason: 'refused' })
+  }
+
   const exchange = context.pool.send(worker.entry.address, {
     method: request.method, path: request.path, headers, body: request.body.length > 0 ? request.body : null
   }, {
@@ -93,25 +101,31 @@
       if (head.requestId === undefined ? isReused : head.requestId !== request.requestId) return false
       applyLimit(context, worker, head.limitPerS)
       recordAnswer(context, worker, head)
-      isRefused = head.notRun
-      if (isRefused) return true
+      if (head.notRun) {
+        refusalBody = discardBody(timer, () => {
+          exchange.abort()
+          decrementInFlight()
+          finishRefused()
+        })
+        return true
+      }
       if (head.hasContentEncoding) return false
       handlers.onHead({ ...replaceReturn(context, request, head), isCloseDelimited })
       return true
     },
-    onData: (chunk) => { if (!isRefused) handlers.onData(chunk) },
+    onData (chunk) {
+      if (refusalBody === undefined) handlers.onData(chunk)
+      else refusalBody.add(chunk)
+    },
     onEnd () {
       decrementInFlight()
-      if (isRefused) handlers.onRefused({ hasArrived: true, reason: 'refused' })
+      if (refusalBody !== undefined) finishRefused()
       else handlers.onEnd()
     },
     onFail (failure) {
       decrementInFlight()
-      if (isRefused) {
-        handlers.onRefused({ hasArrived: true, reason: 'refused' })
-        return
-      }
-      if (failure.kind === FailureKind.Withheld) handlers.onRefused({ hasArrived: false, isWithheld: true, reason: failure.message })
+      if (refusalBody !== undefined) finishRefused()
+      else if (failure.kind === FailureKind.Withheld) handlers.onRefused({ hasArrived: false, isWithheld: true, reason: failure.message })
       else if (classifyFailure(failure) === Outcome.NotRun) {
         directory.fleet.markSuspect(worker, timer.now())
         context.promptGuard.recordUnreachable(worker)
@@ -122,6 +136,7 @@
   return {
     ...exchange,
     abort () {
+      refusalBody?.cancel()
       decrementInFlight()
       exchange.abort()
     }
--- a/gateway/endless_bytes.feature
+++ b/gateway/endless_bytes.feature
@@ -27,3 +27,28 @@
     When a gateway client requests a generation on "/resume/x"
     Then the gateway client gets the events 1 to 3, each once
     And the gateway logged "is the longest of too many that are not complete"
+
+  # Guards against a refusal, or an error, that is known from its head and goes unheard until the deadline because its body has no end.
+  Scenario Outline: A request goes on elsewhere when the response of its first worker is <mode>
+    Given a gateway site with the plain workers "w1, w2"
+    And gateway workers that are "<mode>" to their first request
+    When a gateway client sends "POST /safe/x"
+    Then the gateway client gets 200
+    And the gateway response arrived within 400 ms
+
+    Examples:
+      | mode             |
+      | endless_refusal  |
+      | dribbled_refusal |
+
+  Scenario Outline: A stream goes on elsewhere when the response of its first engine is <mode>
+    Given the gateway decode engines are "<mode>" to the first request
+    When a gateway client requests a generation on "/resume/x"
+    Then the gateway client gets the events 1 to 4, each once
+    And the gateway response arrived within 900 ms
+
+    Examples:
+      | mode             |
+      | endless_refusal  |
+      | dribbled_refusal |
+      | endless_error    |
--- a/gateway/gateway_test.ts
+++ b/gateway/gateway_test.ts
@@ -233,7 +233,9 @@
 })
 
 When('a gateway client sends {string}', async function (this: World, line: string) {
+  const startedMs = performance.now()
   this.response = await send(this.gatewaySite, line)
+  this.tookMs = performance.now() - startedMs
 })
 
 When('a gateway client sends {string} without waiting', async function (this: World, line: string) {
--- a/testing/fleuve/start_worker.ts
+++ b/testing/fleuve/start_worker.ts
@@ -43,6 +43,12 @@
   EndlessHead = 'endless_head',
   /** Sends a body that never ends, until the connection is closed. */
   EndlessBody = 'endless_body',
+  /** Refuses with status 503 and states that the request has not run, in a response whose body never ends. */
+  EndlessRefusal = 'endless_refusal',
+  /** As `EndlessRefusal`, with one byte of the body now and then. */
+  DribbledRefusal = 'dribbled_refusal',
+  /** Responds with status 500 and a body that never ends. */
+  EndlessError = 'endless_error',
   /** Sends part of a body without a length and resets the connection. */
   CloseDelimitedReset = 'unframed_reset',
   /** Sends part of a body without a length and resets the connection at once, so that both arrive together. */
@@ -191,6 +197,7 @@
 /** Length in bytes of the pieces of a response that never ends. */
 const slowMs = 300
 const endlessPieceBytes = 16_384
+const endlessChunk = `${endlessPieceBytes.toString(16)}\r\n${'x'.repeat(endlessPieceBytes)}\r\n`
 
 /** Length in bytes of a large body: more than the buffers of two connections hold. */
 const largeBodyBytes = 20_000_000
@@ -259,6 +266,11 @@
     else socket.end()
   }
 
+  function beginRefusal (req: IncomingMessage, res: ServerResponse): void {
+    res.writeHead(503, { 'X-Not-Executed': '1', 'X-Request-Id': String(req.headers['x-request-id']), ...wordHeaders() })
+    res.flushHeaders()
+  }
+
   function buildResponse (req: IncomingMessage): string {
     const headers = Object.entries(createHeaders(req, { 'Content-Length': responseText.length })).map(([name, value]) => `${name}: ${value}`)
     return ['HTTP/1.1 200 OK', ...headers, '', responseText].join('\r\n')
@@ -341,6 +353,20 @@
       writeRaw(req.socket, req, ['Connection: close'], '')
       writeUntilClosed(req.socket, 'x'.repeat(endlessPieceBytes))
     },
+    [WorkerMode.EndlessRefusal]: (req, res) => {
+      beginRefusal(req, res)
+      writeUntilClosed(req.socket, endlessChunk)
+    },
+    [WorkerMode.DribbledRefusal]: (req, res) => {
+      beginRefusal(req, res)
+      const timer = setInterval(() => res.write('.'), dribbleMs)
+      res.on('close', () => clearInterval(timer))
+    },
+    [WorkerMode.EndlessError]: (req, res) => {
+      res.writeHead(500, createHeaders(req))
+      res.flushHeaders()
+      writeUntilClosed(req.socket, endlessChunk)
+    },
     [WorkerMode.CloseDelimitedReset]: (req) => {
       writeRaw(req.socket, req, ['Connection: close'], 'sig')
       setTimeout(() => req.socket.resetAndDestroy(), 20)
