Break a connection that reads bytes which belong to no response

A worker that sends interim responses, empty lines, the text of a status line or the size or extension of a chunk without end took processor time until the deadline, with no data, and on a plain route no other worker was tried.

Cause: the parser bounds header and trailer fields, and nothing else that is no body.

Change: a connection that has read as many bytes as a head may have, and what its buffers hold, without a head or a part of a body, is broken.

--- a/exchange/create_exchange_pool.ts
+++ b/exchange/create_exchange_pool.ts
@@ -33,6 +33,8 @@
  * machine or the path to it may fall silent for a second or more and go on, and probes that get no answer end the connection.
  */
 const keepAliveProbeMs = 10_000
+/** Bytes that a socket may have read and not yet passed on: its buffer, and one read. */
+const socketBufferBytes = 131_072
 
 interface PooledConnection {
   client: ClientType
@@ -41,6 +43,8 @@
   isEnded: boolean
   /** True when the connection was reset. */
   isReset: boolean
+  /** Notes that a response goes on: its head or a part of its body has come. */
+  markProgress (): void
 }
 
 /**
@@ -61,6 +65,7 @@
  */
 export function createExchangePool (options: ExchangePoolOptions = {}): ExchangePool {
   const connectTimeoutMs = options.connectTimeoutMs ?? defaultConnectTimeoutMs
+  const maxHeaderBytes = options.maxHeaderBytes ?? defaultMaxHeaderBytes
   const idle = new Map<string, PooledConnection[]>()
   const connections = new Set<PooledConnection>()
 
@@ -73,7 +78,9 @@
   }
 
   function open (address: string): PooledConnection {
-    const connection: PooledConnection = { client: undefined as unknown as ClientType, hasBeenUsed: false, isEnded: false, isReset: false }
+    const connection: PooledConnection = {
+      client: undefined as unknown as ClientType, hasBeenUsed: false, isEnded: false, isReset: false, markProgress () {}
+    }
     connection.client = new Client(`http://${address}`, {
       pipelining: 1,
       headersTimeout: 0,
@@ -81,7 +88,7 @@
       allowH2: false,
       keepAliveTimeout: options.idleTimeoutMs ?? defaultIdleTimeoutMs,
       keepAliveTimeoutThreshold: keepAliveMarginMs,
-      maxHeaderSize: options.maxHeaderBytes ?? defaultMaxHeaderBytes,
+      maxHeaderSize: maxHeaderBytes,
       connect: (target, done) => connectSocket(connection, target, done)
     })
     connection.client.on('disconnect', () => discard(address, connection))
@@ -102,6 +109,7 @@
       socket.removeAllListeners('timeout')
       socket.off('error', fail)
       socket.setKeepAlive(true, keepAliveProbeMs)
+      boundIdleBytes(connection, socket)
       socket.on('error', () => { connection.isReset = true })
       socket.on('end', () => {
         connection.isEnded = true
@@ -111,6 +119,19 @@
     })
   }
 
+  /**
+   * Breaks a connection that reads bytes which are neither a head nor a body. The parser bounds header fields, but not interim responses,
+   * the text of a status line and the size and extension of a chunk.
+   */
+  function boundIdleBytes (connection: PooledConnection, socket: Socket): void {
+    const maxBytes = maxHeaderBytes + socketBufferBytes
+    let progressBytes = 0
+    connection.markProgress = () => { progressBytes = socket.bytesRead }
+    socket.on('readable', () => {
+      if (socket.bytesRead - progressBytes > maxBytes) socket.destroy(new Error(`more than ${maxBytes} bytes that belong to no response`))
+    })
+  }
+
   /** Opens a connection; returns why there is none when the address is not one of a server. */
   function tryOpen (address: string): Result<PooledConnection, string> {
     try {
@@ -201,17 +222,22 @@
     onRequestStart (control) {
       if (!isOver && handlers.mayStart?.() === false) fail(FailureKind.Withheld, 'the request was no longer allowed')
       isStarted = true
+      connection.markProgress()
       controller = control
       if (isOver) control.abort(new Error('exchange aborted'))
     },
     onResponseStart (control, status) {
       if (isOver || status < 200) return
+      connection.markProgress()
       const raw = (control.rawHeaders ?? []) as Array<Buffer | string>
       const headers = raw.map((part) => typeof part === 'string' ? part : part.toString('latin1'))
       isCloseDelimited = hasCloseDelimitedBody(status, headers, req.method)
       if (!handlers.onHead(status, headers, { isCloseDelimited, isReused })) fail(FailureKind.Broken, `the response with status ${status} was rejected`)
     },
-    onResponseData (_control, chunk) { if (!isOver) handlers.onData(chunk) },
+    onResponseData (_control, chunk) {
+      connection.markProgress()
+      if (!isOver) handlers.onData(chunk)
+    },
     onResponseEnd: end,
     onResponseError (_control, err) {
       const code = (err as { code?: string }).code ?? ''
--- a/exchange/exchange.feature
+++ b/exchange/exchange.feature
@@ -29,6 +29,23 @@
       | abort  |
       | finish |
 
+  # Guards against bytes that the parser reads without a bound and without an effect until the deadline.
+  Scenario Outline: An exchange fails when its server sends <what> without end
+    Then the exchange fails within 700 ms when its server sends "<what>" without end
+
+    Examples:
+      | what                       |
+      | interim responses          |
+      | header fields              |
+      | trailer fields             |
+      | the text of a status line  |
+      | the extension of a chunk   |
+      | the size of a chunk        |
+      | empty lines                |
+
+  Scenario: An exchange whose server sends a long body in small chunks ends, however slowly it is read
+    Then the exchange with a response of 3000000 bytes in chunks of 3 bytes ends with all of them, with pauses
+
   # Guards against an odd entry or response whose text makes each call throw, at once or later in a timer.
   Scenario Outline: A call to the address <address> with the header value <value> fails as a value
     Then the exchange with "<address>" and the header value "<value>" fails as "<kind>", and a call does so as a value
--- a/exchange/exchange_test.ts
+++ b/exchange/exchange_test.ts
@@ -32,6 +32,21 @@
   'without status': 'X-Request-Id: r-1\r\nConnection: close\r\n\r\n'
 }
 
+const chunkedHead = 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+const fields = `X-More: ${'x'.repeat(1000)}\r\n`.repeat(16)
+const pieceBytes = 16_384
+
+/** Responses without end: what comes first, and what is repeated. */
+const endlessResponses: { readonly [what: string]: readonly [first: string, repeated: string] } = {
+  'interim responses': ['', 'HTTP/1.1 103 Early Hints\r\nX-Hint: 1\r\n\r\n'.repeat(400)],
+  'header fields': ['HTTP/1.1 200 OK\r\n', fields],
+  'trailer fields': [`${chunkedHead}0\r\n`, fields],
+  'the text of a status line': ['HTTP/1.1 200 ', 'x'.repeat(pieceBytes)],
+  'the extension of a chunk': [`${chunkedHead}5;`, 'x'.repeat(pieceBytes)],
+  'the size of a chunk': [chunkedHead, '0'.repeat(pieceBytes)],
+  'empty lines': ['', '\r\n'.repeat(pieceBytes / 2)]
+}
+
 async function serve (world: World, onRequest: (socket: Socket, count: number) => void): Promise<string> {
   const server = createServer((socket) => {
     let count = 0
@@ -146,3 +161,44 @@
     timer.close()
     assert.equal(called.err && called.val.kind, kind)
   })
+
+Then('the exchange fails within {int} ms when its server sends {string} without end', async function (this: World, ms: number, what: string) {
+  const [first, repeated] = endlessResponses[what] as readonly [string, string]
+  const address = await serve(this, (socket) => {
+    const writeOn = (): void => {
+      if (socket.destroyed) return
+      if (socket.write(repeated)) setImmediate(writeOn)
+      else socket.once('drain', writeOn)
+    }
+    socket.write(first)
+    writeOn()
+  })
+  const pool = createPool(this)
+  const late = new Promise<Ending>((resolve) => { setTimeout(() => resolve({ ended: false, status: 0 }), ms) })
+  const ending = await Promise.race([run(pool, address), late])
+  await pool.close()
+  assert.equal(ending.failure, FailureKind.Broken)
+})
+
+Then('the exchange with a response of {int} bytes in chunks of {int} bytes ends with all of them, with pauses',
+  async function (this: World, bytes: number, chunkBytes: number) {
+    const chunk = `${chunkBytes.toString(16)}\r\n${'x'.repeat(chunkBytes)}\r\n`
+    const address = await serve(this, (socket) => { socket.write(`${chunkedHead}${chunk.repeat(bytes / chunkBytes)}0\r\n\r\n`) })
+    let got = 0
+    await new Promise<void>((resolve, reject) => {
+      let pausedAt = 0
+      const exchange = createPool(this).send(address, request, {
+        onHead: () => true,
+        onData (data) {
+          got += data.length
+          if (got < pausedAt) return
+          pausedAt = got + 500_000
+          exchange.pause()
+          setTimeout(() => exchange.resume(), 20)
+        },
+        onEnd: resolve,
+        onFail: (failure) => reject(new Error(failure.message))
+      })
+    })
+    assert.equal(got, bytes)
+  })
