Bound the response to a short call by 1 MiB

What callers saw: nothing yet; the review saw a sidecar at 190 MB with reports and reservations whose body never ends.

Cause: calls to workers had the bound of the store's pages, 64 MiB each, and kept each piece of a body as it came, however small.

Change: calls have 1 MiB by default, and the reads of the store say that they need 64 MiB.

--- a/directory/_follow_prefix.ts
+++ b/directory/_follow_prefix.ts
@@ -48,6 +48,8 @@
 const watchTimeoutMarginMs = 700
 /** Timeout in milliseconds for reading a page; a slow store takes some hundreds. */
 const pageTimeoutMs = 1_500
+/** Largest response of the store in bytes: a watch returns all changes of its history at once, each with a value of up to 1 MiB. */
+const maxResponseBytes = 64 * 1_048_576
 /** Time in milliseconds that the first watch call after a failure waits: its response tells soon whether the store has come back in a new era. */
 const probeWatchMs = 20
 /** Shortest and longest delay in milliseconds before a failed read is retried. */
@@ -89,7 +91,7 @@
 
   async function read (call: Call, timeoutMs: number): Promise<EraPage | undefined> {
     const ownRun = run
-    const response = await callJson(address, call, { pool, timer, timeoutMs })
+    const response = await callJson(address, call, { pool, timer, timeoutMs, maxBytes: maxResponseBytes })
     if (ownRun !== run) return undefined
     if (response.err) {
       // A call that timed out has waited long enough.
--- a/exchange/call_json.ts
+++ b/exchange/call_json.ts
@@ -2,6 +2,7 @@
  * Short HTTP calls with JSON responses.
  */
 import { Err, Ok } from '../core/results/mod.ts'
+import { createByteBuffer } from '../core/stream/mod.ts'
 import { FailureKind } from './_types.ts'
 import type { Result } from '../core/results/mod.ts'
 import type { Timer } from '../timer/mod.ts'
@@ -22,13 +23,13 @@
   timer: Timer
   /** Time in milliseconds within which the complete response must arrive. */
   timeoutMs: number
-  /** Maximum size of a response body in bytes; 64 MiB by default. */
+  /** Maximum size of a response body in bytes; 1 MiB by default. */
   maxBytes?: number
   /** Called just before the request is written; returning false fails the call as withheld. */
   mayStart?: () => boolean
 }
 
-const defaultMaxBytes = 64 * 1_048_576
+const defaultMaxBytes = 1_048_576
 
 /**
  * Sends a request to a server and decodes its response.
@@ -51,8 +52,7 @@
 export function callJson (address: string, req: ExchangeRequest, options: CallJsonOptions): Promise<Result<JsonResponse, Failure>> {
   const { pool, timer, timeoutMs, maxBytes = defaultMaxBytes } = options
   return new Promise((resolve) => {
-    const chunks: Buffer[] = []
-    let bytes = 0
+    const received = createByteBuffer()
     let status = 0
     let headers: string[] = []
 
@@ -72,13 +72,12 @@
         return true
       },
       onData (chunk) {
-        bytes += chunk.length
-        chunks.push(chunk)
-        if (bytes > maxBytes) fail(FailureKind.Broken, `response body is longer than ${maxBytes} bytes`)
+        received.append(chunk)
+        if (received.length() > maxBytes) fail(FailureKind.Broken, `response body is longer than ${maxBytes} bytes`)
       },
       onEnd () {
         deadline.cancel()
-        resolve(Ok({ status, headers, body: parse(Buffer.concat(chunks, bytes)) }))
+        resolve(Ok({ status, headers, body: parse(received.take()) }))
       },
       onFail (failure) {
         deadline.cancel()
--- a/exchange/exchange.feature
+++ b/exchange/exchange.feature
@@ -46,6 +46,10 @@
   Scenario: An exchange whose server sends a long body in small chunks ends, however slowly it is read
     Then the exchange with a response of 3000000 bytes in chunks of 3 bytes ends with all of them, with pauses
 
+  # Guards against the answer of one worker to a short call that takes tens of megabytes of memory.
+  Scenario: A call fails when the body of its response has no end
+    Then a call whose response has no end fails before its server has sent 20 MB
+
   # Guards against an odd entry or response whose text makes each call throw, at once or later in a timer.
   Scenario Outline: A call to the address <address> with the header value <value> fails as a value
     Then the exchange with "<address>" and the header value "<value>" fails as "<kind>", and a call does so as a value
--- a/exchange/exchange_test.ts
+++ b/exchange/exchange_test.ts
@@ -162,16 +162,18 @@
     assert.equal(called.err && called.val.kind, kind)
   })
 
+/** Writes `piece` again and again, as fast as the other side reads, until the connection is closed. */
+function writeUntilClosed (socket: Socket, piece: string): void {
+  if (socket.destroyed) return
+  if (socket.write(piece)) setImmediate(() => writeUntilClosed(socket, piece))
+  else socket.once('drain', () => writeUntilClosed(socket, piece))
+}
+
 Then('the exchange fails within {int} ms when its server sends {string} without end', async function (this: World, ms: number, what: string) {
   const [first, repeated] = endlessResponses[what] as readonly [string, string]
   const address = await serve(this, (socket) => {
-    const writeOn = (): void => {
-      if (socket.destroyed) return
-      if (socket.write(repeated)) setImmediate(writeOn)
-      else socket.once('drain', writeOn)
-    }
     socket.write(first)
-    writeOn()
+    writeUntilClosed(socket, repeated)
   })
   const pool = createPool(this)
   const late = new Promise<Ending>((resolve) => { setTimeout(() => resolve({ ended: false, status: 0 }), ms) })
@@ -202,3 +204,18 @@
     })
     assert.equal(got, bytes)
   })
+
+Then('a call whose response has no end fails before its server has sent {int} MB', async function (this: World, megabytes: number) {
+  let server: Socket | undefined
+  const address = await serve(this, (socket) => {
+    server = socket
+    socket.write('HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n')
+    writeUntilClosed(socket, 'x'.repeat(pieceBytes))
+  })
+  const timer = createSystemTimer()
+  const called = await callJson(address, request, { pool: createPool(this), timer, timeoutMs: 5000 })
+  timer.close()
+  assert.equal(called.err && called.val.kind, FailureKind.Broken)
+  const sent = server?.bytesWritten ?? 0
+  assert.ok(sent < megabytes * 1_000_000, `the server has sent ${sent} bytes`)
+})
