Send a request again only on connections that have not carried it

Cause: when an engine refuses a stream because its KV cache is gone, the gateway asks the same engine once more. Both sends bear the client's identifier, which tells a late copy of another answer, but not the copy of the first answer to the same request. The pool gave the second send the connection that had just become idle, that of the first.

Change: a request keeps the numbers of the connections that have carried it, and the pool takes none of these for it again. This holds for all sends of one request: both stages at one engine, repeats of plain requests, streams that go on. Other requests use the connections on.

Why it works: a copy comes on the connection of its request; there, every later request has another identifier, and the copy is rejected.

--- a/exchange/_types.ts
+++ b/exchange/_types.ts
@@ -9,6 +9,11 @@
   /** Header names and values, alternating. */
   headers: string[]
   body: Buffer | null
+  /**
+   * Numbers of the connections that have carried this request before; none of them carries it again, because a server may send a second
+   * response to the earlier send there, which bears the same identifier. The pool adds the one that it takes.
+   */
+  usedConnections?: Set<number>
 }
 
 /** Reasons for the failure of an exchange. */
@@ -39,6 +44,8 @@
   isCloseDelimited: boolean
   /** True when the connection has carried an earlier exchange, whose server may have sent more than one response. */
   isReused: boolean
+  /** Number of the connection in its pool, for the log. */
+  connection: number
 }
 
 /** Receives the events of an exchange. Unless it is aborted, it ends with exactly one call of `onEnd` or `onFail`. */
--- a/exchange/create_exchange_pool.ts
+++ b/exchange/create_exchange_pool.ts
@@ -37,6 +37,8 @@
 const socketBufferBytes = 131_072
 
 interface PooledConnection {
+  /** Number of the connection in its pool. */
+  number: number
   client: ClientType
   hasBeenUsed: boolean
   /** True when the server has closed its end. */
@@ -68,6 +70,7 @@
   const maxHeaderBytes = options.maxHeaderBytes ?? defaultMaxHeaderBytes
   const idle = new Map<string, PooledConnection[]>()
   const connections = new Set<PooledConnection>()
+  let opened = 0
 
   function discard (address: string, connection: PooledConnection): void {
     connections.delete(connection)
@@ -79,7 +82,7 @@
 
   function open (address: string): PooledConnection {
     const connection: PooledConnection = {
-      client: undefined as unknown as ClientType, hasBeenUsed: false, isEnded: false, isReset: false, markProgress () {}
+      number: ++opened, client: undefined as unknown as ClientType, hasBeenUsed: false, isEnded: false, isReset: false, markProgress () {}
     }
     connection.client = new Client(`http://${address}`, {
       pipelining: 1,
@@ -141,11 +144,19 @@
     }
   }
 
+  /** Takes the idle connection to an address that was used last, without those that are not wanted. */
+  function takeIdle (address: string, unwanted: ReadonlySet<number> | undefined): PooledConnection | undefined {
+    const found = idle.get(address)?.findLast(({ number }) => unwanted?.has(number) !== true)
+    if (found !== undefined) idle.set(address, (idle.get(address) ?? []).filter((connection) => connection !== found))
+    return found
+  }
+
   function send (address: string, req: ExchangeRequest, handlers: ExchangeHandlers): Exchange {
-    const kept = idle.get(address)?.pop()
+    const kept = takeIdle(address, req.usedConnections)
     const found = kept === undefined ? tryOpen(address) : Ok(kept)
     if (found.err) return failAtOnce(found.val, handlers)
     const connection = found.val
+    req.usedConnections?.add(connection.number)
     return runExchange(connection, req, handlers, {
       release: () => {
         if (!connections.has(connection) || connection.isEnded || connection.isReset || connection.client.destroyed) return
@@ -232,7 +243,7 @@
       const raw = (control.rawHeaders ?? []) as Array<Buffer | string>
       const headers = raw.map((part) => typeof part === 'string' ? part : part.toString('latin1'))
       isCloseDelimited = hasCloseDelimitedBody(status, headers, req.method)
-      if (!handlers.onHead(status, headers, { isCloseDelimited, isReused })) fail(FailureKind.Broken, `the response with status ${status} was rejected`)
+      if (!handlers.onHead(status, headers, { isCloseDelimited, isReused, connection: connection.number })) fail(FailureKind.Broken, `the response with status ${status} was rejected`)
     },
     onResponseData (_control, chunk) {
       connection.markProgress()
--- a/exchange/exchange.feature
+++ b/exchange/exchange.feature
@@ -46,6 +46,10 @@
   Scenario: An exchange whose server sends a long body in small chunks ends, however slowly it is read
     Then the exchange with a response of 3000000 bytes in chunks of 3 bytes ends with all of them, with pauses
 
+  # Guards against a second response to the earlier send of a request, which nothing tells from the response to the later one.
+  Scenario: A request that is sent again takes no connection that has carried it, and leaves it to other requests
+    Then the exchange of a request that is sent 3 times takes 3 connections, and that of another one takes none of its own
+
   # Guards against the answer of one worker to a short call that takes tens of megabytes of memory.
   Scenario: A call fails when the body of its response has no end
     Then a call whose response has no end fails before its server has sent 20 MB
--- a/exchange/exchange_test.ts
+++ b/exchange/exchange_test.ts
@@ -7,7 +7,7 @@
 import { createSystemTimer } from '../timer/mod.ts'
 import { callJson, createExchangePool, FailureKind } from './mod.ts'
 import type { AddressInfo, Server, Socket } from 'node:net'
-import type { Exchange, ExchangePool } from './mod.ts'
+import type { Exchange, ExchangePool, ExchangeRequest } from './mod.ts'
 
 interface World {
   servers: Server[]
@@ -64,7 +64,7 @@
   return pool
 }
 
-function run (pool: ExchangePool, address: string): Promise<Ending> {
+function run (pool: ExchangePool, address: string, req: ExchangeRequest = request): Promise<Ending> {
   return new Promise((resolve, reject) => {
     const ending: Ending = { ended: false, status: 0 }
     let isOver = false
@@ -73,7 +73,7 @@
       isOver = true
       resolve({ ...ending, ...fields })
     }
-    pool.send(address, request, {
+    pool.send(address, req, {
       onHead (status) {
         ending.status = status
         return true
@@ -219,3 +219,19 @@
   const sent = server?.bytesWritten ?? 0
   assert.ok(sent < megabytes * 1_000_000, `the server has sent ${sent} bytes`)
 })
+
+Then('the exchange of a request that is sent {int} times takes {int} connections, and that of another one takes none of its own',
+  async function (this: World, times: number, connections: number) {
+    const sockets = new Set<Socket>()
+    const address = await serve(this, (socket) => {
+      sockets.add(socket)
+      socket.write(goodResponse)
+    })
+    const pool = createPool(this)
+    const usedConnections = new Set<number>()
+    for (let i = 0; i < times; i++) assert.ok((await run(pool, address, { ...request, usedConnections })).ended)
+    assert.equal(sockets.size, connections)
+    assert.equal(usedConnections.size, connections)
+    assert.ok((await run(pool, address, { ...request, usedConnections: new Set() })).ended)
+    assert.equal(sockets.size, connections)
+  })
--- a/gateway/_client_server.ts
+++ b/gateway/_client_server.ts
@@ -183,6 +183,7 @@
         body,
         route,
         service,
+        usedConnections: new Set(),
         reply,
         startedMs,
         deadlineMs,
--- a/gateway/_forward_stream.ts
+++ b/gateway/_forward_stream.ts
@@ -30,6 +30,8 @@
   status: number
   detail: string
   worker: string
+  /** Number of the connection that carried the response; absent when there was none. */
+  connection?: number
   bytes: number
   /** Time in milliseconds from the request to the first event; absent when there was none. */
   firstMs?: number
@@ -71,7 +73,7 @@
   const { worker } = reservation
   worker.ownTokens += reservation.tokens
   return new Promise((resolve) => {
-    const stats = { status: 0, bytes: 0, pauseMs: 0, worker: worker.entry.id }
+    const stats: Pick<StreamResult, 'status' | 'bytes' | 'pauseMs' | 'worker' | 'connection'> = { status: 0, bytes: 0, pauseMs: 0, worker: worker.entry.id }
     let firstMs: number | undefined
     const sentMs = timer.now()
     let lastDataMs = sentMs
@@ -172,6 +174,7 @@
     const exchange = sendToWorker(context, request, worker, addedHeaders, {
       onHead (head) {
         stats.status = head.status
+        stats.connection = head.connection
         isCloseDelimited = head.isCloseDelimited
         if (!hasFailed()) {
           request.reply.begin(head)
@@ -200,7 +203,10 @@
         request.reply.end()
         settle(StreamEnd.Completed, '')
       },
-      onRefused: ({ reason }) => settle(StreamEnd.Refused, reason),
+      onRefused ({ reason, connection }) {
+        if (connection !== undefined) stats.connection = connection
+        settle(StreamEnd.Refused, reason)
+      },
       onLost (reason) {
         // Without a head, the connection may have been closed before the engine began to answer.
         if (stats.status < minRefusalStatus) observer.onEarlyEnd(stats.status > 0)
--- a/gateway/_send_to_worker.ts
+++ b/gateway/_send_to_worker.ts
@@ -17,6 +17,8 @@
 export interface WorkerResponse extends ResponseHead {
   /** True when the body ends with the connection, for lack of a length. */
   isCloseDelimited: boolean
+  /** Number of the connection that carried it, for the log. */
+  connection: number
 }
 
 /** Receives the events of a send. Unless it is aborted, it ends with exactly one call of `onRefused`, `onEnd` or `onLost`. */
@@ -26,7 +28,7 @@
   onData (chunk: Buffer): void
   onEnd (): void
   /** The worker has not run the request: it stated so, could not be reached, or takes no request any more (`isWithheld`). */
-  onRefused (refusal: { hasArrived: boolean, isWithheld?: boolean, reason: string }): void
+  onRefused (refusal: { hasArrived: boolean, isWithheld?: boolean, reason: string, connection?: number }): void
   /** The response is lost, and the worker may have run the request. */
   onLost (reason: string): void
 }
@@ -82,26 +84,28 @@
   const headers = [...request.head.forwarded, ...encodeWorkerHeaders({ ...added, workerId: worker.entry.id, deadlineMs })]
   /** The body of a refusal; undefined when the worker has not refused the request. */
   let refusalBody: DiscardedBody | undefined
+  let refusedOn = 0
   worker.inFlight++
 
   function decrementInFlight (): void { worker.inFlight-- }
 
   function finishRefused (): void {
     refusalBody?.cancel()
-    handlers.onRefused({ hasArrived: true, reason: 'refused' })
+    handlers.onRefused({ hasArrived: true, reason: 'refused', connection: refusedOn })
   }
 
   const exchange = context.pool.send(worker.entry.address, {
-    method: request.method, path: request.path, headers, body: request.body.length > 0 ? request.body : null
+    method: request.method, path: request.path, headers, body: request.body.length > 0 ? request.body : null, usedConnections: request.usedConnections
   }, {
     mayStart: () => mayStart(context, worker),
-    onHead (status, raw, { isCloseDelimited, isReused }) {
+    onHead (status, raw, { isCloseDelimited, isReused, connection }) {
       const head = decodeResponseHead(status, raw)
       // On a connection in use again, a response that does not name this request may be a second one to an earlier request.
       if (head.requestId === undefined ? isReused : head.requestId !== request.requestId) return false
       applyLimit(context, worker, head.limitPerS)
       recordAnswer(context, worker, head)
       if (head.notRun) {
+        refusedOn = connection
         refusalBody = discardBody(timer, () => {
           exchange.abort()
           decrementInFlight()
@@ -110,7 +114,7 @@
         return true
       }
       if (head.hasContentEncoding) return false
-      handlers.onHead({ ...replaceReturn(context, request, head), isCloseDelimited })
+      handlers.onHead({ ...replaceReturn(context, request, head), isCloseDelimited, connection })
       return true
     },
     onData (chunk) {
--- a/gateway/_serve_generation.ts
+++ b/gateway/_serve_generation.ts
@@ -73,10 +73,10 @@
 function recordFailedAttempt (
   context: GatewayContext, request: ClientRequest, state: GenerationState, { reservation, kvCache }: PreparedAttempt, result: StreamResult
 ): void {
-  const { end, status, detail, bytes, ranMs } = result
+  const { end, status, detail, bytes, ranMs, connection } = result
   const parts = request.head.sharedParts.join(' ')
   context.log.warn({
-    request: request.requestId, attempt: state.attempts, worker: reservation.worker.entry.id, end, status, detail, bytes, ranMs, parts
+    request: request.requestId, attempt: state.attempts, worker: reservation.worker.entry.id, end, status, detail, bytes, ranMs, connection, parts
   }, 'attempt failed')
   if (end === StreamEnd.Lost) context.metrics.count(Count.StreamsLost, { phase: bytes === 0 ? 'start' : 'midway' })
   if (kvCache !== undefined && end === StreamEnd.Refused) context.metrics.count(Count.WastedPrefillTokens, {}, request.head.promptTokens)
@@ -104,6 +104,7 @@
   const kvSource = { address: kvCache.worker.entry.address, handle: kvCache.handle }
   const result = await forwardStream(context, request, { reservation, kvSource, ...resumption })
   if (result.end !== StreamEnd.Refused || result.next !== undefined) return result
+  context.log.info({ request: request.requestId, worker: worker.entry.id, connection: result.connection }, 'KV cache not fetched')
   if (!context.retryBudget(request.service.name).take(context.timer.now())) return result
   // The KV cache is gone, so the decode engine that was to fetch it runs the prefill itself; no other engine is asked.
   const renewed = await reserveAtEngine(context, request, worker, prefillEngine)
--- a/gateway/_types.ts
+++ b/gateway/_types.ts
@@ -47,6 +47,8 @@
   body: Buffer
   route: RouteRule
   service: ServiceRule
+  /** Numbers of the connections to workers that have carried this request. */
+  usedConnections: Set<number>
   reply: Reply
   /** Times in milliseconds on the monotonic clock. */
   startedMs: number
--- a/gateway/gateway_test.ts
+++ b/gateway/gateway_test.ts
@@ -668,3 +668,13 @@
     for (let i = 0; i < 6; i++) assert.equal((await send(site, 'POST /unsafe/x')).status, 200)
     assert.equal(workerOf(this.gatewaySite, id).listRequests().length, before)
   })
+
+Then('no gateway client gets 503 for one of the requests that the engines ran without a KV cache to fetch, at least {int}',
+  function (this: World, least: number) {
+    const ran = allSeen(this.gatewaySite)
+      .filter(({ headers }) => headers['x-kv-hold'] !== undefined && headers['x-kv-source'] === undefined)
+      .map(({ headers }) => headers['x-request-id'])
+    assert.ok(ran.length >= least, `${ran.length} requests ran`)
+    const refused = this.responses.filter(({ status }) => status === 503).map(({ headers }) => headers['x-request-id'])
+    assert.deepEqual(refused.filter((id) => ran.includes(id)), [])
+  })
--- a/gateway/generation.feature
+++ b/gateway/generation.feature
@@ -100,6 +100,13 @@
     When a gateway client requests a generation on "/resume/x"
     Then the gateway client gets the events 1 to 4, each once
 
+  # Guards against a late copy of an engine's refusal that passes for its response to the second send: 503 for a request that has run.
+  Scenario: A refusal that an engine sends once more is not taken for its response to the same request
+    Given a gateway worker "d1" that is "lapsed_repeated"
+    And a gateway worker "d2" that is "lapsed_repeated"
+    When a gateway client requests a generation on "/stream/x" 8 times
+    Then no gateway client gets 503 for one of the requests that the engines ran without a KV cache to fetch, at least 2
+
   # Guards against the text of an error in the middle of a client's stream, or at its end as if it were complete.
   Scenario Outline: A stream that has begun is cut after its last event when the engine that continues it is <mode>
     Given gateway engines that lose their first connection after event 2
--- a/gateway/unexpected_errors_test.ts
+++ b/gateway/unexpected_errors_test.ts
@@ -48,7 +48,7 @@
       pool: {
         send (_address: string, _req: object, handlers: ExchangeHandlers) {
           setImmediate(() => {
-            handlers.onHead(unusableHead.status, [...unusableHead.headers, 'X-Bad', 'line\nbreak'], { isCloseDelimited: false, isReused: false })
+            handlers.onHead(unusableHead.status, [...unusableHead.headers, 'X-Bad', 'line\nbreak'], { isCloseDelimited: false, isReused: false, connection: 1 })
             handlers.onEnd()
           })
           return { abort () {}, pause () {}, resume () {} }
--- a/testing/fleuve/start_worker.ts
+++ b/testing/fleuve/start_worker.ts
@@ -67,6 +67,8 @@
   Repeated = 'repeated',
   /** Sends the response to the request before once more, in front of its own and both at once. */
   RepeatedLate = 'repeated_late',
+  /** Refuses to fetch a KV cache, and sends that refusal once more in front of the next response of the connection. */
+  LapsedRepeated = 'lapsed_repeated',
   /** Responds with a header `Content-Encoding`. */
   Encoded = 'encoded',
   /** Sends the response to another request. */
@@ -232,6 +234,8 @@
   let reportText: string | undefined
   let controlCopyMs: number | undefined
   let lastResponse = ''
+  /** Refusals that are due once more on a connection. */
+  const refusalCopies = new Map<Socket, string>()
   let born = 1
   const running = new Set<string>()
   const sockets = new Set<Socket>()
@@ -381,6 +385,13 @@
       req.socket.write(lastResponse + response)
       lastResponse = response
     },
+    [WorkerMode.LapsedRepeated]: (req, res) => {
+      req.socket.write(refusalCopies.get(req.socket) ?? '')
+      refusalCopies.delete(req.socket)
+      if (req.headers['x-kv-source'] === undefined) return sendStream(req, res)
+      responders[WorkerMode.Full](req, res)
+      refusalCopies.set(req.socket, `HTTP/1.1 503 Copy\r\nX-Not-Executed: 1\r\nX-Request-Id: ${req.headers['x-request-id']}\r\nContent-Length: 0\r\n\r\n`)
+    },
     [WorkerMode.TruncatedHead]: (req) => writeAndEnd(req.socket, partOfHead(req)),
     [WorkerMode.TruncatedHeadReset]: (req) => writeAndEnd(req.socket, partOfHead(req), { isReset: true }),
     [WorkerMode.TruncatedStatus]: (req) => writeAndEnd(req.socket, 'HTTP/1.1 20'),
