Give all items to a follower when the reader does not know every deletion since

Cause: a reader answered "changes after R" with the changes that it knew. One that reads all items after R never learns of a key that was deleted between, so its list had a gap, and the follower took it for all changes.

Change: a process knows, for each prefix, after which revision it knows every change; a complete read begins it anew. Asked for an earlier one it gives all items and says so, and the follower deletes what is missing. A reader that could not use an item gives no list.

--- a/core/view/create_record_set.ts
+++ b/core/view/create_record_set.ts
@@ -30,6 +30,8 @@
   apply (changes: readonly StoreChange[]): AppliedChanges
   /** Takes all items with a prefix, as a complete read up to a position found them; known ones that it did not find are deleted. */
   applyAll (prefix: string, items: readonly StoreChange[], position: StorePosition, options?: ApplyAllOptions): AppliedChanges
+  /** Returns the latest changes of the keys with a prefix that are not deleted. */
+  listItems (prefix: string): StoreChange[]
   /** Returns the changes with a prefix after a position, with deletions; all of a later era are after all of an earlier one. */
   listAfter (prefix: string, after: StorePosition): StoreChange[]
 }
@@ -82,6 +84,7 @@
       const deletions = [...known.values()].filter(isMissing).map(({ key }) => ({ key, ...position, value: null }))
       return apply([...deletions, ...items])
     },
+    listItems: (prefix) => [...known.values()].filter(({ key, value }) => key.startsWith(prefix) && value !== null),
     listAfter: (prefix, after) => [...known.values()].filter((change) => change.key.startsWith(prefix) && comparePositions(change, after) > 0)
   }
 }
--- a/core/view/create_view_tracker.ts
+++ b/core/view/create_view_tracker.ts
@@ -28,19 +28,25 @@
   enterEra (era: number): void
   /** Returns the revision up to which all changes of a prefix are known; undefined before its first complete read. */
   revision (prefix: number): number | undefined
-  /** Records that this process has read all changes of a prefix up to a revision of the current era from the store itself. */
-  recordRead (prefix: number, revision: number, nowMs: number): void
+  /**
+   * Records that this process has read all changes of a prefix up to a revision of the current era from the store itself. A complete read
+   * finds what there is and not what has been deleted before, so what this process knows of deletions begins with it.
+   */
+  recordRead (prefix: number, revision: number, nowMs: number, isComplete?: boolean): void
+  /** Tells whether this process knows every change of a prefix after a revision of the current era, deletions too. */
+  knowsAllAfter (prefix: number, revision: number): boolean
   /** Forgets the revision of a prefix, which must be read completely again. */
   forget (prefix: number): void
   /** Records the state of another process; returns true when that process knows changes that this one lacks. */
   recordState (state: ViewState, nowMs: number): boolean
   /**
    * Tells whether the changes that bring a process from the revisions `after` of the era `afterEra` to `state` may be added to those that
-   * this process knows, so that none is missing between them; changes from an earlier era to a later one are all items of the later one.
+   * this process knows, so that none is missing between them; changes from an earlier era to a later one are all items of the later one,
+   * and so are those of a prefix for which `complete` is true.
    */
-  canAdd (after: readonly number[], afterEra?: number, state?: ViewState): boolean
-  /** Records that this process has all changes that the sender of a state has. */
-  recordChanges (state: ViewState, nowMs: number): void
+  canAdd (after: readonly number[], afterEra?: number, state?: ViewState, complete?: readonly boolean[]): boolean
+  /** Records that this process has all changes that the sender of a state has; `complete` is true for a prefix of which it got all items. */
+  recordChanges (state: ViewState, nowMs: number, complete?: readonly boolean[]): void
   /** Tells whether the view of other processes is recent enough that this one need not read a prefix. */
   isCovered (prefix: number, nowMs: number): boolean
   /** Returns the state of this process for others; undefined before all prefixes have been read. */
@@ -74,6 +80,8 @@
 export function createViewTracker (options: ViewTrackerOptions): ViewTracker {
   const { prefixes, maxAgeMs } = options
   const known = new Array<number | undefined>(prefixes).fill(undefined)
+  /** Revisions after which every change is known. */
+  const knownAfter = new Array<number>(prefixes).fill(Infinity)
   /** Times in milliseconds at which the store had no change that this process lacks, by its own reads and by those of others. */
   const readMs = new Array<number>(prefixes).fill(-Infinity)
   const toldMs = new Array<number>(prefixes).fill(-Infinity)
@@ -86,6 +94,7 @@
   function enterEra (next: number): void {
     era = next
     known.fill(undefined)
+    knownAfter.fill(Infinity)
     toldMs.fill(-Infinity)
   }
 
@@ -102,12 +111,15 @@
     era: () => era,
     enterEra,
     revision: (prefix) => known[prefix],
-    recordRead (prefix, revision, nowMs) {
+    recordRead (prefix, revision, nowMs, isComplete = false) {
+      if (isComplete) knownAfter[prefix] = known[prefix] === undefined ? revision : Math.max(revision, knownAfter[prefix] as number)
       known[prefix] = Math.max(known[prefix] ?? 0, revision)
       readMs[prefix] = nowMs
     },
+    knowsAllAfter: (prefix, revision) => revision >= (knownAfter[prefix] as number),
     forget (prefix) {
       known[prefix] = undefined
+      knownAfter[prefix] = Infinity
       toldMs[prefix] = -Infinity
     },
     recordState (state, nowMs) {
@@ -117,16 +129,21 @@
       if (!isComplete() || stateEra < era) return false
       return stateEra > era || known.some((revision, prefix) => (revisions[prefix] ?? 0) > (revision as number))
     },
-    canAdd (after, afterEra = 0, state) {
+    canAdd (after, afterEra = 0, state, complete) {
       const stateEra = state?.era ?? 0
       if (!isComplete() || stateEra < era) return false
       // An answer to a process that had read nothing holds no items, which is not the same as an era without any.
       if (afterEra < stateEra) return known.every((_revision, prefix) => state?.revisions[prefix] !== undefined && after[prefix] !== undefined)
-      return afterEra === era && known.every((revision, prefix) => (after[prefix] ?? Infinity) <= (revision as number))
+      return afterEra === era && known.every((revision, prefix) => complete?.[prefix] === true || (after[prefix] ?? Infinity) <= (revision as number))
     },
-    recordChanges (state, nowMs) {
-      if ((state.era ?? 0) > era) enterEra(state.era ?? 0)
-      known.forEach((revision, prefix) => { known[prefix] = Math.max(revision ?? 0, state.revisions[prefix] ?? 0) })
+    recordChanges (state, nowMs, complete) {
+      const isNewEra = (state.era ?? 0) > era
+      if (isNewEra) enterEra(state.era ?? 0)
+      known.forEach((revision, prefix) => {
+        const next = state.revisions[prefix] ?? 0
+        if ((isNewEra || complete?.[prefix]) && next > (revision ?? -1)) knownAfter[prefix] = next
+        known[prefix] = Math.max(revision ?? 0, next)
+      })
       recordAges(state, nowMs)
     },
     isCovered: (prefix, nowMs) => known[prefix] !== undefined && nowMs - (toldMs[prefix] as number) <= maxAgeMs,
--- a/directory/_types.ts
+++ b/directory/_types.ts
@@ -40,6 +40,11 @@
   afterEra?: number
   /** Time in milliseconds since a call of that process to the store failed; absent when none did lately. */
   failureAgeMs?: number
+  /**
+   * For each prefix, true when the changes are all its items, because the sender does not know every deletion after the revision that was
+   * asked for; absent from builds that do not say it.
+   */
+  complete?: readonly boolean[]
   changes: StoreChange[]
 }
 
--- a/directory/create_directory.ts
+++ b/directory/create_directory.ts
@@ -7,6 +7,7 @@
 import { createExchangePool } from '../exchange/mod.ts'
 import { decodeRoutingRules, decodeWorkerEntry, rulesKey, workerPrefix } from '../platform/mod.ts'
 import { followPrefix } from './_follow_prefix.ts'
+import { createViewUpdates } from './_view_updates.ts'
 import { createWorkerRecords } from './_worker_records.ts'
 import { PassedOver } from './_types.ts'
 import type { RouteTable } from '../core/route/mod.ts'
@@ -43,6 +44,8 @@
   const pool = createExchangePool()
   const records = createRecordSet()
   const readPrefixes = new Set<string>()
+  /** Number of items that the last complete read of each prefix could not use. */
+  const unusableItems = new Map<string, number>()
   const prefixes = [rulesKey, workerPrefix]
   const tracker = createViewTracker({ prefixes: prefixes.length, maxAgeMs: maxViewAgeMs })
   const viewHandlers: Array<() => void> = []
@@ -171,14 +174,32 @@
       }
       const readable = blankUnreadable(changes)
       takeEffect(isComplete ? records.applyAll(prefix, readable, { era, revision }, { unusableKeys }) : records.apply(readable))
-      if (isComplete) readPrefixes.add(prefix)
-      tracker.recordRead(index, revision, timer.now())
+      if (isComplete) {
+        readPrefixes.add(prefix)
+        unusableItems.set(prefix, unusableKeys.length)
+      }
+      tracker.recordRead(index, revision, timer.now(), isComplete)
       notifyView()
       // A watch that waits after a revision of the era before may never be woken.
       if (isNewEra && hasReadBefore) for (const watch of watches) if (watch !== watches[index]) watch.restart()
     }
   }))
 
+  const updates = createViewUpdates({
+    prefixes,
+    tracker,
+    records,
+    log,
+    now: timer.now,
+    hasUnusable: (prefix) => (unusableItems.get(prefix) ?? 0) > 0,
+    rulesRecord: () => rulesRecord,
+    failureAgeMs,
+    onSenderFailure (ageMs) { lastFailureMs = Math.max(lastFailureMs, timer.now() - ageMs) },
+    onNewEra,
+    blankUnreadable,
+    takeEffect
+  })
+
   return {
     fleet,
     routeTable: () => table,
@@ -205,35 +226,10 @@
       toldFailureMs = Math.max(toldFailureMs, timer.now() - (ageMs ?? Infinity))
       return tracker.recordState(state, timer.now())
     },
-    changesAfter (after, afterEra) {
-      const state = tracker.state(timer.now())
-      if (state === undefined) return undefined
-      const { era = 0 } = state
-      // A process that has read nothing reads the store itself; part of a later era would pass for all of it.
-      if (afterEra < era && after.length < prefixes.length) return undefined
-      const ageMs = failureAgeMs()
-      const changes = prefixes.flatMap((prefix, index) => {
-        const revision = after[index]
-        return revision === undefined ? [] : records.listAfter(prefix, { era: afterEra, revision })
-      })
-      // A restored store may hold an older version than the one in force, which the other process may lack.
-      if (afterEra < era && rulesRecord !== undefined && !changes.includes(rulesRecord)) changes.push(rulesRecord)
-      return { state, afterEra, ...(ageMs === undefined ? {} : { failureAgeMs: ageMs }), changes }
-    },
-    applyChanges (after, { state, afterEra = 0, failureAgeMs: ageMs, changes: told }) {
-      if (!tracker.canAdd(after, afterEra, state)) return
-      const changes = blankUnreadable(told)
-      const { era = 0, revisions } = state
-      const isNewEra = era > tracker.era()
-      if (isNewEra) onNewEra(era)
-      lastFailureMs = Math.max(lastFailureMs, timer.now() - (ageMs ?? Infinity))
-      if (afterEra < era) {
-        prefixes.forEach((prefix, index) => {
-          const items = changes.filter(({ key }) => key.startsWith(prefix))
-          takeEffect(records.applyAll(prefix, items, { era, revision: revisions[index] as number }))
-        })
-      } else takeEffect(records.apply(changes))
-      tracker.recordChanges(state, timer.now())
+    changesAfter: updates.changesAfter,
+    applyChanges (after, update) {
+      const isNewEra = updates.apply(after, update)
+      if (isNewEra === undefined) return
       notifyView()
       if (isNewEra) for (const watch of watches) watch.restart()
     },
--- a/directory/share_view.feature
+++ b/directory/share_view.feature
@@ -52,6 +52,15 @@
     And the worker "i-1" is removed from the view stores while they forget their history
     Then no view process knows the worker "i-1" within 3000 ms
 
+  # Guards against a worker that is sent requests for good, because its removal fell between the life of a reader and its next one.
+  Scenario: A removal that the readers missed while they were down reaches the followers
+    Given the worker "i-1" in the view stores
+    When 3500 ms pass at the view
+    And the view calls are counted from now on
+    And the view readers are killed, the worker "i-1" is removed, and the readers start again after 500 ms
+    Then no view process knows the worker "i-1" within 4000 ms
+    And the second view store has got at most 8 calls
+
   # Guards against a frame over the limit, after which followers lose each reader again and again.
   Scenario Outline: Large entries that name no worker do not keep followers from what comes after them
     When 3500 ms pass at the view
--- a/directory/share_view_test.ts
+++ b/directory/share_view_test.ts
@@ -163,6 +163,19 @@
 
 When(/^all view readers are (.+)$/, async function (this: World, what: string) { await faults[what]?.(this) })
 
+When('the view readers are killed, the worker {string} is removed, and the readers start again after {int} ms',
+  async function (this: World, id: string, ms: number) {
+    const readers = this.processes.filter(({ isReader }) => isReader)
+    this.processes = this.processes.filter(({ isReader }) => !isReader)
+    for (const { directory, view } of readers) {
+      await view.close()
+      await directory.close()
+    }
+    removeFromAll(this, `servers/${id}`)
+    await sleep(ms)
+    for (const address of this.readerAddresses) await startProcess(this, true, address)
+  })
+
 function isUpToDate (processes: Process[], version: number, id: string): boolean {
   return processes.every(({ directory }) => directory.routeTable()?.version === version && knows(directory, id))
 }
--- a/wire/_message_checks.ts
+++ b/wire/_message_checks.ts
@@ -132,6 +132,7 @@
     revisions: listOf(isCount),
     agesMs: listOf(isAmount),
     failureAgeMs: optional(isAmount),
+    complete: optional(listOf(isBoolean)),
     changes: listOf(isChange)
   },
   [MessageKind.PeerReport]: { name: isName, incarnation: isCount, state: oneOf(['suspect', 'leaving', 'gone']) },
--- a/wire/view_messages.ts
+++ b/wire/view_messages.ts
@@ -26,7 +26,7 @@
   era?: number
 }
 
-/** Carries the changes of all prefixes after the revisions that were asked for; all items when these belong to an earlier era. */
+/** Carries the changes of all prefixes after the revisions that were asked for; all items when these belong to an earlier era, or as `complete` says. */
 export interface ViewChanges {
   kind: MessageKind.ViewChanges
   after: readonly number[]
@@ -38,5 +38,10 @@
   agesMs: readonly number[]
   /** Milliseconds since a call of the sender to the store failed; absent when none did lately. */
   failureAgeMs?: number
+  /**
+   * For each prefix, true when the changes are all its items, because the sender does not know every deletion after the revision that was
+   * asked for. Builds that do not send it may leave such a deletion out; those that do not read it take the items for changes.
+   */
+  complete?: readonly boolean[]
   changes: StoreChange[]
 }
--- a/wire/wire_fuzz_test.ts
+++ b/wire/wire_fuzz_test.ts
@@ -74,6 +74,7 @@
     revisions: [5, 9],
     agesMs: [3, 0],
     failureAgeMs: 900,
+    complete: [true, false],
     changes: [{ key: 'servers/i-1', era: 2, revision: 5, value: null }]
   },
   [MessageKind.Resume]: { kind: MessageKind.Resume, ...ref, offset: 4 },
@@ -142,7 +143,7 @@
   [MessageKind.ExplainReply]: { kind: MessageKind.ExplainReply, requestId: 'r1', decisions: [{ reason: 'nearest' }] }
 }
 
-const optionalFields = new Set(['likelyTokens', 'ticket', 'reply', 'code', 'ageMs', 'after', 'more', 'failureAgeMs', 'readMs', 'era', 'afterEra'])
+const optionalFields = new Set(['likelyTokens', 'ticket', 'reply', 'code', 'ageMs', 'after', 'more', 'failureAgeMs', 'readMs', 'era', 'afterEra', 'complete'])
 const freeFormFields = new Set(['decisions'])
 
 const sampleArbitrary = fc.constantFrom<Message>(...Object.values(samples))
