Pass responses without a length on in chunks, so that only the worker's end completes them

Cause: a response that ends with its connection towards the gateway was passed on as one that ends with its connection towards the client. The kernel ends the connections of a process that has died in order.

Evidence: the record shows the clients' ends 7 ms before the worker's; the head has no framing.

Change: such a response goes on in chunks, and with its length when it has been read whole. Clients of HTTP/1.0 read no chunks and get long ones as before.

Why it works: the last chunk, or the last byte of the length, is sent only once the worker has ended its response in order; no end of the process sends it.

--- a/cli/run_platform_process.feature
+++ b/cli/run_platform_process.feature
@@ -46,3 +46,15 @@
       | 1300  |
       | 3000  |
       | 6000  |
+
+  # Guards against the end of a process that completes a response without a length, which its client takes for whole.
+  Scenario Outline: A gateway process that ends by <signal> leaves the streams without a length incomplete
+    Given a platform process "gateway" with a worker
+    And the platform engines are "unframed_stream"
+    When streams on "/stream/x" and "/resume/x" have begun at the platform process, which gets <signal>
+    Then no platform stream is complete
+
+    Examples:
+      | signal  |
+      | SIGKILL |
+      | SIGABRT |
--- a/gateway/gateway.feature
+++ b/gateway/gateway.feature
@@ -79,11 +79,12 @@
     Then the gateway client gets 500
     And the gateway workers saw 2 requests
 
-  Scenario: An answer without a length goes on without one
+  # The end of the gateway's process must not complete what the worker has not; see gateway/response_framing.feature.
+  Scenario: An answer without a length that has been read whole says its length
     Given gateway workers that are "unframed"
     When a gateway client sends "POST /unsafe/x"
     Then the gateway client gets 200 with the body "signed" and a seal
-    And the gateway response has no length and closes its connection
+    And the gateway response has the length 6 and no other framing
 
   Scenario: A worker that cannot be reached is no attempt
     Given a gateway worker "w1" that has closed but keeps its entry
