Break a long response off instead of continuing it with that of another worker

Cause: beyond 256 KiB an answer is passed on as it comes; when it broke off, the request was sent again as if nothing had been passed on.

Evidence: before, all three new scenarios (stated length, chunks, ended by the connection) failed: the second worker got the request.

Change: a response that has begun ends the request, whatever answers are left from earlier attempts.

--- a/gateway/_serve_plain.ts
+++ b/gateway/_serve_plain.ts
@@ -69,6 +69,10 @@
     const result = await sendOnce(context, request, worker)
     if (result.end === SendEnd.Stopped) return finishStopped(request, attempt, mayHaveRun || result.hasArrived, worker)
     mayHaveRun ||= result.end !== SendEnd.NotRun
+    // A response that has begun cannot be replaced by that of another worker.
+    if (result.end === SendEnd.Lost && request.reply.hasBegun()) {
+      return finishFailed(request, attempt, mayHaveRun, last, { reason: 'response_broken', retryAfterMs, detail: result.reason, held })
+    }
     const hasFailed = result.response !== undefined && result.response.head.status >= minFailureStatus
     if (result.end === SendEnd.Completed && !(hasFailed && idempotent)) return { ...deliver(request, attempt, result, worker), held }
     last = result.response === undefined ? last : result
@@ -123,12 +127,15 @@
   request: ClientRequest, attempts: number, mayHaveRun: boolean, last: SendResult | undefined, failure: PlainFailure
 ): RequestResult {
   const { reason, retryAfterMs, detail, held } = failure
+  if (request.reply.hasBegun()) {
+    request.reply.abort()
+    return { status: 502, reason, detail, attempts, held }
+  }
   if (last?.response !== undefined) {
     request.reply.sendWhole(last.response.head, last.response.body)
     return { status: last.response.head.status, reason: 'worker_failed', attempts, held }
   }
-  if (request.reply.hasBegun()) request.reply.abort()
-  else if (mayHaveRun) request.reply.sendLocal({ status: 502, reason })
+  if (mayHaveRun) request.reply.sendLocal({ status: 502, reason })
   else request.reply.sendLocal({ status: 503, reason, retryAfterMs })
   return { status: mayHaveRun ? 502 : 503, reason, detail, attempts, held }
 }
--- a/gateway/response_framing.feature
+++ b/gateway/response_framing.feature
@@ -1,5 +1,19 @@
 Feature: The framing of a response shows whether it is complete, whatever ends the process of the gateway
 
+  # Guards against a success that holds the beginning of one worker's body and the whole of another's.
+  Scenario Outline: A long response that breaks off is not continued with that of another worker when the first one is <mode>
+    Given a gateway site with the plain workers "w1, w2"
+    And gateway workers that are "<mode>" to their first request
+    When a gateway client sends "GET /safe/x" and its response breaks off
+    Then the gateway client has got at most 600000 bytes, all of one worker
+    And the gateway workers saw 1 requests
+
+    Examples:
+      | mode                 |
+      | short_large          |
+      | cut_chunks_large     |
+      | unframed_large_reset |
+
   # Guards against a response that ends with its connection: the end of a killed process completes it.
   Scenario: A long response without a length goes on in chunks
     Given a gateway site with the plain workers "w1"
--- a/gateway/response_framing_test.ts
+++ b/gateway/response_framing_test.ts
@@ -5,6 +5,7 @@
 import { once } from 'node:events'
 import { connect } from 'node:net'
 import { Then, When } from '@cucumber/cucumber'
+import { send } from './gateway_test.ts'
 import type { Site } from '../testing/fleuve/mod.ts'
 
 interface World {
@@ -12,6 +13,7 @@
   rawHead: string
   rawBody: Buffer
   hasEnded: boolean
+  broken: { body: string, isComplete: boolean }
 }
 
 const lastChunk = '\r\n0\r\n\r\n'
@@ -56,3 +58,12 @@
   assert.ok(this.rawHead.includes(field), this.rawHead)
   assert.equal(this.rawBody.length, bytes)
 })
+
+When('a gateway client sends {string} and its response breaks off', async function (this: World, line: string) {
+  this.broken = await send(this.gatewaySite, line)
+})
+
+Then('the gateway client has got at most {int} bytes, all of one worker', function (this: World, bytes: number) {
+  assert.equal(this.broken.isComplete, false)
+  assert.ok(this.broken.body.length <= bytes && /^x*$/.test(this.broken.body), `${this.broken.body.length} bytes, the last ones "${this.broken.body.slice(-20)}"`)
+})
--- a/testing/fleuve/start_worker.ts
+++ b/testing/fleuve/start_worker.ts
@@ -39,6 +39,12 @@
   CloseDelimitedStream = 'unframed_stream',
   /** Sends a whole body of 20 MB without a length, which ends with the connection. */
   CloseDelimitedLarge = 'unframed_large',
+  /** Sends most of a large body with a stated length and closes the connection. */
+  TruncatedLargeBody = 'short_large',
+  /** Sends most of a large body in chunks and closes the connection without a reset. */
+  TruncatedLargeChunks = 'cut_chunks_large',
+  /** Sends most of a large body without a length and resets the connection. */
+  CloseDelimitedLargeReset = 'unframed_large_reset',
   /** Sends a response head that never ends, until the connection is closed. */
   EndlessHead = 'endless_head',
   /** Sends a body that never ends, until the connection is closed. */
@@ -203,6 +209,8 @@
 
 /** Length in bytes of a large body: more than the buffers of two connections hold. */
 const largeBodyBytes = 20_000_000
+/** Length in bytes of a body that breaks off: more than a gateway holds back. */
+const brokenBodyBytes = 600_000
 
 /** Writes `piece` again and again, as fast as the other side reads, until the connection is closed. */
 function writeUntilClosed (socket: Socket, piece: string): void {
@@ -349,6 +357,18 @@
       writeRaw(req.socket, req, ['Connection: close'], 'x'.repeat(largeBodyBytes))
       req.socket.end()
     },
+    [WorkerMode.TruncatedLargeBody]: (req) => {
+      writeRaw(req.socket, req, [`Content-Length: ${brokenBodyBytes + 1}`], 'x'.repeat(brokenBodyBytes))
+      req.socket.end()
+    },
+    [WorkerMode.TruncatedLargeChunks]: (req) => {
+      writeRaw(req.socket, req, ['Transfer-Encoding: chunked'], `${brokenBodyBytes.toString(16)}\r\n${'x'.repeat(brokenBodyBytes)}\r\n`)
+      req.socket.end()
+    },
+    [WorkerMode.CloseDelimitedLargeReset]: (req) => {
+      writeRaw(req.socket, req, ['Connection: close'], 'x'.repeat(brokenBodyBytes))
+      setTimeout(() => req.socket.resetAndDestroy(), 50)
+    },
     [WorkerMode.EndlessHead]: (req) => {
       req.socket.write('HTTP/1.1 200 OK\r\n')
       writeUntilClosed(req.socket, `X-More: ${'x'.repeat(endlessPieceBytes)}\r\n`)
