Send nothing to a removed worker after its drain time, also what waits for its place

Cause: a waiting request holds a worker that is no longer in the fleet, and the one decision whether it may be written knew nothing of a removal.

Change: a removed or replaced worker keeps the time of that, and `checkSend` lets requests with a place reach it within the drain time only (reason `gone`). A plain request goes to another worker then.

--- a/core/fleet/_simulated_words_test.ts
+++ b/core/fleet/_simulated_words_test.ts
@@ -124,7 +124,7 @@
     () => {
       const worker = pick(workers)
       const { fleet } = pick(processes)
-      fleet.remove(worker.id)
+      fleet.remove(worker.id, nowMs)
       schedule(300 * random(), () => fleet.upsert(buildEntry(worker, random() < 0.5 ? 500 : 0), nowMs))
       schedule(300 + 300 * random(), () => fleet.upsert(buildEntry(worker), nowMs))
     }
--- a/core/fleet/_types.ts
+++ b/core/fleet/_types.ts
@@ -87,6 +87,8 @@
   word: WorkerWord
   /** Time in milliseconds since which the worker is known to drain. */
   drainingSinceMs?: number
+  /** Time in milliseconds since which the worker is known to be gone; requests that were assigned to it before may still hold it. */
+  goneSinceMs?: number
   /** Requests of this process in flight at the worker. */
   inFlight: number
   /** Memory in tokens that requests of this process reserve or use there. */
--- a/core/fleet/check_send.ts
+++ b/core/fleet/check_send.ts
@@ -9,6 +9,8 @@
 export enum HoldReason {
   /** Its entry says that it drains. */
   Draining = 'draining',
+  /** Its entry has been removed, or that of a later start has replaced it. */
+  Gone = 'gone',
   /** It has said in an answer that it leaves. */
   Leaving = 'leaving',
   /** The prompt is likely to crash it. */
@@ -74,6 +76,8 @@
 export function checkSend (worker: Worker, options: CheckSendOptions): SendVerdict {
   const { nowMs, drainMs, quarantineMs = 0, hasPlace = false } = options
   const { word } = worker
+  const goneEndMs = (worker.goneSinceMs ?? Infinity) + (hasPlace ? drainMs : 0)
+  if (nowMs >= goneEndMs) return { rank: SendRank.Never, reason: HoldReason.Gone, untilMs: Infinity }
   // A request that has its place was assigned before the entry said so, and the worker takes it for the drain time.
   const drainEndMs = hasPlace ? (worker.drainingSinceMs ?? nowMs) + drainMs : nowMs
   if (worker.entry.state === WorkerState.Draining && nowMs >= drainEndMs) {
--- a/core/fleet/create_fleet.ts
+++ b/core/fleet/create_fleet.ts
@@ -17,7 +17,7 @@
   /** Adds or updates a worker from its published entry; a restarted worker loses its measurements. */
   upsert (entry: WorkerEntry, nowMs: number): void
   /** Removes a worker that is gone. */
-  remove (id: string): void
+  remove (id: string, nowMs: number): void
   /** Returns the worker with an identity; undefined when it is not known. */
   get (id: string): Worker | undefined
   /** Returns all workers, including those that drain. */
@@ -85,12 +85,17 @@
     upsert (entry, nowMs) {
       const known = workers.get(entry.id)
       const worker = known?.entry.bornMs === entry.bornMs ? known : createWorker(entry)
+      if (known !== undefined && known !== worker) known.goneSinceMs = nowMs
       worker.entry = entry
       if (entry.state === WorkerState.Draining) worker.drainingSinceMs ??= nowMs
       else delete worker.drainingSinceMs
       workers.set(entry.id, worker)
     },
-    remove: (id) => { workers.delete(id) },
+    remove (id, nowMs) {
+      const worker = workers.get(id)
+      if (worker !== undefined) worker.goneSinceMs = nowMs
+      workers.delete(id)
+    },
     get: (id) => workers.get(id),
     all: () => [...workers.values()],
     serving: (service) => [...workers.values()].filter(({ entry }) =>
--- a/core/fleet/fleet_test.ts
+++ b/core/fleet/fleet_test.ts
@@ -32,7 +32,7 @@
 })
 
 When('the fleet loses {string}, which comes back born at {int}', function (this: World, id: string, bornMs: number) {
-  this.fleet.remove(id)
+  this.fleet.remove(id, 0)
   this.fleet.upsert(buildEntry(id, bornMs), 0)
 })
 
--- a/directory/_worker_records.ts
+++ b/directory/_worker_records.ts
@@ -53,7 +53,7 @@
     removals.get(id)?.cancel()
     const waitMs = options.lastFailureMs() + reregistrationMs - timer.now()
     if (waitMs <= 0) {
-      fleet.remove(id)
+      fleet.remove(id, timer.now())
       log.info({ worker: id }, 'worker gone')
       return
     }
--- a/gateway/worker_limit.feature
+++ b/gateway/worker_limit.feature
@@ -16,6 +16,15 @@
     Then the gateway workers saw as many requests as gateway responses have the status 200, and at most 12
     And the other gateway responses are 503 "worker_limit" with a Retry-After header, each within 150 ms
 
+  # Guards against a request that waits for its place for longer than a removed worker may be sent anything.
+  Scenario: A request that waits for its place at a worker that is removed meanwhile goes to another one
+    Given a gateway site with a drain time of 300 ms, a target latency of 6000 ms and the plain workers "a"
+    And a gateway worker "a" that limits its rate to 32 a second
+    When gateway clients send "POST /unsafe/x" 1 times, 50 ms apart
+    And gateway clients send "POST /unsafe/x" 8 times, 10 ms apart, while the entry of "a" is removed after 200 ms and the worker "b" comes
+    Then the gateway worker "a" got no request later than 300 ms after its removal, and "b" got at least 1
+    And every gateway response has the status 200
+
   Scenario: A limit ends with the first response that does not name it
     Given a gateway site with the plain workers "a"
     And a gateway worker "a" that limits its rate to 80 a second
--- a/gateway/worker_limit_test.ts
+++ b/gateway/worker_limit_test.ts
@@ -3,7 +3,8 @@
  */
 import assert from 'node:assert/strict'
 import { Given, Then, When } from '@cucumber/cucumber'
-import { send, sleep } from './gateway_test.ts'
+import { buildConfiguration } from '../testing/fleuve/mod.ts'
+import { open, send, sleep, until } from './gateway_test.ts'
 import type { FakeWorker, Site } from '../testing/fleuve/mod.ts'
 
 interface TimedResponse {
@@ -16,6 +17,7 @@
 interface World {
   gatewaySite: Site
   timedResponses: TimedResponse[]
+  removedMs: number
 }
 
 function workerOf (world: World, id: string): FakeWorker {
@@ -34,7 +36,9 @@
   workerOf(this, id).setLimit(undefined)
 })
 
-When('gateway clients send {string} {int} times, {int} ms apart', async function (this: World, line: string, times: number, gapMs: number) {
+When('gateway clients send {string} {int} times, {int} ms apart', sendMany)
+
+async function sendMany (this: World, line: string, times: number, gapMs: number): Promise<void> {
   const headers = { 'X-Model': 'm', 'X-Token-Counts': '100,40', 'X-Request-Deadline-Ms': '3000' }
   const pending: Array<Promise<TimedResponse>> = []
   for (let i = 0; i < times; i++) {
@@ -44,7 +48,7 @@
     await sleep(gapMs)
   }
   this.timedResponses = await Promise.all(pending)
-})
+}
 
 Then('every gateway response has the status {int}', function (this: World, status: number) {
   assert.deepEqual([...new Set(this.timedResponses.map(({ response }) => response.status))], [status])
@@ -73,3 +77,29 @@
       assert.ok(tookMs <= ms, `${tookMs} ms`)
     }
   })
+
+Given('a gateway site with a drain time of {int} ms, a target latency of {int} ms and the plain workers {string}',
+  async function (this: World, drainMs: number, targetMs: number, ids: string) {
+    await open(this, ids.split(', ').map((id) => ({ id, service: 'plain' })), { settings: { drainMs } })
+    const routes = JSON.parse(buildConfiguration(2)).routes.map((route: object) => ({ ...route, timeout_ms: targetMs, target_latency_ms: targetMs }))
+    this.gatewaySite.writeConfiguration(2, { routes })
+    await until(() => this.gatewaySite.readLog().includes('"version":2'), 1000, 'version 2')
+  })
+
+When('gateway clients send {string} {int} times, {int} ms apart, while the entry of {string} is removed after {int} ms and the worker {string} comes',
+  async function (this: World, line: string, times: number, gapMs: number, removed: string, ms: number, added: string) {
+    const sending = sendMany.call(this, line, times, gapMs)
+    await sleep(ms)
+    this.gatewaySite.store.remove(`servers/${removed}`)
+    await until(() => this.gatewaySite.readLog().includes('worker gone'), 1000, 'the removal')
+    this.removedMs = performance.now()
+    await this.gatewaySite.addWorker({ id: added, service: 'plain' })
+    await sending
+  })
+
+Then('the gateway worker {string} got no request later than {int} ms after its removal, and {string} got at least {int}',
+  function (this: World, removed: string, ms: number, other: string, least: number) {
+    const latestMs = Math.max(...workerOf(this, removed).listRequests().map(({ receivedMs }) => receivedMs)) - this.removedMs
+    assert.ok(latestMs <= ms, `the last one came ${Math.round(latestMs)} ms after`)
+    assert.ok(countRequests(workerOf(this, other)) >= least)
+  })
