Receive signals before the modules of a process are loaded

What callers saw: no connection to a gateway, from a SIGHUP (its settings file changes) shortly after its start until its next start.

Cause: signals had receivers once all modules were loaded; until then each ends the process.

Evidence: the new scenario sends SIGHUP as the first library is loaded; with the entry point of before it fails, the process has ended.

Change: the entry point receives signals first and then imports the rest; what has come is handed over when the process listens to signals. The start of Node itself, about 75 ms here, stays open to signals.

--- a/cli/platform_main.ts
+++ b/cli/platform_main.ts
@@ -3,9 +3,12 @@
  * Entry point of the processes on the platform. It imports no module that only other commands need, because start-up is
  * charged there.
  */
-import { PlatformProcess, runPlatformProcess } from './run_platform_process.ts'
+import './_early_signals.ts'
 
-const kinds = new Map<string, PlatformProcess>(Object.values(PlatformProcess).map((kind) => [kind, kind]))
+// Imported only now, so that a signal that comes while the modules load has a receiver.
+const { PlatformProcess, runPlatformProcess } = await import('./run_platform_process.ts')
+
+const kinds = new Map(Object.values(PlatformProcess).map((kind) => [kind as string, kind]))
 const [name = '', policyFile] = process.argv.slice(2)
 const kind = kinds.get(name)
 if (kind === undefined || policyFile === undefined) {
--- a/cli/run_platform_process.feature
+++ b/cli/run_platform_process.feature
@@ -20,6 +20,11 @@
     Given a platform process "gateway" with a worker that gets SIGHUP as soon as it listens
     Then the platform process logs "settings file has changed" and still answers 200
 
+  # Guards against a process that ends by itself because its settings change while it loads its modules.
+  Scenario: A SIGHUP while a gateway process loads its modules does not end it
+    Given a platform process "gateway" with a worker that gets SIGHUP while it loads its modules
+    Then the platform process logs "settings file has changed" and still answers 200
+
   # Guards against a second SIGTERM that cuts what the first one lets end.
   Scenario: A gateway process that gets SIGTERM twice ends what is in flight, and exits in order
     Given a platform process "gateway" with a worker
--- a/cli/run_platform_process.ts
+++ b/cli/run_platform_process.ts
@@ -13,6 +13,7 @@
 import type { PolicySettings } from '../settings/mod.ts'
 import type { NodeSettings } from '../platform/mod.ts'
 import type { Timer } from '../timer/mod.ts'
+import { receiveSignals } from './_early_signals.ts'
 import { ExitCode } from './_exit_code.ts'
 
 /** Names the processes that run on the platform. */
@@ -70,13 +71,16 @@
   const options = { settings: settings.val, policy, timer, log, droppedLines: stream.droppedLines }
   // What one request or message has met must not end the others: their state is their own, and what is shared comes from the store.
   process.on('uncaughtException', (err) => log.error({ err }, 'unexpected error'))
-  // Signals are received from here on, because each one that is not ends the process at once, also a second SIGTERM.
-  process.on('SIGHUP', () => {
-    const reread = readSettings(path)
-    // A running process keeps its addresses and bounds; it uses changed ones after a restart.
-    log.info({ valid: reread.ok, reason: reread.err ? reread.val : undefined }, 'settings file has changed')
+  const stopped = new Promise<void>((resolve) => {
+    receiveSignals({
+      SIGHUP () {
+        const reread = readSettings(path)
+        // A running process keeps its addresses and bounds; it uses changed ones after a restart.
+        log.info({ valid: reread.ok, reason: reread.err ? reread.val : undefined }, 'settings file has changed')
+      },
+      SIGTERM: resolve
+    })
   })
-  const stopped = new Promise<void>((resolve) => { process.on('SIGTERM', () => resolve()) })
   const started = await starters[kind](options)
   if (started.err) return printError(`${kind}: ${started.val}`)
   const running = started.val
--- a/cli/run_platform_process_test.ts
+++ b/cli/run_platform_process_test.ts
@@ -52,7 +52,14 @@
   })
 }
 
-async function start (world: World, kind: string, signal?: NodeJS.Signals): Promise<void> {
+interface StartOptions {
+  /** A signal that the process gets as it begins to listen. */
+  signal?: NodeJS.Signals
+  /** A signal that it gets while it loads its modules. */
+  loadSignal?: NodeJS.Signals
+}
+
+async function start (world: World, kind: string, { signal, loadSignal }: StartOptions = {}): Promise<void> {
   world.folder = mkdtempSync(join(tmpdir(), 'platform-'))
   world.platformStore = await startStore()
   world.platformWorker = await startWorker({ id: 'w1', service: 'plain' })
@@ -100,7 +107,16 @@
       process.kill(process.pid, '${signal ?? 'SIGCONT'}')
       return listen.apply(this, args)
     }`
-  const module = `data:text/javascript,${encodeURIComponent(signal === undefined ? faults : early)}`
+  // A signal that comes as soon as the process loads a module of a library.
+  const loading = `import Module from 'node:module'
+    const load = Module._load
+    Module._load = function (...args) {
+      Module._load = load
+      process.kill(process.pid, '${loadSignal ?? 'SIGCONT'}')
+      return load.apply(this, args)
+    }`
+  const preloaded = loadSignal !== undefined ? loading : signal !== undefined ? early : faults
+  const module = `data:text/javascript,${encodeURIComponent(preloaded)}`
   world.child = spawn(process.execPath, ['--import', module, 'dist/cli/platform_main.js', kind, policyFile], {
     env: { ...process.env, BRIARLOOM_NODE_FILE: settingsPath(world) }, stdio: ['ignore', 'pipe', 'pipe']
   })
@@ -122,7 +138,10 @@
 Given('a platform process {string} with a worker', async function (this: World, kind: string) { await start(this, kind) })
 
 Given('a platform process {string} with a worker that gets {word} as soon as it listens',
-  async function (this: World, kind: string, signal: NodeJS.Signals) { await start(this, kind, signal) })
+  async function (this: World, kind: string, signal: NodeJS.Signals) { await start(this, kind, { signal }) })
+
+Given('a platform process {string} with a worker that gets {word} while it loads its modules',
+  async function (this: World, kind: string, loadSignal: NodeJS.Signals) { await start(this, kind, { loadSignal }) })
 
 Given('the platform engines are {string}', function (this: World, mode: WorkerMode) {
   for (const engine of this.platformEngines) engine.setMode(mode)
--- a/exchange/create_exchange_pool.ts
+++ b/exchange/create_exchange_pool.ts
@@ -5,6 +5,9 @@
 // The index module of undici also loads fetch, caches and WebSockets, which take two thirds of its loading time.
 import Client from 'undici/lib/dispatcher/client.js'
 import { Err, Ok } from '../core/results/mod.ts'
+import { boundIdleBytes } from './_bound_idle_bytes.ts'
+import { failAtOnce } from './_fail_at_once.ts'
+import { hasCloseDelimitedBody } from './_has_close_delimited_body.ts'
 import { FailureKind } from './_types.ts'
 import { isReset } from './is_reset.ts'
 import type { Socket } from 'node:net'
@@ -33,8 +36,6 @@
  * machine or the path to it may fall silent for a second or more and go on, and probes that get no answer end the connection.
  */
 const keepAliveProbeMs = 10_000
-/** Bytes that a socket may have read and not yet passed on: its buffer, and one read. */
-const socketBufferBytes = 131_072
 
 interface PooledConnection {
   /** Number of the connection in its pool. */
@@ -112,7 +113,7 @@
       socket.removeAllListeners('timeout')
       socket.off('error', fail)
       socket.setKeepAlive(true, keepAliveProbeMs)
-      boundIdleBytes(connection, socket)
+      connection.markProgress = boundIdleBytes(socket, maxHeaderBytes)
       socket.on('error', () => { connection.isReset = true })
       socket.on('end', () => {
         connection.isEnded = true
@@ -122,19 +123,6 @@
     })
   }
 
-  /**
-   * Breaks a connection that reads bytes which are neither a head nor a body. The parser bounds header fields, but not interim responses,
-   * the text of a status line and the size and extension of a chunk.
-   */
-  function boundIdleBytes (connection: PooledConnection, socket: Socket): void {
-    const maxBytes = maxHeaderBytes + socketBufferBytes
-    let progressBytes = 0
-    connection.markProgress = () => { progressBytes = socket.bytesRead }
-    socket.on('readable', () => {
-      if (socket.bytesRead - progressBytes > maxBytes) socket.destroy(new Error(`more than ${maxBytes} bytes that belong to no response`))
-    })
-  }
-
   /** Opens a connection; returns why there is none when the address is not one of a server. */
   function tryOpen (address: string): Result<PooledConnection, string> {
     try {
@@ -187,13 +175,6 @@
   discard (): void
 }
 
-/** Returns an exchange that fails as malformed, once the caller has it. */
-function failAtOnce (message: string, handlers: ExchangeHandlers): Exchange {
-  let isAborted = false
-  queueMicrotask(() => { if (!isAborted) handlers.onFail({ kind: FailureKind.Malformed, message, isReused: false }) })
-  return { abort () { isAborted = true }, pause () {}, resume () {} }
-}
-
 /** Runs one exchange on a connection. */
 function runExchange (connection: PooledConnection, req: ExchangeRequest, handlers: ExchangeHandlers, owner: ConnectionOwner): Exchange {
   const isReused = connection.hasBeenUsed
@@ -269,13 +250,3 @@
     resume: () => { if (!isOver) controller?.resume() }
   }
 }
-
-/** Tells whether a response body ends with the connection, for lack of a length and of a transfer encoding. */
-function hasCloseDelimitedBody (status: number, headers: string[], method: string): boolean {
-  if (method === 'HEAD' || status === 204 || status === 304) return false
-  for (let i = 0; i + 1 < headers.length; i += 2) {
-    const name = (headers[i] as string).toLowerCase()
-    if (name === 'content-length' || name === 'transfer-encoding') return false
-  }
-  return true
-}
