--- a/gateway/_forward_stream.ts
+++ b/gateway/_forward_stream.ts
@@ -207,7 +207,8 @@
         if (connection !== undefined) stats.connection = connection
         settle(StreamEnd.Refused, reason)
       },
-      onLost (reason) {
+      onLost (reason, status) {
+        stats.status = status ?? stats.status
         // Without a head, the connection may have been closed before the engine began to answer.
         if (stats.status < minRefusalStatus) observer.onEarlyEnd(stats.status > 0)
         settle(StreamEnd.Lost, reason)
--- a/gateway/_send_to_worker.ts
+++ b/gateway/_send_to_worker.ts
@@ -29,15 +29,15 @@
   onEnd (): void
   /** The worker has not run the request: it stated so, could not be reached, or takes no request any more (`isWithheld`). */
   onRefused (refusal: { hasArrived: boolean, isWithheld?: boolean, reason: string, connection?: number }): void
-  /** The response is lost, and the worker may have run the request. */
-  onLost (reason: string): void
+  /** The response is lost or cannot be passed on, and the worker may have run the request; `status` is that of a response that is not passed on. */
+  onLost (reason: string, status?: number): void
 }
 
 const notRunKinds = new Set([FailureKind.Unreachable, FailureKind.Malformed, FailureKind.Withheld])
+/** Statuses that clients take for a promise that their request has not run and never will. */
+const promisingStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503])
 /** Longest delay in milliseconds, chosen at random, that is added to the time at which a client is told to come back. */
 const returnSpreadMs = 500
-const msPerS = 1_000
-const unavailableStatus = 503
 
 /** Returns what is known about the execution of a request whose exchange failed. */
 export function classifyFailure (failure: Failure): Outcome {
@@ -62,19 +62,6 @@
   return earliestMs === undefined ? undefined : Math.round(earliestMs + returnSpreadMs * context.random())
 }
 
-/**
- * Replaces the time for which a worker that turned a request away wants no requests by the one after which the client is served: another
- * worker may take it sooner, and all clients would come back at once.
- */
-function replaceReturn (context: GatewayContext, request: ClientRequest, head: ResponseHead): ResponseHead {
-  if (head.status !== unavailableStatus) return head
-  const forwarded = head.forwarded.filter((_part, i) => head.forwarded[i - i % 2]?.toLowerCase() !== 'retry-after')
-  const returnMs = forwarded.length === head.forwarded.length
-    ? undefined
-    : getReturnMs(context, context.directory.fleet.serving(request.service.name))
-  return { ...head, forwarded: returnMs === undefined ? forwarded : [...forwarded, 'Retry-After', String(returnMs / msPerS)] }
-}
-
 /** Sends a request to a worker, with the given headers, the id of the worker and the remaining time. */
 export function sendToWorker (
   context: GatewayContext, request: ClientRequest, worker: Worker, added: Omit<WorkerHeaders, 'workerId' | 'deadlineMs'>, handlers: SendHandlers
@@ -82,16 +69,25 @@
   const { timer, directory } = context
   const deadlineMs = request.deadlineMs - timer.now()
   const headers = [...request.head.forwarded, ...encodeWorkerHeaders({ ...added, workerId: worker.entry.id, deadlineMs })]
-  /** The body of a refusal; undefined when the worker has not refused the request. */
-  let refusalBody: DiscardedBody | undefined
-  let refusedOn = 0
+  /** A response of which only the head counts; undefined when the response is passed on. */
+  let unused: { body: DiscardedBody, report: () => void } | undefined
   worker.inFlight++
 
   function decrementInFlight (): void { worker.inFlight-- }
 
-  function finishRefused (): void {
-    refusalBody?.cancel()
-    handlers.onRefused({ hasArrived: true, reason: 'refused', connection: refusedOn })
+  /** Discards the body of a response, and reports the response when that has ended. */
+  function discardResponse (report: () => void): void {
+    const body = discardBody(timer, () => {
+      exchange.abort()
+      decrementInFlight()
+      finishUnused()
+    })
+    unused = { body, report }
+  }
+
+  function finishUnused (): void {
+    unused?.body.cancel()
+    unused?.report()
   }
 
   const exchange = context.pool.send(worker.entry.address, {
@@ -105,30 +101,29 @@
       applyLimit(context, worker, head.limitPerS)
       recordAnswer(context, worker, head)
       if (head.notRun) {
-        refusedOn = connection
-        refusalBody = discardBody(timer, () => {
-          exchange.abort()
-          decrementInFlight()
-          finishRefused()
-        })
+        discardResponse(() => handlers.onRefused({ hasArrived: true, reason: 'refused', connection }))
+        return true
+      }
+      if (promisingStatuses.has(status)) {
+        discardResponse(() => handlers.onLost(`status ${status}, which does not state that the request has not run`, status))
         return true
       }
       if (head.hasContentEncoding) return false
-      handlers.onHead({ ...replaceReturn(context, request, head), isCloseDelimited, connection })
+      handlers.onHead({ ...head, isCloseDelimited, connection })
       return true
     },
     onData (chunk) {
-      if (refusalBody === undefined) handlers.onData(chunk)
-      else refusalBody.add(chunk)
+      if (unused === undefined) handlers.onData(chunk)
+      else unused.body.add(chunk)
     },
     onEnd () {
       decrementInFlight()
-      if (refusalBody !== undefined) finishRefused()
+      if (unused !== undefined) finishUnused()
       else handlers.onEnd()
     },
     onFail (failure) {
       decrementInFlight()
-      if (refusalBody !== undefined) finishRefused()
+      if (unused !== undefined) finishUnused()
       else if (failure.kind === FailureKind.Withheld) handlers.onRefused({ hasArrived: false, isWithheld: true, reason: failure.message })
       else if (classifyFailure(failure) === Outcome.NotRun) {
         directory.fleet.markSuspect(worker, timer.now())
@@ -140,7 +135,7 @@
   return {
     ...exchange,
     abort () {
-      refusalBody?.cancel()
+      unused?.body.cancel()
       decrementInFlight()
       exchange.abort()
     }
--- a/gateway/gateway_test.ts
+++ b/gateway/gateway_test.ts
@@ -375,6 +375,13 @@
   assert.match(String(this.response.headers['x-server-seal']), /^seal-/)
 })
 
+Then('the gateway client gets {int} without a word of the worker', function (this: World, status: number) {
+  assert.equal(this.response.status, status)
+  assert.equal(this.response.headers['x-server-seal'], undefined)
+  assert.equal(this.response.headers['retry-after'], undefined)
+  assert.deepEqual(Object.keys(JSON.parse(this.response.body)), ['error'])
+})
+
 Then('the gateway response has a Retry-After header: {word}', function (this: World, expected: string) {
   assert.equal(this.response.headers['retry-after'] !== undefined, expected === 'yes')
 })
--- a/testing/fleuve/start_worker.ts
+++ b/testing/fleuve/start_worker.ts
@@ -23,6 +23,14 @@
   Dribble = 'dribble',
   /** Responds with status 500 and the headers of a worker. */
   Error = 'error',
+  /** Runs the request and responds with status 503, a time to come back and the headers of a worker, without stating that it has not run. */
+  Ran503 = 'ran_503',
+  /** As `Ran503`, with status 429. */
+  Ran429 = 'ran_429',
+  /** As `Ran503`, with status 408. */
+  Ran408 = 'ran_408',
+  /** As `Ran503`, with a body that never ends. */
+  Ran503Endless = 'ran_503_endless',
   /** Receives the request and resets the connection without a response. */
   Reset = 'reset',
   /** Never responds. */
@@ -283,6 +291,13 @@
     res.flushHeaders()
   }
 
+  function respondAfterRun (status: number): (req: IncomingMessage, res: ServerResponse) => void {
+    return (req, res) => {
+      res.writeHead(status, createHeaders(req, { 'Retry-After': '7', 'Content-Length': 4 }))
+      res.end('busy')
+    }
+  }
+
   function buildResponse (req: IncomingMessage): string {
     const headers = Object.entries(createHeaders(req, { 'Content-Length': responseText.length })).map(([name, value]) => `${name}: ${value}`)
     return ['HTTP/1.1 200 OK', ...headers, '', responseText].join('\r\n')
@@ -329,6 +344,14 @@
       res.writeHead(500, createHeaders(req, { 'Content-Length': 3 }))
       res.end('bad')
     },
+    [WorkerMode.Ran503]: respondAfterRun(503),
+    [WorkerMode.Ran429]: respondAfterRun(429),
+    [WorkerMode.Ran408]: respondAfterRun(408),
+    [WorkerMode.Ran503Endless]: (req, res) => {
+      res.writeHead(503, createHeaders(req))
+      res.flushHeaders()
+      writeUntilClosed(req.socket, endlessChunk)
+    },
     [WorkerMode.Reset]: (req) => { req.socket.resetAndDestroy() },
     [WorkerMode.Hang]: () => {},
     [WorkerMode.TruncatedBody]: (req) => {
