--- a/gateway/_client_server.ts
+++ b/gateway/_client_server.ts
@@ -155,16 +155,18 @@
       failUnexpectedly(reply, head.requestId, err)
       stop(StopReason.HandlerFailed)
     }
-    const deadlineTimer = timer.after(deadlineMs - timer.now(), () => stop(StopReason.DeadlineExceeded))
-    // The part that serves a request ends it when it stops, unless an error has ended that part first.
-    const unansweredTimer = timer.after(deadlineMs + unansweredMarginMs - timer.now(), () => {
-      if (!reply.isFinished()) fail(new Error('no response by the deadline'))
+    let finalTimer = timer.after(deadlineMs - timer.now(), () => {
+      stop(StopReason.DeadlineExceeded)
+      // The part that serves a request ends it when it stops, unless an error has ended that part first. After a pause of the process, the
+      // time for that begins only now.
+      finalTimer = timer.after(unansweredMarginMs, () => {
+        if (!reply.isFinished()) fail(new Error('no response by the deadline'))
+      })
     })
     stops.add(stop)
     res.once('close', () => {
       stops.delete(stop)
-      deadlineTimer.cancel()
-      unansweredTimer.cancel()
+      finalTimer.cancel()
       if (!res.writableFinished) stop(StopReason.ClientDisconnected)
     })
     let isReadingBody = true
--- a/gateway/unexpected_errors_test.ts
+++ b/gateway/unexpected_errors_test.ts
@@ -6,6 +6,8 @@
 import { request as httpRequest } from 'node:http'
 import { PassThrough } from 'node:stream'
 import { After, Given, Then, When } from '@cucumber/cucumber'
+import { Err } from '../core/results/mod.ts'
+import { RefusalCode } from '../core/types/mod.ts'
 import { createFleet, Stage, WorkerState } from '../core/fleet/mod.ts'
 import { createRouteTable } from '../core/route/mod.ts'
 import { createLog } from '../log/mod.ts'
@@ -39,6 +41,19 @@
 
 const failures: { readonly [what: string]: Failure } = {
   'the accounting of requests throws': { path: '/safe/x', context: { retryBudget () { throw new Error('no budget') } } },
+  'a worker does not answer': {
+    path: '/unsafe/x', context: { pool: { send: () => ({ abort () {}, pause () {}, resume () {} }) } }
+  },
+  'a reservation fails after 1100 ms': {
+    path: '/stream/x',
+    context: {
+      sidecars: {
+        isConnected: () => true,
+        reserve: () => new Promise((resolve) => { setTimeout(() => resolve(Err(RefusalCode.Unreachable)), 1_100) }),
+        release () {}
+      }
+    }
+  },
   'a reservation is never answered': {
     path: '/stream/x', context: { sidecars: { isConnected: () => true, reserve: () => new Promise(() => {}), release () {} } }
   },
@@ -79,18 +94,20 @@
     retryBudget: () => budget,
     promptGuard: { find: () => undefined },
     roundTripMs: () => 1,
+    heldBytes: { open: () => ({ set () {}, close () {} }) },
+    settings: { drainMs: 2_500 },
     ...context
   } as unknown as GatewayContext)
   this.clientServer.server.listen(0, '127.0.0.1')
   await once(this.clientServer.server, 'listening')
 })
 
-When('a client of the gateway server sends a request with a deadline of {int} ms', async function (this: World, deadlineMs: number) {
-  const { port } = this.clientServer.server.address() as AddressInfo
+async function sendWithDeadline (world: World, deadlineMs: number): Promise<void> {
+  const { port } = world.clientServer.server.address() as AddressInfo
   const headers = { Host: 'a.example', 'X-Request-Id': 'u-1', 'X-Token-Counts': '100,40', 'X-Request-Deadline-Ms': String(deadlineMs) }
   const startedMs = performance.now()
-  this.clientStatus = await new Promise((resolve, reject) => {
-    const req = httpRequest({ host: '127.0.0.1', port, path: this.clientPath, method: 'POST', headers, agent: false, timeout: 2000 }, (res) => {
+  world.clientStatus = await new Promise((resolve, reject) => {
+    const req = httpRequest({ host: '127.0.0.1', port, path: world.clientPath, method: 'POST', headers, agent: false, timeout: 2000 }, (res) => {
       res.resume()
       resolve(res.statusCode ?? 0)
     })
@@ -98,11 +115,25 @@
     req.on('timeout', () => req.destroy(new Error('no response within 2000 ms')))
     req.end('body')
   })
-  this.tookMs = performance.now() - startedMs
+  world.tookMs = performance.now() - startedMs
+}
+
+When('a client of the gateway server sends a request with a deadline of {int} ms', async function (this: World, deadlineMs: number) {
+  await sendWithDeadline(this, deadlineMs)
 })
 
+When('a client of the gateway server sends a request with a deadline of {int} ms, and the process is held up until {int} ms after its acceptance',
+  async function (this: World, deadlineMs: number, heldMs: number) {
+    this.clientServer.server.once('request', () => {
+      const endMs = performance.now() + heldMs
+      // The handler goes as far as it can before the process is held up.
+      setTimeout(() => { while (performance.now() < endMs); }, 20)
+    })
+    await sendWithDeadline(this, deadlineMs)
+  })
+
 Then('the client of the gateway server gets {int} within {int} ms', function (this: World, status: number, ms: number) {
-  assert.equal(this.clientStatus, status)
+  assert.equal(this.clientStatus, status, this.clientLog.join(''))
   assert.ok(this.tookMs < ms, `${this.tookMs} ms`)
 })
 
--- a/timer/create_system_timer.ts
+++ b/timer/create_system_timer.ts
@@ -41,6 +41,7 @@
   const pauseCheckMs = options.pauseCheckMs ?? defaultPauseCheckMs
   const subscriptions = new Set<Subscription>()
   const pauseListeners = new Set<PauseListener>()
+  const createDeferral = createDeferrals()
   let lastCheckMs = performance.now()
 
   /** Registers a subscription, so that `close` cancels it; `stop` clears its timeout, interval or listener. */
@@ -113,15 +114,37 @@
   cancel (): void
 }
 
-/** Creates the deferral of one subscription. Node runs timers before it reads sockets, so a timeout would come before the response. */
-function createDeferral (): Deferral {
-  let immediate: NodeJS.Immediate | undefined
-  return {
-    run (dueMs, fn) {
+/**
+ * Creates the deferrals of a timer. Node runs timers before it reads sockets, so a timeout would come before the response. What comes due
+ * while others wait runs behind them, so that the order of the due times holds.
+ */
+function createDeferrals (): () => Deferral {
+  let waiting = 0
+  return () => {
+    let immediate: NodeJS.Immediate | undefined
+
+    function cancel (): void {
+      if (immediate === undefined) return
       clearImmediate(immediate)
-      if (performance.now() - dueMs < minLateMs) fn()
-      else immediate = setImmediate(fn)
-    },
-    cancel: () => clearImmediate(immediate)
+      immediate = undefined
+      waiting--
+    }
+
+    return {
+      run (dueMs, fn) {
+        cancel()
+        if (waiting === 0 && performance.now() - dueMs < minLateMs) {
+          fn()
+          return
+        }
+        waiting++
+        immediate = setImmediate(() => {
+          immediate = undefined
+          waiting--
+          fn()
+        })
+      },
+      cancel
+    }
   }
 }
--- a/timer/timer.feature
+++ b/timer/timer.feature
@@ -16,3 +16,7 @@
   # Guards against work that counts as lost because the process itself was held up, with the response already there.
   Scenario: A system timer that is late fires after the input that has arrived is read
     Then a system timer of 100 ms fires after input that arrived while the process was held up for 400 ms
+
+  # Guards against a check that decides before the event that it waits for, which came due earlier and waits for the input.
+  Scenario: A system timer keeps the order of what came due while the process was held up
+    Then system timers of 100 and 380 ms fire in this order after the process was held up for 400 ms
--- a/timer/timer_test.ts
+++ b/timer/timer_test.ts
@@ -76,3 +76,16 @@
   server.close()
   assert.deepEqual(order, ['input', 'after', 'every'])
 })
+
+Then('system timers of {int} and {int} ms fire in this order after the process was held up for {int} ms',
+  async function (firstMs: number, secondMs: number, heldMs: number) {
+    const timer = createSystemTimer()
+    const fired: number[] = []
+    const delaysMs = [firstMs, secondMs]
+    for (const delayMs of delaysMs) timer.after(delayMs, () => fired.push(delayMs))
+    const endMs = performance.now() + heldMs
+    while (performance.now() < endMs);
+    await new Promise((resolve) => setTimeout(resolve, 50))
+    timer.close()
+    assert.deepEqual(fired, delaysMs)
+  })
