--- a/exchange/create_exchange_pool.ts
+++ b/exchange/create_exchange_pool.ts
@@ -106,7 +106,10 @@
       socket.destroy()
       done(err, null)
     }
-    socket.setTimeout(connectTimeoutMs, () => fail(new Error(`connection was not established within ${connectTimeoutMs} ms`)))
+    // Timers run before sockets are polled, so after a pause of the process the connection may be there already.
+    socket.setTimeout(connectTimeoutMs, () => setImmediate(() => {
+      if (socket.connecting) fail(new Error(`connection was not established within ${connectTimeoutMs} ms`))
+    }))
     socket.once('error', fail)
     socket.once('connect', () => {
       socket.setTimeout(0)
--- a/exchange/exchange.feature
+++ b/exchange/exchange.feature
@@ -65,3 +65,7 @@
       | 127.0.0.1:0     | 1      | unreachable |
       | 127.0.0.1:1     | 1      | unreachable |
       | 127.0.0.1:1     | a\nb   | malformed   |
+
+  # Guards against a worker that counts as unreachable because the gateway itself was held up while the connection was made.
+  Scenario: A connection that was made while the process was held up carries its exchange
+    Then the exchange succeeds although the process is held up for 1200 ms while its connection is made
--- a/exchange/exchange_test.ts
+++ b/exchange/exchange_test.ts
@@ -235,3 +235,11 @@
     assert.ok((await run(pool, address, { ...request, usedConnections: new Set() })).ended)
     assert.equal(sockets.size, connections)
   })
+
+Then('the exchange succeeds although the process is held up for {int} ms while its connection is made', async function (this: World, heldMs: number) {
+  const address = await serve(this, (socket) => socket.write(goodResponse))
+  const running = run(createPool(this), address)
+  const endMs = performance.now() + heldMs
+  while (performance.now() < endMs);
+  assert.deepEqual(await running, { ended: true, status: 200 })
+})
