--- a/core/fleet/_types.ts
+++ b/core/fleet/_types.ts
@@ -105,6 +105,8 @@
   typicalPromptTokens?: number
   /** Smoothed share of requests that failed, from 0 to 1. */
   failureShare: number
+  /** Number of streams in a row that the engine failed, and the time in milliseconds until which it is asked last; absent after a success. */
+  streamFailures?: { count: number, untilMs: number }
   /** Smoothed latency in milliseconds; 0 before the first sample. */
   latencyMs: number
   /** Time in milliseconds before which the worker is suspect: it is chosen only when no other is left. */
--- a/core/fleet/create_fleet.ts
+++ b/core/fleet/create_fleet.ts
@@ -2,6 +2,7 @@
  * The workers that a process knows.
  */
 import { createHold } from '../pacing/mod.ts'
+import { isFailing } from './is_failing.ts'
 import { smooth } from './smooth.ts'
 import { WorkerState } from './_types.ts'
 import type { Worker, WorkerEntry, WorkerWord } from './_types.ts'
@@ -26,6 +27,11 @@
   serving (service: string): Worker[]
   /** Records the latency in milliseconds of a request that ended, when known, and whether the worker failed it. */
   recordResult (worker: Worker, result: { latencyMs?: number, failed: boolean }): void
+  /**
+   * Records whether an engine failed a stream; after a failure it is asked last for a time, which doubles with each further one. Returns
+   * the time in milliseconds when it begins, else 0.
+   */
+  recordStream (worker: Worker, result: { failed: boolean, nowMs: number }): number
   /** Marks a worker as suspect for one second, because it was unreachable or did not answer. */
   markSuspect (worker: Worker, nowMs: number): void
   /**
@@ -41,6 +47,9 @@
 
 /** Time in milliseconds for which a worker stays suspect; about one heartbeat interval of a worker. */
 const suspectMs = 1_000
+/** Times in milliseconds for which an engine is asked last: after its first failed stream, and at most. */
+const firstFailingMs = 500
+const maxFailingMs = 16_000
 /** Longest time in milliseconds for which a worker's word holds requests back; it is asked again afterwards. */
 const maxHoldMs = 300_000
 /** Number of workers without an entry whose words are kept. */
@@ -104,6 +113,15 @@
       worker.failureShare = smooth(worker.failureShare, failed ? 1 : 0)
       if (latencyMs !== undefined) worker.latencyMs = smooth(worker.latencyMs === 0 ? undefined : worker.latencyMs, latencyMs)
     },
+    recordStream (worker, { failed, nowMs }) {
+      if (!failed) delete worker.streamFailures
+      // Streams that ran side by side fail together, and tell no more than one of them.
+      if (!failed || isFailing(worker, nowMs)) return 0
+      const count = (worker.streamFailures?.count ?? 0) + 1
+      const forMs = Math.min(maxFailingMs, firstFailingMs * 2 ** (count - 1))
+      worker.streamFailures = { count, untilMs: nowMs + forMs }
+      return forMs
+    },
     markSuspect (worker, nowMs) { worker.suspectUntilMs = nowMs + suspectMs },
     markLeaving ({ id, bornMs }, nowMs) {
       const word = getWord(id, bornMs)
--- a/core/fleet/fleet.feature
+++ b/core/fleet/fleet.feature
@@ -53,3 +53,12 @@
     Given a fleet with the worker "a" born at 5
     When the fleet holds "a" at 0 ms for 1000 ms
     Then the fleet gives 40 requests that wait for "a" at 1000 ms at most 3 places in the first 200 ms, and all within 700 ms
+
+  Scenario: An engine that fails its streams is asked last, longer each time, until one succeeds
+    Given a fleet with the worker "a" born at 5
+    When the fleet sees streams of "a" fail at 0, 100, 600 and 1700 ms
+    Then "a" is asked last until 3700 ms
+    When the fleet sees a stream of "a" succeed at 1800 ms
+    Then "a" is asked last until 1800 ms
+    When the fleet sees a stream of "a" fail each 100 ms from 2000 to 60000 ms
+    Then "a" is asked last for at most 16000 ms at a time
--- a/core/fleet/fleet_test.ts
+++ b/core/fleet/fleet_test.ts
@@ -4,7 +4,7 @@
 import assert from 'node:assert/strict'
 import { Given, Then, When } from '@cucumber/cucumber'
 import fc from 'fast-check'
-import { checkSend, createFleet, SendRank, takeSendPlace, WorkerState } from './mod.ts'
+import { checkSend, createFleet, isFailing, SendRank, takeSendPlace, WorkerState } from './mod.ts'
 import { simulateFleet } from './_simulated_words_test.ts'
 import type { Fleet, Worker, WorkerEntry } from './mod.ts'
 
@@ -104,3 +104,26 @@
     const rankAfter = (ms: number): SendRank => checkSend(worker, { nowMs: startMs + ms, drainMs, hasPlace: true }).rank
     assert.deepEqual([rankAfter(withinMs), rankAfter(afterMs)], [SendRank.Open, SendRank.Never])
   })
+
+When('the fleet sees streams of {string} fail at 0, 100, 600 and 1700 ms', function (this: World, id: string) {
+  for (const nowMs of [0, 100, 600, 1700]) this.fleet.recordStream(workerOf(this, id), { failed: true, nowMs })
+})
+
+When('the fleet sees a stream of {string} succeed at {int} ms', function (this: World, id: string, nowMs: number) {
+  this.fleet.recordStream(workerOf(this, id), { failed: false, nowMs })
+})
+
+When('the fleet sees a stream of {string} fail each 100 ms from {int} to {int} ms', function (this: World, id: string, firstMs: number, lastMs: number) {
+  for (let nowMs = firstMs; nowMs <= lastMs; nowMs += 100) this.fleet.recordStream(workerOf(this, id), { failed: true, nowMs })
+})
+
+Then('{string} is asked last until {int} ms', function (this: World, id: string, untilMs: number) {
+  const worker = workerOf(this, id)
+  assert.equal(isFailing(worker, untilMs), false)
+  assert.equal(isFailing(worker, untilMs - 1), worker.streamFailures !== undefined)
+})
+
+Then('{string} is asked last for at most {int} ms at a time', function (this: World, id: string, mostMs: number) {
+  const { untilMs = 0 } = workerOf(this, id).streamFailures ?? {}
+  assert.ok(untilMs > 60_000 && untilMs <= 60_000 + mostMs, `${untilMs}`)
+})
--- a/gateway/_forward_stream.ts
+++ b/gateway/_forward_stream.ts
@@ -112,11 +112,23 @@
       held.close()
       failedBody?.cancel()
       worker.ownTokens -= reservation.tokens
+      if (end !== StreamEnd.Stopped) recordEnd(hasEngineFailed(end))
       context.sidecars.reportStreamEnd(worker, request.requestId, end === StreamEnd.Completed)
       const ranMs = Math.round(timer.now() - sentMs)
       resolve({ ...stats, ranMs, end, detail, ...(firstMs === undefined ? {} : { firstMs }), ...(next === undefined ? {} : { next }) })
     }
 
+    function recordEnd (failed: boolean): void {
+      const forMs = directory.fleet.recordStream(worker, { failed, nowMs: timer.now() })
+      if (forMs > 0) context.log.warn({ worker: worker.entry.id, failures: worker.streamFailures?.count, forMs }, 'engine asked last')
+    }
+
+    /** Tells whether a stream that ended so was failed by its engine; one that refuses to fetch a KV cache may be sound. */
+    function hasEngineFailed (end: StreamEnd): boolean {
+      if (end === StreamEnd.Refused) return kvSource === undefined
+      return end === StreamEnd.Lost || stats.status >= minFailureStatus
+    }
+
     /** Tells whether the response ended inside an event, or before the first one. */
     function endsEarly (): boolean {
       if (isCloseDelimited && stats.bytes === 0) return true
--- a/gateway/_prefill.ts
+++ b/gateway/_prefill.ts
@@ -173,7 +173,9 @@
       onEnd () {
         const tookMs = context.timer.now() - startedMs - context.roundTripMs(worker.entry.zone)
         if (isIdle && status === 200 && request.head.promptTokens >= minMeasuredTokens) recordPrefill(worker, tookMs / request.head.promptTokens)
-        settle(status === 200 ? decodeKvCacheHandle(parse(Buffer.concat(chunks))) : undefined)
+        const handle = status === 200 ? decodeKvCacheHandle(parse(Buffer.concat(chunks))) : undefined
+        if (handle === undefined) settleLost(`the response with status ${status} names no KV cache`)
+        else settle(handle)
       },
       onRefused ({ hasArrived }) {
         // The engine may have changed its stage; asking it for every prompt would exhaust the retry budget.
--- a/gateway/_reserve_memory.ts
+++ b/gateway/_reserve_memory.ts
@@ -1,7 +1,7 @@
 /**
  * Reserves memory of engines for generations.
  */
-import { HoldReason, SendRank, Stage, stageOf } from '../core/fleet/mod.ts'
+import { HoldReason, isFailing, SendRank, Stage, stageOf } from '../core/fleet/mod.ts'
 import { PrefillPlace } from '../core/prefill/mod.ts'
 import { Err, Ok } from '../core/results/mod.ts'
 import { RefusalCode } from '../core/types/mod.ts'
@@ -46,6 +46,13 @@
 /** Cost of a distant engine in tokens of free memory for each millisecond of round trip time. */
 const distanceCostTokensPerMs = 100
 
+/** Sorts engines in the order in which they are asked: those that fail their streams last, and else the one with the most room first. */
+function sortByRoom (context: GatewayContext, engines: Worker[], memoryTokens: number): Worker[] {
+  const nowMs = context.timer.now()
+  const score = (worker: Worker): number => scoreFreeTokens(context, worker, memoryTokens)
+  return engines.sort((a, b) => Number(isFailing(a, nowMs)) - Number(isFailing(b, nowMs)) || score(b) - score(a))
+}
+
 /** Returns the free tokens of an engine, less the cost of its distance. */
 function scoreFreeTokens (context: GatewayContext, worker: Worker, memoryTokens: number): number {
   const free = worker.capacity === undefined ? memoryTokens - worker.ownTokens : worker.capacity.freeTokens
@@ -102,8 +109,7 @@
   for (;;) {
     const decodeEngines = directory.fleet.serving(request.service.name)
       .filter((worker) => stageOf(worker) !== Stage.Prefill && !exclude.has(worker.entry.id))
-    const engines = listOpenEngines(context, request, decodeEngines)
-      .sort((a, b) => scoreFreeTokens(context, b, memoryTokens) - scoreFreeTokens(context, a, memoryTokens))
+    const engines = sortByRoom(context, listOpenEngines(context, request, decodeEngines), memoryTokens)
     if (areAllHeld(context, decodeEngines) && timer.now() + (getEarliestMs(context, decodeEngines) ?? Infinity) > untilMs) return logNotReserved(engines)
     const prefilling: Worker[] = []
     for (const candidates of [engines, prefilling]) {
--- a/gateway/gateway_test.ts
+++ b/gateway/gateway_test.ts
@@ -369,6 +369,11 @@
   assert.deepEqual(this.responses.map((response) => response.status), this.responses.map(() => status))
 })
 
+Then('the gateway client has got {int} at least {int} times', function (this: World, status: number, least: number) {
+  const statuses = this.responses.map((response) => response.status)
+  assert.ok(statuses.filter((each) => each === status).length >= least, statuses.join(' '))
+})
+
 Then('the gateway client gets {int} with the body {string} and a seal', function (this: World, status: number, body: string) {
   assert.equal(this.response.status, status)
   assert.equal(this.response.body, body)
