--- a/agent/start_agent.ts
+++ b/agent/start_agent.ts
@@ -24,6 +24,8 @@
 const defaultPaidHeadroom = 0.1
 /** Seats that the load reports of a service state, because a service reports no number of its own. */
 const serviceSeats = 64
+/** Bytes of a frame that are left for the headers of a reply. */
+const replyHeaderBytes = 65_536
 
 /** Reads the engine's seats and memory; retries until the engine responds. */
 async function readEngineSize (base: DaemonBase, engine: EngineAdapter): Promise<EngineLoad> {
@@ -56,8 +58,10 @@
     })
   },
   async service (base: DaemonBase, settings: AgentSettings, ports: TaskPorts, publish: (report: LoadReport) => void): Promise<BackendTask> {
-    const { backend, timings, name } = settings
-    const adapter = serviceAdapters[backend.adapter as keyof typeof serviceAdapters]({ address: backend.address })
+    const { backend, timings, name, limits } = settings
+    // A reply goes to its entry in one frame, with its headers.
+    const maxReplyBytes = Math.max(0, limits.maxFrameBytes - replyHeaderBytes)
+    const adapter = serviceAdapters[backend.adapter as keyof typeof serviceAdapters]({ address: backend.address, maxReplyBytes })
     return createServiceTask(ports, {
       backend: name,
       serviceName: () => base.config.get(RecordKind.Backend, name)?.serves ?? '',
--- a/engine/adapters.ts
+++ b/engine/adapters.ts
@@ -20,7 +20,7 @@
 export type EngineAdapterFactory = (options: { address: string, timeoutMs?: number, timer?: Timer }) => EngineAdapter
 
 /** Creates the adapter of a plain service at an address `ip:port`. */
-export type ServiceAdapterFactory = (options: { address: string, timer?: Timer }) => ServiceAdapter
+export type ServiceAdapterFactory = (options: { address: string, maxReplyBytes?: number, timer?: Timer }) => ServiceAdapter
 
 /**
  * Holds the factory of each engine adapter.
--- a/engine/create_engine_http.ts
+++ b/engine/create_engine_http.ts
@@ -17,6 +17,7 @@
 import { startDeadline } from './_deadline.ts'
 import { toEngineError, toStatusError } from './_http_errors.ts'
 import { createOpenCalls } from './_open_calls.ts'
+import { readBody } from './_read_body.ts'
 import { readStream } from './_read_stream.ts'
 import { EngineErrorKind } from './_types.ts'
 import type { DecodeEnd, EngineAdapter, EngineError, TokenBatch } from './_types.ts'
@@ -32,6 +33,8 @@
 }
 
 const defaultTimeoutMs = 5000
+/** Longest answer in bytes that is not a stream. */
+const maxAnswerBytes = 4 * 1_048_576
 
 /**
  * Creates the adapter of one engine. It never retries; the `sent` of an error says whether part of the call may have been sent.
@@ -75,7 +78,7 @@
     const deadline = startDeadline(timer, waitMs, signal)
     try {
       const res = await send(method, path, body, deadline.signal)
-      const text = await res.body.text()
+      const text = String(await readBody(res.body, maxAnswerBytes))
       if (res.statusCode !== 200) return Err(toStatusError(what, res.statusCode, text))
       const parsed = schema.safeParse(JSON.parse(text))
       if (parsed.success) return Ok(parsed.data)
@@ -97,7 +100,7 @@
     try {
       const res = await send('POST', path, body, call.signal)
       call.markAnswered()
-      if (res.statusCode !== 200) return Err(toStatusError(what, res.statusCode, await res.body.text()))
+      if (res.statusCode !== 200) return Err(toStatusError(what, res.statusCode, String(await readBody(res.body, maxAnswerBytes))))
       const end = await readStream(res.body, offset, onTokens)
       res.body.on('error', () => {})
       res.body.destroy()
--- a/engine/create_service_http.ts
+++ b/engine/create_service_http.ts
@@ -7,6 +7,7 @@
 import { createSystemTimer } from '../timer/mod.ts'
 import type { Timer } from '../timer/mod.ts'
 import { startDeadline } from './_deadline.ts'
+import { readBody } from './_read_body.ts'
 import type { EngineError, ServiceAdapter, ServiceCall, ServiceReply } from './_types.ts'
 
 /** Configures a service adapter. */
@@ -15,11 +16,14 @@
   address: string
   /** Time in milliseconds to wait for a connection; 2000 by default. */
   connectTimeoutMs?: number
+  /** Longest body of an answer in bytes; 4 MiB by default. A call with a longer answer ends as broken, and may have run. */
+  maxReplyBytes?: number
   /** Timer for the deadlines of calls; by default the adapter creates one and closes it. */
   timer?: Timer
 }
 
 const defaultConnectTimeoutMs = 2000
+const defaultMaxReplyBytes = 4 * 1_048_576
 
 /** Headers that concern a single connection or that the HTTP client sets itself; they are not passed on. */
 const hopByHopHeaders = new Set([
@@ -58,6 +62,7 @@
  */
 export function createServiceHttp (options: ServiceHttpOptions): ServiceAdapter {
   const timer = options.timer ?? createSystemTimer()
+  const maxReplyBytes = options.maxReplyBytes ?? defaultMaxReplyBytes
   const dispatcher = new Agent({
     connect: { timeout: options.connectTimeoutMs ?? defaultConnectTimeoutMs },
     pipelining: 0
@@ -76,7 +81,7 @@
         headers: { ...keepEndToEndHeaders(job.headers), 'x-call-id': job.callId },
         body: job.body.length > 0 ? Buffer.from(job.body) : null
       })
-      const body = new Uint8Array(await res.body.arrayBuffer())
+      const body = new Uint8Array(await readBody(res.body, maxReplyBytes))
       return Ok({ status: res.statusCode, headers: keepEndToEndHeaders(res.headers), body })
     } catch (err) {
       return Err(deadline.toEngineError(what, err))
--- a/engine/engine.feature
+++ b/engine/engine.feature
@@ -67,3 +67,14 @@
   # Guards against a long event in small pieces, of which each one made the reader go through all that came before.
   Scenario: The work for an incomplete event of an engine grows with its length only
     Then an event of 1000000 characters in pieces of 16 bytes is read within 1500 ms, wherever the pieces part
+
+  # Guards against a backend server whose answer has no end, and which takes the memory of the process that called it.
+  Scenario Outline: A call of <what> ends when its answer has no end
+    Given a backend server that answers <status> with a body without end
+    Then <what> called there ends as broken, sent, before the server has sent 40 MB
+
+    Examples:
+      | what               | status |
+      | a service          | 200    |
+      | an engine's state  | 200    |
+      | an engine's decode | 503    |
--- a/engine/engine_test.ts
+++ b/engine/engine_test.ts
@@ -18,6 +18,7 @@
 import type { DecodeJob, EngineAdapter, PrefillResult, TokenBatch } from './mod.ts'
 
 interface World {
+  endless: { address: string, sentBytes: () => number, close: () => void }
   timer: Timer
   engines: EngineStandIn[]
   adapters: EngineAdapter[]
@@ -315,3 +316,54 @@
       assert.ok(tookMs < ms, `it took ${Math.round(tookMs)} ms`)
     }
   })
+
+Given('a backend server that answers {int} with a body without end', async function (this: World, status: number) {
+  let sentBytes = 0
+  const piece = Buffer.alloc(65_536, 'x')
+  const server = createServer((_req, res) => {
+    res.writeHead(status)
+    const write = (): void => {
+      if (res.destroyed) return
+      sentBytes += piece.length
+      if (res.write(piece)) setImmediate(write)
+      else res.once('drain', write)
+    }
+    write()
+  })
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+  const { port } = server.address() as AddressInfo
+  this.endless = { address: `127.0.0.1:${port}`, sentBytes: () => sentBytes, close () { server.closeAllConnections(); server.close() } }
+})
+
+const endlessCalls: { [what: string]: (address: string) => Promise<{ err: boolean, val: unknown }> } = {
+  async 'a service' (address) {
+    const service = createServiceHttp({ address })
+    const result = await service.call({ callId: 'c', method: 'GET', path: '/', headers: {}, body: new Uint8Array(), timeoutMs: 3_000 })
+    await service.close()
+    return result
+  },
+  async "an engine's state" (address) {
+    const engine = createEngineHttp({ address, timeoutMs: 3_000 })
+    const result = await engine.readState()
+    await engine.close()
+    return result
+  },
+  async "an engine's decode" (address) {
+    const engine = createEngineHttp({ address, timeoutMs: 3_000 })
+    const job = decodeJob('r', { handle: 'h', kvAddress: address, promptTokens: 1, cachedTokens: 0, keepsMs: 1 })
+    const result = await Promise.race([engine.decode(job, () => {}), new Promise<undefined>((resolve) => { setTimeout(() => resolve(undefined), 3_000) })])
+    await engine.close()
+    return result ?? { err: false, val: 'no end within 3000 ms' }
+  }
+}
+
+Then(/^(a service|an engine's state|an engine's decode) called there ends as broken, sent, before the server has sent (\d+) MB$/,
+  async function (this: World, what: string, megabytes: string) {
+    const result = await (endlessCalls[what] as (address: string) => Promise<{ err: boolean, val: unknown }>)(this.endless.address)
+    const sentMb = this.endless.sentBytes() / 1e6
+    this.endless.close()
+    assert.ok(result.err, String(result.val))
+    const { kind, sent } = result.val as { kind: string, sent: boolean }
+    assert.deepEqual({ kind, sent }, { kind: 'broken', sent: true })
+    assert.ok(sentMb < Number(megabytes), `${sentMb} MB`)
+  })
