--- a/engine/create_engine_http.ts
+++ b/engine/create_engine_http.ts
@@ -72,13 +72,15 @@
   }
 
   async function callJson<T> (
-    method: 'GET' | 'POST', path: string, schema: ZodType<T>, body?: JsonObject, waitMs = timeoutMs, signal?: AbortSignal
+    method: 'GET' | 'POST', path: string, schema: ZodType<T>, sentBody?: JsonObject, waitMs = timeoutMs, signal?: AbortSignal
   ): Promise<Result<T, EngineError>> {
     const what = `${method} ${path} at ${options.address}`
     const deadline = startDeadline(timer, waitMs, signal)
     try {
-      const res = await send(method, path, body, deadline.signal)
-      const text = String(await readBody(res.body, maxAnswerBytes))
+      const res = await send(method, path, sentBody, deadline.signal)
+      const body = await readBody(what, res.body, maxAnswerBytes)
+      if (body.err) return body
+      const text = String(body.val)
       if (res.statusCode !== 200) return Err(toStatusError(what, res.statusCode, text))
       const parsed = schema.safeParse(JSON.parse(text))
       if (parsed.success) return Ok(parsed.data)
@@ -93,14 +95,17 @@
   }
 
   async function openStream (
-    path: string, ref: AttemptRef, body: JsonObject, offset: number, onTokens: (batch: TokenBatch) => void
+    path: string, ref: AttemptRef, sentBody: JsonObject, offset: number, onTokens: (batch: TokenBatch) => void
   ): Promise<Result<DecodeEnd, EngineError>> {
     const what = `POST ${path} at ${options.address}`
     const call = openCalls.open(ref)
     try {
-      const res = await send('POST', path, body, call.signal)
+      const res = await send('POST', path, sentBody, call.signal)
       call.markAnswered()
-      if (res.statusCode !== 200) return Err(toStatusError(what, res.statusCode, String(await readBody(res.body, maxAnswerBytes))))
+      if (res.statusCode !== 200) {
+        const body = await readBody(what, res.body, maxAnswerBytes)
+        return body.err ? body : Err(toStatusError(what, res.statusCode, String(body.val)))
+      }
       const end = await readStream(res.body, offset, onTokens)
       res.body.on('error', () => {})
       res.body.destroy()
--- a/engine/create_service_http.ts
+++ b/engine/create_service_http.ts
@@ -2,7 +2,7 @@
  * The adapter for plain services over HTTP.
  */
 import { Agent, request } from 'undici'
-import { Err, Ok } from '../core/results/mod.ts'
+import { Err } from '../core/results/mod.ts'
 import type { Result } from '../core/results/mod.ts'
 import { createSystemTimer } from '../timer/mod.ts'
 import type { Timer } from '../timer/mod.ts'
@@ -81,8 +81,8 @@
         headers: { ...keepEndToEndHeaders(job.headers), 'x-call-id': job.callId },
         body: job.body.length > 0 ? Buffer.from(job.body) : null
       })
-      const body = new Uint8Array(await readBody(res.body, maxReplyBytes))
-      return Ok({ status: res.statusCode, headers: keepEndToEndHeaders(res.headers), body })
+      const body = await readBody(what, res.body, maxReplyBytes)
+      return body.map((bytes) => ({ status: res.statusCode, headers: keepEndToEndHeaders(res.headers), body: new Uint8Array(bytes) }))
     } catch (err) {
       return Err(deadline.toEngineError(what, err))
     } finally {
--- a/exchange/create_exchange_pool.ts
+++ b/exchange/create_exchange_pool.ts
@@ -1,18 +1,16 @@
 /**
  * A pool of persistent connections to servers, each of which carries one exchange at a time.
  */
-import { connect } from 'node:net'
 // The index module of undici also loads fetch, caches and WebSockets, which take two thirds of its loading time.
 import Client from 'undici/lib/dispatcher/client.js'
 import { Err, Ok } from '../core/results/mod.ts'
-import { boundIdleBytes } from './_bound_idle_bytes.ts'
+import { connectSocket } from './_connect_socket.ts'
 import { failAtOnce } from './_fail_at_once.ts'
 import { hasCloseDelimitedBody } from './_has_close_delimited_body.ts'
 import { FailureKind } from './_types.ts'
-import { isReset } from './is_reset.ts'
-import type { Socket } from 'node:net'
 import type { Result } from '../core/results/mod.ts'
-import type { buildConnector, Client as ClientType, Dispatcher } from 'undici'
+import type { Client as ClientType, Dispatcher } from 'undici'
+import type { SocketState } from './_connect_socket.ts'
 import type { Exchange, ExchangeHandlers, ExchangePool, ExchangeRequest } from './_types.ts'
 
 /** Configures a pool. */
@@ -31,23 +29,12 @@
 const defaultMaxHeaderBytes = 65_536
 /** An idle connection is closed this many milliseconds before the server's announced timeout: two trips across regions, and a margin. */
 const keepAliveMarginMs = 300
-/**
- * Time in milliseconds without traffic before the operating system checks by TCP keep-alive whether the peer is alive. A server, its
- * machine or the path to it may fall silent for a second or more and go on, and probes that get no answer end the connection.
- */
-const keepAliveProbeMs = 10_000
 
-interface PooledConnection {
+interface PooledConnection extends SocketState {
   /** Number of the connection in its pool. */
   number: number
   client: ClientType
   hasBeenUsed: boolean
-  /** True when the server has closed its end. */
-  isEnded: boolean
-  /** True when the connection was reset. */
-  isReset: boolean
-  /** Notes that a response goes on: its head or a part of its body has come. */
-  markProgress (): void
 }
 
 /**
@@ -93,39 +80,13 @@
       keepAliveTimeout: options.idleTimeoutMs ?? defaultIdleTimeoutMs,
       keepAliveTimeoutThreshold: keepAliveMarginMs,
       maxHeaderSize: maxHeaderBytes,
-      connect: (target, done) => connectSocket(connection, target, done)
+      connect: (target, done) => connectSocket(connection, target, { connectTimeoutMs, maxHeaderBytes, done })
     })
     connection.client.on('disconnect', () => discard(address, connection))
     connections.add(connection)
     return connection
   }
 
-  function connectSocket (connection: PooledConnection, target: buildConnector.Options, done: buildConnector.Callback): void {
-    const socket: Socket = connect({ host: target.hostname, port: Number(target.port || 80), noDelay: true })
-    const fail = (err: Error): void => {
-      socket.destroy()
-      done(err, null)
-    }
-    // Timers run before sockets are polled, so after a pause of the process the connection may be there already.
-    socket.setTimeout(connectTimeoutMs, () => setImmediate(() => {
-      if (socket.connecting) fail(new Error(`connection was not established within ${connectTimeoutMs} ms`))
-    }))
-    socket.once('error', fail)
-    socket.once('connect', () => {
-      socket.setTimeout(0)
-      socket.removeAllListeners('timeout')
-      socket.off('error', fail)
-      socket.setKeepAlive(true, keepAliveProbeMs)
-      connection.markProgress = boundIdleBytes(socket, maxHeaderBytes)
-      socket.on('error', () => { connection.isReset = true })
-      socket.on('end', () => {
-        connection.isEnded = true
-        connection.isReset ||= isReset(socket)
-      })
-      done(null, socket)
-    })
-  }
-
   /** Opens a connection; returns why there is none when the address is not one of a server. */
   function tryOpen (address: string): Result<PooledConnection, string> {
     try {
