--- a/gateway/_sidecar_client.ts
+++ b/gateway/_sidecar_client.ts
@@ -45,10 +45,19 @@
 interface SidecarLink {
   connection?: Connection
   pending: Map<string, (result: Result<string, RefusalCode>) => void>
+  /** Time in milliseconds of the last message; that of the connection before the first one. */
+  lastMessageMs: number
+  /** Number of requests for memory in a row that got no answer, and the time in milliseconds at which the first of them timed out. */
+  timeouts: number
+  unansweredSinceMs: number
 }
 
 /** Timeout in milliseconds of a request for memory: two trips between regions, and one reservation by the sidecar at its engine. */
 const reserveTimeoutMs = 250
+/** Time in milliseconds without a message after which a connection on which a request got no answer is given up; sidecars send twice as often. */
+const silentLinkMs = 1_000
+/** Number of requests in a row without an answer, over that time, after which a connection is given up although messages come on it. */
+const maxTimeouts = 3
 /** Interval in milliseconds at which connections to engines without one are opened. */
 const reconnectMs = 500
 const connectTimeoutMs = 500
@@ -65,7 +74,7 @@
   }
 
   async function open (address: string): Promise<void> {
-    const link: SidecarLink = { pending: new Map() }
+    const link: SidecarLink = { pending: new Map(), lastMessageMs: timer.now(), timeouts: 0, unansweredSinceMs: 0 }
     links.set(address, link)
     const connected = await connect({ address, connectTimeoutMs })
     if (connected.err || isClosed) {
@@ -74,17 +83,34 @@
       return
     }
     link.connection = connected.val
-    connected.val.onClose((reason) => {
-      links.delete(address)
-      for (const settle of link.pending.values()) settle(Err(RefusalCode.Unreachable))
-      for (const worker of directory.fleet.all()) if (addressOf(worker) === address) delete worker.capacity
-      if (!isClosed) log.warn({ address, reason }, 'sidecar lost')
-    })
+    link.lastMessageMs = timer.now()
+    connected.val.onClose((reason) => drop(address, link, reason))
     connected.val.onMessage((msg) => onMessage(link, msg))
     log.info({ address }, 'sidecar connected')
   }
 
+  /** Forgets a connection and what its sidecar has reported; a new one is opened later. */
+  function drop (address: string, link: SidecarLink, reason: string): void {
+    if (links.get(address) !== link) return
+    links.delete(address)
+    for (const settle of [...link.pending.values()]) settle(Err(RefusalCode.Unreachable))
+    for (const worker of directory.fleet.all()) if (addressOf(worker) === address) delete worker.capacity
+    if (!isClosed) log.warn({ address, reason }, 'sidecar lost')
+  }
+
+  /** Gives up a connection that is open and carries nothing, in one direction or in both. */
+  function recordTimeout (address: string, link: SidecarLink): void {
+    const nowMs = timer.now()
+    if (link.timeouts++ === 0) link.unansweredSinceMs = nowMs
+    const silentMs = Math.round(nowMs - link.lastMessageMs)
+    const isOneWay = link.timeouts >= maxTimeouts && nowMs - link.unansweredSinceMs >= silentLinkMs
+    if (silentMs < silentLinkMs && !isOneWay) return
+    drop(address, link, `${link.timeouts} requests without an answer, no message for ${silentMs} ms`)
+    link.connection?.close()
+  }
+
   function settle (link: SidecarLink, msg: { requestId: string, attempt: number }, result: Result<string, RefusalCode>): void {
+    link.timeouts = 0
     link.pending.get(`${msg.requestId}/${msg.attempt}`)?.(result)
   }
 
@@ -112,6 +138,7 @@
   }
 
   function onMessage (link: SidecarLink, msg: Message): void {
+    link.lastMessageMs = timer.now()
     const handle = handlers[msg.kind] as ((link: SidecarLink, msg: Message) => void) | undefined
     handle?.(link, msg)
   }
@@ -137,7 +164,8 @@
   return {
     isConnected: (worker) => worker.capacity !== undefined && links.get(addressOf(worker) ?? '')?.connection !== undefined,
     reserve (worker, request, readMs) {
-      const link = links.get(addressOf(worker) ?? '')
+      const address = addressOf(worker) ?? ''
+      const link = links.get(address)
       const attempt = ++attempts
       const reading = readMs === undefined ? { reads: false } : { reads: true, readMs }
       const sent = link?.connection?.send({ kind: MessageKind.Admit, attempt, workerId: worker.entry.id, ...reading, ...request })
@@ -149,7 +177,10 @@
           link.pending.delete(key)
           resolve(result)
         }
-        const timeout = timer.after(reserveTimeoutMs, () => finish(Err(RefusalCode.Unreachable)))
+        const timeout = timer.after(reserveTimeoutMs, () => {
+          finish(Err(RefusalCode.Unreachable))
+          recordTimeout(address, link)
+        })
         link.pending.set(key, finish)
       })
     },
