--- a/core/route/_types.ts
+++ b/core/route/_types.ts
@@ -40,6 +40,8 @@
   maxAttempts: number
   /** True when an interrupted stream may be resumed at another worker. */
   mayResume: boolean
+  /** True when a request without a key is served too, where callers carry keys. */
+  allowsAnonymous: boolean
 }
 
 /** Properties of the engines of a service. */
@@ -67,6 +69,35 @@
   engine?: EngineRule
 }
 
+/** What an allowance counts. */
+export enum AllowanceUnit {
+  Requests = 'requests',
+  /** The prompt tokens and the most output tokens that a request states. */
+  Tokens = 'tokens'
+}
+
+/** How much an organisation may send. */
+export interface AllowanceRule {
+  unit: AllowanceUnit
+  /** Units per second, over all machines together. */
+  perS: number
+  /** Units beyond that rate, over all machines together. */
+  burst: number
+  /** Units that are counted for a request that states no tokens; applies to tokens only. */
+  plainTokens: number
+}
+
+/** An organisation, its keys and its allowance. */
+export interface OrganisationRule {
+  name: string
+  /** API keys of its callers. Secrets: they must not get into logs, metrics or errors. */
+  keys: readonly string[]
+  /** Priority of its requests, before that of their route; lower numbers are served first, beginning with 0. */
+  priority?: number
+  /** Absent when it may send without limit. */
+  allowance?: AllowanceRule
+}
+
 /** Limits on what a client may send. */
 export interface ClientLimits {
   maxHeaderBytes: number
@@ -84,4 +115,6 @@
   routes: RouteRule[]
   services: ServiceRule[]
   limits: ClientLimits
+  /** Absent when callers carry no keys. */
+  organisations?: readonly OrganisationRule[]
 }
--- a/core/route/create_route_table.ts
+++ b/core/route/create_route_table.ts
@@ -1,7 +1,8 @@
 /**
  * The table that finds the route of a request.
  */
-import type { ClientLimits, RouteRule, RoutingRules, ServiceRule } from './_types.ts'
+import { createKeyIndex, digestKey } from '../keys/mod.ts'
+import type { ClientLimits, OrganisationRule, RouteRule, RoutingRules, ServiceRule } from './_types.ts'
 
 /** Index of the routes and services of one version of the routing rules. */
 export interface RouteTable {
@@ -13,6 +14,12 @@
   getService (name: string): ServiceRule | undefined
   /** Returns all services. */
   listServices (): ServiceRule[]
+  /** Returns all organisations; undefined when callers carry no keys. */
+  organisations (): readonly OrganisationRule[] | undefined
+  /** Returns the organisation that holds a key; undefined when none does. A lookup, whose time does not grow with the number of keys. */
+  findOrganisation (key: string): OrganisationRule | undefined
+  /** Returns an organisation by its name; undefined when there is none. */
+  getOrganisation (name: string): OrganisationRule | undefined
 }
 
 /**
@@ -33,6 +40,9 @@
 export function createRouteTable (rules: RoutingRules): RouteTable {
   const routesByHost = new Map<string, RouteRule[]>()
   const services = new Map(rules.services.map((rule) => [rule.name, rule]))
+  const organisations = rules.organisations ?? []
+  const organisationsByName = new Map(organisations.map((rule) => [rule.name, rule]))
+  const keys = createKeyIndex(organisations.flatMap((holder) => holder.keys.map((key) => ({ digest: digestKey(key), holder }))))
   for (const route of rules.routes) routesByHost.set(route.host, [...routesByHost.get(route.host) ?? [], route])
   for (const routes of routesByHost.values()) routes.sort((a, b) => b.prefix.length - a.prefix.length)
 
@@ -46,6 +56,9 @@
       return routesByHost.get(hostname)?.find((route) => pathname.startsWith(route.prefix))
     },
     getService: (name) => services.get(name),
-    listServices: () => [...services.values()]
+    listServices: () => [...services.values()],
+    organisations: () => rules.organisations,
+    findOrganisation: keys.find,
+    getOrganisation: (name) => organisationsByName.get(name)
   }
 }
--- a/core/route/mod.ts
+++ b/core/route/mod.ts
@@ -3,6 +3,8 @@
  */
 export { chooseTarget } from './choose_target.ts'
 export { createRouteTable } from './create_route_table.ts'
-export { RequestKind } from './_types.ts'
+export { AllowanceUnit, RequestKind } from './_types.ts'
 export type { RouteTable } from './create_route_table.ts'
-export type { ClientLimits, EngineRule, RouteRule, RouteTarget, RoutingRules, ServiceRule } from './_types.ts'
+export type {
+  AllowanceRule, ClientLimits, EngineRule, OrganisationRule, RouteRule, RouteTarget, RoutingRules, ServiceRule
+} from './_types.ts'
--- a/directory/_types.ts
+++ b/directory/_types.ts
@@ -5,6 +5,7 @@
 import type { Fleet } from '../core/fleet/mod.ts'
 import type { RouteTable } from '../core/route/mod.ts'
 import type { Log } from '../log/mod.ts'
+import type { DecodeRoutingRulesOptions } from '../platform/mod.ts'
 import type { Timer } from '../timer/mod.ts'
 
 /** Configures a directory. */
@@ -13,6 +14,8 @@
   timer: Timer
   log: Log
   random: () => number
+  /** Parts of the rules that the deployment knows; the others are ignored. */
+  ruleParts?: DecodeRoutingRulesOptions
   /** Time in milliseconds that one watch call waits; 1,500 by default. A watch that stops responding is detected that much later. */
   watchMs?: number
   /** Receives each version of the rules that takes effect. */
--- a/directory/create_directory.ts
+++ b/directory/create_directory.ts
@@ -65,7 +65,7 @@
   /** Puts rules in force when their version is higher, wherever their record stands: a version never goes back. */
   function applyRules (record: StoreChange): void {
     if (record.value === null) return
-    const rules = decodeRoutingRules(record.value)
+    const rules = decodeRoutingRules(record.value, options.ruleParts)
     if (rules.err) {
       log.error({ reason: rules.val }, 'configuration refused')
       return
--- a/gateway/_client_server.ts
+++ b/gateway/_client_server.ts
@@ -185,6 +185,7 @@
         body,
         route,
         service,
+        priority: route.priority,
         usedConnections: new Set(),
         reply,
         startedMs,
--- a/gateway/_send_to_worker.ts
+++ b/gateway/_send_to_worker.ts
@@ -68,7 +68,7 @@
 ): Exchange {
   const { timer, directory } = context
   const deadlineMs = request.deadlineMs - timer.now()
-  const headers = [...request.head.forwarded, ...encodeWorkerHeaders({ ...added, workerId: worker.entry.id, deadlineMs })]
+  const headers = [...request.head.forwarded, ...request.head.callerHeaders, ...encodeWorkerHeaders({ ...added, workerId: worker.entry.id, deadlineMs })]
   /** A response of which only the head counts; undefined when the response is passed on. */
   let unused: { body: DiscardedBody, report: () => void } | undefined
   worker.inFlight++
--- a/gateway/_types.ts
+++ b/gateway/_types.ts
@@ -7,7 +7,7 @@
 import type { PrometheusMetrics } from '../metrics/mod.ts'
 import type { NodeSettings, RequestHead } from '../platform/mod.ts'
 import type { SharedRetryBudget } from '../core/retry/mod.ts'
-import type { RouteRule, ServiceRule } from '../core/route/mod.ts'
+import type { OrganisationRule, RouteRule, ServiceRule } from '../core/route/mod.ts'
 import type { ByteBudget } from '../core/stream/mod.ts'
 import type { Timer } from '../timer/mod.ts'
 import type { PromptGuard } from './_prompt_guard.ts'
@@ -47,6 +47,10 @@
   body: Buffer
   route: RouteRule
   service: ServiceRule
+  /** The organisation that holds the caller's key; absent where callers carry no keys, and for a request without a key. */
+  organisation?: OrganisationRule
+  /** Priority of the organisation, or else of the route; lower numbers are served first, beginning with 0. */
+  priority: number
   /** Numbers of the connections to workers that have carried this request. */
   usedConnections: Set<number>
   reply: Reply
--- a/gateway/start_gateway.ts
+++ b/gateway/start_gateway.ts
@@ -80,7 +80,7 @@
   let lastKnownGateways = assumedGateways
   let isStopping = false
   const directory = createDirectory({
-    storeAddress: settings.storeAddress, timer, log, random, onRules: (table) => clientServer.setLimits(table.limits), onStoreCall, onRecordPassedOver
+    storeAddress: settings.storeAddress, timer, log, random, ruleParts: settings, onRules: (table) => clientServer.setLimits(table.limits), onStoreCall, onRecordPassedOver
   })
   const metrics = createPrometheusMetrics({
     ...(options.metricsPort === undefined ? {} : { listen: { host: settings.ip, port: options.metricsPort } }),
--- a/sidecar/start_sidecar.ts
+++ b/sidecar/start_sidecar.ts
@@ -64,7 +64,7 @@
 export async function startSidecar (options: SidecarOptions): Promise<Sidecar> {
   const { settings, timer, log, random } = options
   const pool = createExchangePool()
-  const directory = createDirectory({ storeAddress: settings.storeAddress, timer, log, random, watchMs, onStoreCall, onRecordPassedOver })
+  const directory = createDirectory({ storeAddress: settings.storeAddress, timer, log, random, ruleParts: settings, watchMs, onStoreCall, onRecordPassedOver })
   const records = await syncRecords({ directory, timer, log, seeds: settings.seeds })
   const { regions, zone, internalPort } = settings
   const readers = (): string[] => listStoreReaders({ fleet: directory.fleet, regions, zone, internalPort })
