Identify the caller of each request by its key, and again before each send

A request whose key no organisation holds, or that has none, is refused with 401 before its body is read or memory is reserved, unless its route serves requests without a key; the worker gets the organisation's name from the gateway alone, and never the key.

--- a/core/keys/create_key_index.ts
+++ b/core/keys/create_key_index.ts
@@ -25,6 +25,14 @@
   return hash('sha256', key, 'hex')
 }
 
+/** Number of hexadecimal digits of the digest that name a key in logs: enough to tell keys apart, and too few to find one. */
+const labelDigits = 8
+
+/** Returns the first digits of the digest of a key, which name it in logs. */
+export function getKeyLabel (key: string): string {
+  return digestKey(key).slice(0, labelDigits)
+}
+
 /**
  * Creates the index of the holders of keys. It has only digests, finds the candidates by the first four bytes of the digest and compares
  * the rest in constant time, so that the time of a lookup tells nothing about the keys.
--- a/directory/create_directory.ts
+++ b/directory/create_directory.ts
@@ -6,6 +6,7 @@
 import { createRouteTable } from '../core/route/mod.ts'
 import { createExchangePool } from '../exchange/mod.ts'
 import { decodeRoutingRules, decodeWorkerEntry, rulesKey, workerPrefix } from '../platform/mod.ts'
+import { describeKeys } from './_describe_keys.ts'
 import { followPrefix } from './_follow_prefix.ts'
 import { createViewUpdates } from './_view_updates.ts'
 import { createWorkerRecords } from './_worker_records.ts'
@@ -74,9 +75,10 @@
       if (rules.val.version < table.version) passOver(record, rulesRecord, PassedOver.OlderVersion)
       return
     }
+    const before = table
     table = createRouteTable(rules.val)
     rulesRecord = record
-    log.info({ version: table.version, routes: rules.val.routes.length }, 'configuration in force')
+    log.info({ version: table.version, routes: rules.val.routes.length, ...describeKeys(before, table) }, 'configuration in force')
     options.onRules?.(table)
   }
 
--- a/gateway/_client_server.ts
+++ b/gateway/_client_server.ts
@@ -2,12 +2,15 @@
  * The HTTP server for clients, which applies the operator's limits.
  */
 import { createServer } from 'node:http'
+import { getKeyLabel } from '../core/keys/mod.ts'
 import { chooseTarget, RequestKind } from '../core/route/mod.ts'
 import { Count } from '../metrics/mod.ts'
 import { ClosedBy, manageConnections } from '../http/mod.ts'
 import { decodeRequestHead } from '../platform/mod.ts'
+import { createCallerCheck, findCallerReply, getCallerReply, identify } from './_identify_caller.ts'
 import { readBody } from './_read_body.ts'
 import { recordResult } from './_record_result.ts'
+import { createRefusal } from './_refuse_request.ts'
 import { createReply } from './_reply.ts'
 import { createStopSignal } from './_stop_signal.ts'
 import { serveGeneration } from './_serve_generation.ts'
@@ -17,6 +20,7 @@
 import type { UnansweredRequest } from '../http/mod.ts'
 import type { RequestHead } from '../platform/mod.ts'
 import type { ClientLimits, RouteRule } from '../core/route/mod.ts'
+import type { CallerReply } from './_identify_caller.ts'
 import type { Reply } from './_reply.ts'
 import type { RequestResult, ClientRequest, GatewayContext } from './_types.ts'
 
@@ -57,8 +61,6 @@
 const restartMs = 1_000
 /** Time in milliseconds after its deadline at which a request without a response is ended: a call about memory may be awaited until then. */
 const unansweredMarginMs = 450
-/** Lowest status that is logged as a failure. */
-const minFailureStatus = 400
 
 /** Creates the server for clients; the caller makes it listen. */
 export function createClientServer (context: GatewayContext): ClientServer {
@@ -130,18 +132,17 @@
   function accept (req: IncomingMessage, res: ServerResponse, head: RequestHead, reply: Reply): void {
     const startedMs = timer.now()
     if (isDraining) res.shouldKeepAlive = false
-    const refuse = (status: number, reason: string, retryAfterMs?: number): void => {
-      req.resume()
-      if (!req.complete) res.shouldKeepAlive = false
-      reply.sendLocal(retryAfterMs === undefined ? { status, reason } : { status, reason, retryAfterMs })
-      log.warn({ request: head.requestId, status, reason }, 'refused')
-      context.metrics.count(Count.Requests, { service: '', status: String(status), reason })
-    }
+    const refuse = createRefusal(context, { req, res, head, reply })
     const table = directory.routeTable()
     if (table === undefined) return refuse(503, 'not_ready', notReadyRetryMs)
     if (head.requestId === undefined) return refuse(400, 'no_request_id')
     const route = table.findRoute(req.headers.host ?? '', req.url ?? '/')
     if (route === undefined) return refuse(404, 'no_route')
+    const refuseCaller = ({ status, reason, retryAfterMs }: CallerReply): void => refuse(status, reason, retryAfterMs, {
+      route: route.name, version: directory.routeTable()?.version, ...(head.key !== undefined && { keyLabel: getKeyLabel(head.key) })
+    })
+    const caller = identify(context, table, route, head)
+    if (caller.err) return refuseCaller(getCallerReply(caller.val))
     const waitMs = Math.min(route.timeoutMs, (head.deadlineMs ?? Infinity) - responseTripMs)
     const deadlineMs = startedMs + Math.max(1, waitMs)
     const refuseStopping = (): void => refuse(503, 'stopping', Math.max(0, exitMs - timer.now()) + restartMs)
@@ -169,6 +170,7 @@
       finalTimer.cancel()
       if (!res.writableFinished) stop(StopReason.ClientDisconnected)
     })
+    const checkCaller = createCallerCheck(context, { table, route, head, caller: caller.val })
     let isReadingBody = true
     onStop((reason) => { if (isReadingBody && reason !== StopReason.ClientDisconnected) refuse(408, 'body_too_slow') })
     const onBody = (body: Buffer | undefined): void => {
@@ -177,6 +179,9 @@
       if (body === undefined) return refuse(413, 'body_too_large')
       // The process may have begun to stop while the body came.
       if (!canFinishBeforeExit(route, deadlineMs)) return refuseStopping()
+      // The rules may have changed while the body came.
+      const callerReply = findCallerReply({ identifyCaller: checkCaller })
+      if (callerReply !== undefined) return refuseCaller(callerReply)
       const request: ClientRequest = {
         requestId: head.requestId as string,
         method: req.method ?? 'GET',
@@ -185,7 +190,9 @@
         body,
         route,
         service,
-        priority: route.priority,
+        ...(caller.val.organisation !== undefined && { organisation: caller.val.organisation }),
+        priority: caller.val.organisation?.priority ?? route.priority,
+        identifyCaller: checkCaller,
         usedConnections: new Set(),
         reply,
         startedMs,
@@ -208,20 +215,7 @@
   async function serve (request: ClientRequest): Promise<void> {
     const result = await (request.service.engine === undefined ? handlers.plain : handlers.engine)(context, request)
     const tookMs = Math.round(timer.now() - request.startedMs)
-    const { promptTokens, maxOutputTokens, likelyOutputTokens, sharedParts } = request.head
-    const size = promptTokens === 0 ? {} : { promptTokens, maxOutputTokens, likelyOutputTokens, parts: sharedParts.join(' ') }
-    const fields = {
-      request: request.requestId,
-      route: request.route.name,
-      service: request.service.name,
-      version: directory.routeTable()?.version,
-      tookMs,
-      ...size,
-      ...result
-    }
-    if (result.status >= minFailureStatus) log.warn(fields, 'ended')
-    else log.info(fields, 'ended')
-    recordResult(context.metrics, request, result, tookMs)
+    recordResult(context, request, result, tookMs)
   }
 
   return {
--- a/gateway/_prepare_attempt.ts
+++ b/gateway/_prepare_attempt.ts
@@ -4,6 +4,7 @@
 import { Err, Ok } from '../core/results/mod.ts'
 import { RefusalCode } from '../core/types/mod.ts'
 import { Count } from '../metrics/mod.ts'
+import { findCallerReply } from './_identify_caller.ts'
 import { freeKvCache, prefillWithRetry } from './_prefill.ts'
 import { releaseReservation, reserveMemory } from './_reserve_memory.ts'
 import type { Result } from '../core/results/mod.ts'
@@ -36,13 +37,15 @@
   const { timer } = context
   const startedMs = timer.now()
   if (isQuarantined(context, request)) return Err('prompt_quarantined')
+  const reply = findCallerReply(request)
+  if (reply !== undefined) return Err(reply.reason)
   const reservation = await reserveMemory(context, request, options.exclude)
   const reservedAtMs = timer.now()
   context.metrics.count(Count.Reservations, { result: reservation === undefined ? 'refused' : 'taken' })
   if (reservation === undefined) return Err('no_memory')
   logReservation(context, request, reservation, reservedAtMs - startedMs)
-  // Other requests may have crashed engines while this one waited.
-  const mayPrefill = !isQuarantined(context, request) && (!options.takesRetry || takeRetry(context, request))
+  // Other requests may have crashed engines, and the key may have been withdrawn, while this one waited.
+  const mayPrefill = !isQuarantined(context, request) && findCallerReply(request) === undefined && (!options.takesRetry || takeRetry(context, request))
   const { kvCache, isRefused } = mayPrefill
     ? await prefillWithRetry(context, request, reservation.prefillEngine)
     : { kvCache: undefined, isRefused: false }
@@ -51,9 +54,10 @@
   }
   const isHeldBack = isQuarantined(context, request)
   const isOverBudget = !mayPrefill || (isRefused && !takeRetry(context, request))
-  if (!isHeldBack && !isOverBudget && request.stopReason() === undefined) return Ok(attempt)
+  const refusal = findCallerReply(request)?.reason
+  if (!isHeldBack && !isOverBudget && refusal === undefined && request.stopReason() === undefined) return Ok(attempt)
   releaseAttempt(context, request, attempt)
-  return Err(request.stopReason() ?? (isHeldBack ? 'prompt_quarantined' : RefusalCode.RetryBudgetExhausted))
+  return Err(request.stopReason() ?? refusal ?? (isHeldBack ? 'prompt_quarantined' : RefusalCode.RetryBudgetExhausted))
 }
 
 /** Releases the memory and the KV cache of an attempt that is not made. */
--- a/gateway/_reply.ts
+++ b/gateway/_reply.ts
@@ -5,6 +5,8 @@
 import type { ServerResponse } from 'node:http'
 import type { WorkerResponse } from './_send_to_worker.ts'
 
+const unauthorizedStatus = 401
+
 /** A response that the gateway generates itself. */
 export interface LocalReply {
   status: number
@@ -65,8 +67,11 @@
     sendLocal (response) {
       if (isOver) return
       const body = Buffer.from(JSON.stringify({ error: response.reason }))
-      const fields = { ...(requestId === undefined ? {} : { requestId }), retryAfterMs: response.retryAfterMs }
-      const headers = encodeLocalReplyHeaders(response.retryAfterMs === undefined ? { requestId } as { requestId?: string } : fields as object)
+      const headers = encodeLocalReplyHeaders({
+        ...(requestId !== undefined && { requestId }),
+        ...(response.retryAfterMs !== undefined && { retryAfterMs: response.retryAfterMs }),
+        isUnauthorized: response.status === unauthorizedStatus
+      })
       res.writeHead(response.status, [...headers, 'Content-Length', String(body.length)])
       isOver = true
       res.end(body)
--- a/gateway/_send_to_worker.ts
+++ b/gateway/_send_to_worker.ts
@@ -68,11 +68,20 @@
 ): Exchange {
   const { timer, directory } = context
   const deadlineMs = request.deadlineMs - timer.now()
-  const headers = [...request.head.forwarded, ...request.head.callerHeaders, ...encodeWorkerHeaders({ ...added, workerId: worker.entry.id, deadlineMs })]
+  const caller = request.identifyCaller().unwrapOr(undefined)
+  const organisation = caller?.organisation?.name
+  const callerHeaders = caller?.carriesKeys === false ? request.head.callerHeaders : []
+  const headers = [...request.head.forwarded, ...callerHeaders, ...encodeWorkerHeaders({ ...added, workerId: worker.entry.id, deadlineMs, organisation })]
   /** A response of which only the head counts; undefined when the response is passed on. */
   let unused: { body: DiscardedBody, report: () => void } | undefined
   worker.inFlight++
 
+  /** Tells whether the request may still go out under the name that its headers have; the key may be withdrawn while a connection is opened. */
+  function isSameCaller (): boolean {
+    const now = request.identifyCaller().unwrapOr(undefined)
+    return caller !== undefined && now?.carriesKeys === caller.carriesKeys && now.organisation?.name === organisation
+  }
+
   function decrementInFlight (): void { worker.inFlight-- }
 
   /** Discards the body of a response, and reports the response when that has ended. */
@@ -93,7 +102,7 @@
   const exchange = context.pool.send(worker.entry.address, {
     method: request.method, path: request.path, headers, body: request.body.length > 0 ? request.body : null, usedConnections: request.usedConnections
   }, {
-    mayStart: () => mayStart(context, worker),
+    mayStart: () => isSameCaller() && mayStart(context, worker),
     onHead (status, raw, { isCloseDelimited, isReused, connection }) {
       const head = decodeResponseHead(status, raw)
       // On a connection in use again, a response that does not name this request may be a second one to an earlier request.
--- a/gateway/_serve_generation.ts
+++ b/gateway/_serve_generation.ts
@@ -5,6 +5,7 @@
 import { createEventSplitter } from '../core/stream/mod.ts'
 import { Count } from '../metrics/mod.ts'
 import { forwardStream, StreamEnd } from './_forward_stream.ts'
+import { findCallerReply } from './_identify_caller.ts'
 import { prepareAttempt, releaseAttempt } from './_prepare_attempt.ts'
 import { areAllHeld, reserveAtEngine } from './_reserve_memory.ts'
 import { getReturnMs } from './_send_to_worker.ts'
@@ -105,7 +106,7 @@
   const result = await forwardStream(context, request, { reservation, kvSource, ...resumption })
   if (result.end !== StreamEnd.Refused || result.next !== undefined) return result
   context.log.info({ request: request.requestId, worker: worker.entry.id, connection: result.connection }, 'KV cache not fetched')
-  if (!context.retryBudget(request.service.name).take(context.timer.now())) return result
+  if (findCallerReply(request) !== undefined || !context.retryBudget(request.service.name).take(context.timer.now())) return result
   // The KV cache is gone, so the decode engine that was to fetch it runs the prefill itself; no other engine is asked.
   const renewed = await reserveAtEngine(context, request, worker, prefillEngine)
   return renewed.err ? result : await forwardStream(context, request, { reservation: renewed.val, ...resumption })
@@ -113,7 +114,7 @@
 
 /** Takes a retry from the budget when a stream may resume at another engine, within its attempts and its deadline; returns whether it may. */
 function tryTakeRetry (context: GatewayContext, request: ClientRequest, state: GenerationState, result: StreamResult): boolean {
-  if (!request.route.mayResume || state.attempts >= request.route.maxAttempts || request.stopReason() !== undefined) return false
+  if (!request.route.mayResume || state.attempts >= request.route.maxAttempts || request.stopReason() !== undefined || findCallerReply(request) !== undefined) return false
   const isLost = result.end === StreamEnd.Lost || result.end === StreamEnd.Refused
   return isLost && context.retryBudget(request.service.name).take(context.timer.now())
 }
@@ -121,10 +122,13 @@
 /** Ends a request that no engine serves: aborts a partial response, and tells the client to retry only when the request has not run. */
 function failRequest (context: GatewayContext, request: ClientRequest, state: GenerationState, reason: string): RequestResult {
   const { attempts, mayHaveRun } = state
-  const failure = { status: mayHaveRun ? 502 : 503, reason, attempts }
+  const callerReply = findCallerReply(request)
+  const status = mayHaveRun ? 502 : callerReply?.status ?? 503
+  const failure = { status, reason: callerReply?.reason ?? reason, attempts }
   if (request.stopReason() === StopReason.ClientDisconnected) return failure
   if (request.reply.hasBegun()) request.reply.abort()
-  else if (mayHaveRun) request.reply.sendLocal({ status: 502, reason })
+  else if (mayHaveRun) request.reply.sendLocal({ status, reason: failure.reason })
+  else if (callerReply !== undefined) request.reply.sendLocal(callerReply)
   else request.reply.sendLocal({ status: 503, reason, retryAfterMs: getRetryAfterMs(context, request, reason) })
   return failure
 }
--- a/gateway/_serve_plain.ts
+++ b/gateway/_serve_plain.ts
@@ -8,6 +8,7 @@
 import { Outcome } from '../core/types/mod.ts'
 import { Count } from '../metrics/mod.ts'
 import { checkWorker, recordHeld } from './_check_worker.ts'
+import { findCallerReply } from './_identify_caller.ts'
 import { getReturnMs, sendToWorker } from './_send_to_worker.ts'
 import { StopReason } from './_types.ts'
 import type { Worker } from '../core/fleet/mod.ts'
@@ -52,6 +53,9 @@
   let last: SendResult | undefined
 
   for (;;) {
+    // The key may have been withdrawn while the request waited.
+    const callerReply = findCallerReply(request)
+    if (callerReply !== undefined) return finishFailed(request, attempt, mayHaveRun, last, { ...callerReply })
     const options = { nowMs: timer.now(), drainMs: context.settings.drainMs, roundTripMs: context.roundTripMs, exclude, failureMs, random }
     const workers = directory.fleet.serving(request.service.name)
     const held = recordHeld(context, request.service.name, workers)
@@ -114,9 +118,11 @@
 
 /** Why a request is not sent again. */
 interface PlainFailure {
+  /** Status when no worker may have run the request; 503 by default. */
+  status?: number
   reason: string
   /** Time in milliseconds after which the client may retry, if the request has not run. */
-  retryAfterMs: number
+  retryAfterMs?: number
   detail?: string
   /** Workers that the choice held back, for the log. */
   held?: string | undefined
@@ -127,6 +133,7 @@
   request: ClientRequest, attempts: number, mayHaveRun: boolean, last: SendResult | undefined, failure: PlainFailure
 ): RequestResult {
   const { reason, retryAfterMs, detail, held } = failure
+  const status = mayHaveRun ? 502 : failure.status ?? 503
   if (request.reply.hasBegun()) {
     request.reply.abort()
     return { status: 502, reason, detail, attempts, held }
@@ -135,9 +142,8 @@
     request.reply.sendWhole(last.response.head, last.response.body)
     return { status: last.response.head.status, reason: 'worker_failed', attempts, held }
   }
-  if (mayHaveRun) request.reply.sendLocal({ status: 502, reason })
-  else request.reply.sendLocal({ status: 503, reason, retryAfterMs })
-  return { status: mayHaveRun ? 502 : 503, reason, detail, attempts, held }
+  request.reply.sendLocal(mayHaveRun || retryAfterMs === undefined ? { status, reason } : { status, reason, retryAfterMs })
+  return { status, reason, detail, attempts, held }
 }
 
 /** Ends a request whose client has disconnected or whose deadline has passed, or that is left when the process exits. */
--- a/gateway/_types.ts
+++ b/gateway/_types.ts
@@ -5,9 +5,10 @@
 import type { ExchangePool } from '../exchange/mod.ts'
 import type { Log } from '../log/mod.ts'
 import type { PrometheusMetrics } from '../metrics/mod.ts'
+import type { Result } from '../core/results/mod.ts'
 import type { NodeSettings, RequestHead } from '../platform/mod.ts'
 import type { SharedRetryBudget } from '../core/retry/mod.ts'
-import type { OrganisationRule, RouteRule, ServiceRule } from '../core/route/mod.ts'
+import type { Caller, CallerRefusal, OrganisationRule, RouteRule, ServiceRule } from '../core/route/mod.ts'
 import type { ByteBudget } from '../core/stream/mod.ts'
 import type { Timer } from '../timer/mod.ts'
 import type { PromptGuard } from './_prompt_guard.ts'
@@ -51,6 +52,8 @@
   organisation?: OrganisationRule
   /** Priority of the organisation, or else of the route; lower numbers are served first, beginning with 0. */
   priority: number
+  /** Returns who sends the request by the rules in force now, or why it may not be sent to a worker any more. */
+  identifyCaller (): Result<Caller, CallerRefusal>
   /** Numbers of the connections to workers that have carried this request. */
   usedConnections: Set<number>
   reply: Reply
