--- a/gateway/organisations_test.ts
+++ b/gateway/organisations_test.ts
@@ -104,7 +104,7 @@
   'have no memory' (site) { for (const id of ['d1', 'd2']) site.workers.get(id)?.setReservableTokens(10) },
   'lose a slow stream after an event' (site) {
     for (const id of ['d1', 'd2']) {
-      site.workers.get(id)?.resetAfterEvent(2, 1)
+      site.workers.get(id)?.resetAfterEvent(3, 1)
       site.workers.get(id)?.setSilence({ point: 'between two events' as never, ms: 500 })
     }
   }
