--- a/bench/slopes/_state_slopes.ts
+++ b/bench/slopes/_state_slopes.ts
@@ -6,6 +6,8 @@
 import { createMembership } from '../../core/membership/mod.ts'
 import { choosePlacement } from '../../core/placement/mod.ts'
 import { RecordKind } from '../../core/records/mod.ts'
+import { createRouteTable, identifyCaller } from '../../core/route/mod.ts'
+import type { RouteTable } from '../../core/route/mod.ts'
 import { createReservationTable } from '../../core/reservation/mod.ts'
 import { chooseRelayPeers, chooseSubset } from '../../core/subset/mod.ts'
 import type { SubsetMember } from '../../core/subset/mod.ts'
@@ -135,6 +137,32 @@
   return () => { choosePlacement({ models, backends, isLive: () => true }) }
 }
 
+const keyCounts = [500, 1000, 2000, 5000, 10_000]
+/** Number of organisations that share the keys. */
+const organisationCount = 260
+
+/** Builds the table of rules whose organisations hold so many keys together; a parsed copy shares no strings with other tables. */
+function buildKeyTable (count: number): RouteTable {
+  const organisations = Array.from({ length: organisationCount }, (_, i) => ({
+    name: `organisation-${i}`, keys: Array.from({ length: Math.ceil((count - i) / organisationCount) }, (_unused, k) => buildKey(i + k * organisationCount))
+  }))
+  const limits = { maxHeaderBytes: 16_384, maxBodyBytes: 65_536, headerTimeoutMs: 3000, idleTimeoutMs: 15_000 }
+  return createRouteTable({ version: 1, routes: [], services: [], limits, organisations: JSON.parse(JSON.stringify(organisations)) })
+}
+
+function buildKey (index: number): string { return `n9m68k7b2ex5wa5x${index.toString(36).padStart(4, '0')}` }
+
+/** Prepares the identification of the caller of one request, of which each second has a key that nobody holds. */
+function prepareIdentification (count: number): () => void {
+  const table = buildKeyTable(count)
+  let index = 0
+  return () => {
+    index = (index + 7) % count
+    const caller = identifyCaller(table, { allowsAnonymous: false }, { key: index % 2 === 0 ? buildKey(index) : `x${index}`, hasCredentials: true })
+    if (caller.ok !== (index % 2 === 0)) throw new Error(`key ${index}`)
+  }
+}
+
 /** Lists the slopes of state and of periodic computations. */
 export function listStateSlopes (): SlopeMeasurement[] {
   return [
@@ -143,6 +171,9 @@
     createMemoryMeasurement('a member', 'member', recordCounts, buildMembership),
     createMemoryMeasurement('a caller\'s usage with 8 fellows', 'caller', [50, 100, 200, 400, 800], buildLimiter),
     createMemoryMeasurement('a reservation', 'request', [500, 1000, 2000, 4000, 8000], buildReservations),
+    createMemoryMeasurement('an API key', 'key', keyCounts, buildKeyTable),
+    createCpuMeasurement('identify a caller by its API key', 'key', keyCounts, 20_000, prepareIdentification),
+    createCpuMeasurement('build a table with API keys', 'key', keyCounts, 5, (x) => () => { buildKeyTable(x) }),
     createCpuMeasurement('apply a complete page', 'record', recordCounts, 5, (x) => {
       const page = buildPage(x, buildBackendChange)
       return () => { createConfiguration().apply(page) }
--- a/core/keys/create_key_index.ts
+++ b/core/keys/create_key_index.ts
@@ -1,9 +1,9 @@
 /**
  * Finds the holder of an API key.
  */
-import { hash, timingSafeEqual } from 'node:crypto'
+import { hash } from 'node:crypto'
 
-/** A key, as the SHA-256 digest in hexadecimal, and who holds it. */
+/** A key, as the SHA-256 digest in lower-case hexadecimal, and who holds it. */
 export interface KeyHolder<T> {
   digest: string
   holder: T
@@ -15,11 +15,6 @@
   find (key: string): T | undefined
 }
 
-interface IndexEntry<T> {
-  digest: Buffer
-  holder: T
-}
-
 /** Returns the SHA-256 digest of a key in hexadecimal. */
 export function digestKey (key: string): string {
   return hash('sha256', key, 'hex')
@@ -34,8 +29,8 @@
 }
 
 /**
- * Creates the index of the holders of keys. It has only digests, finds the candidates by the first four bytes of the digest and compares
- * the rest in constant time, so that the time of a lookup tells nothing about the keys.
+ * Creates the index of the holders of keys. It has and compares only digests, so that neither its memory nor the time of a lookup tells
+ * anything about the keys.
  *
  * @param holders the keys and their holders; the first of two that name the same key holds it
  * @returns the index
@@ -49,21 +44,7 @@
  * ```
  */
 export function createKeyIndex<T> (holders: Iterable<KeyHolder<T>>): KeyIndex<T> {
-  const entriesByStart = new Map<number, Array<IndexEntry<T>>>()
-  for (const { digest, holder } of holders) {
-    const entry = { digest: Buffer.from(digest, 'hex'), holder }
-    if (entry.digest.length < 4) continue
-    const start = entry.digest.readUInt32BE(0)
-    const entries = entriesByStart.get(start)
-    if (entries === undefined) entriesByStart.set(start, [entry])
-    else entries.push(entry)
-  }
-
-  return {
-    find (key) {
-      const digest = hash('sha256', key, 'buffer')
-      const entries = entriesByStart.get(digest.readUInt32BE(0))
-      return entries?.find((entry) => entry.digest.length === digest.length && timingSafeEqual(entry.digest, digest))?.holder
-    }
-  }
+  const holdersByDigest = new Map<string, T>()
+  for (const { digest, holder } of holders) if (!holdersByDigest.has(digest)) holdersByDigest.set(digest, holder)
+  return { find: (key) => holdersByDigest.get(digestKey(key)) }
 }
--- a/core/route/identify_caller.ts
+++ b/core/route/identify_caller.ts
@@ -35,6 +35,11 @@
   UnconfirmedKey = 'unconfirmed_key'
 }
 
+/** An `Err` records where it is made, which takes longer than the lookup of a key; so each is made once. */
+const missingKey = Err(CallerRefusal.MissingKey)
+const malformedKey = Err(CallerRefusal.MalformedKey)
+const unknownKey = Err(CallerRefusal.UnknownKey)
+
 /**
  * Decides who sends a request. A route may serve requests without a key; a key that nobody holds is refused there, too, because its caller
  * claims to be known.
@@ -60,9 +65,9 @@
 ): Result<Caller, CallerRefusal> {
   if (table.organisations() === undefined) return Ok({ carriesKeys: false })
   if (key === undefined) {
-    if (hasCredentials) return Err(CallerRefusal.MalformedKey)
-    return allowsAnonymous ? Ok({ carriesKeys: true }) : Err(CallerRefusal.MissingKey)
+    if (hasCredentials) return malformedKey
+    return allowsAnonymous ? Ok({ carriesKeys: true }) : missingKey
   }
   const organisation = table.findOrganisation(key)
-  return organisation === undefined ? Err(CallerRefusal.UnknownKey) : Ok({ carriesKeys: true, organisation })
+  return organisation === undefined ? unknownKey : Ok({ carriesKeys: true, organisation })
 }
