--- a/gateway/_record_result.ts
+++ b/gateway/_record_result.ts
@@ -16,6 +16,7 @@
     request: request.requestId,
     route: request.route.name,
     organisation: request.organisation?.name,
+    priority: request.priority,
     service: request.service.name,
     version: context.directory.routeTable()?.version,
     tookMs,
--- a/gateway/organisations.feature
+++ b/gateway/organisations.feature
@@ -92,6 +92,11 @@
     When a caller with the key "n-key-1" who names itself "south" sends "GET /safe/x"
     Then the caller gets 401
 
+  Scenario: The priority of an organisation goes before that of its route
+    When a caller with the key "n-key-1" who names itself "south" sends "GET /safe/x"
+    And a caller with the key "s-key-1" who names itself "north" sends "GET /safe/x"
+    Then the log of the organisations has the requests of "north: 0, south: 1" with these priorities
+
   Scenario: The log and the metrics tell why a caller was refused
     When a caller with the key "x-key" who names itself "south" sends "GET /safe/x"
     Then the caller gets 401
--- a/gateway/organisations_test.ts
+++ b/gateway/organisations_test.ts
@@ -29,7 +29,7 @@
 function readOrganisations (text: string): object[] {
   return text.split(', ').map((part) => {
     const [name, list] = part.split(': ') as [string, string]
-    return { name, api_keys: list.split(' ') }
+    return { name, api_keys: list.split(' '), ...(name === 'north' && { priority: 0 }) }
   })
 }
 
@@ -248,6 +248,11 @@
   assert.deepEqual({ keyLabel, version, route, status, reason: fields.reason }, { keyLabel: getKeyLabel(key), version: 1, route: 'safe', status: 401, reason })
 })
 
+Then('the log of the organisations has the requests of {string} with these priorities', function (this: World, text: string) {
+  const ended = this.gatewaySite.readLog().split('\n').filter((line) => line.includes('"ended"')).map((line) => JSON.parse(line))
+  assert.equal(ended.map(({ organisation, priority }) => `${organisation}: ${priority}`).join(', '), text)
+})
+
 Then('the metrics of the organisations count {int} refusal with the reason {string}', async function (this: World, count: number, reason: string) {
   const text = await (await fetch(this.organisationMetrics)).text()
   assert.ok(text.includes(`briarloom_requests_total{service="",status="401",reason="${reason}"} ${count}`), text)
--- a/gateway/start_gateway.ts
+++ b/gateway/start_gateway.ts
@@ -85,6 +85,8 @@
   const metrics = createPrometheusMetrics({
     ...(options.metricsPort === undefined ? {} : { listen: { host: settings.ip, port: options.metricsPort } }),
     gauges: {
+      organisations: () => directory.routeTable()?.organisations()?.length ?? 0,
+      keys: () => directory.routeTable()?.organisations()?.reduce((sum, { keys }) => sum + keys.length, 0) ?? 0,
       config_version: () => directory.routeTable()?.version ?? 0,
       view_age_ms: () => directory.ageMs(),
       store_era: () => directory.storeEra(),
