Check routing rules and records before they are sent, and compare them with those in force

Cause: an operator learned only from 404, 401 or 503 at callers that a route could never match, that weights summed to nothing, that a burst admitted no request, or which callers a new version takes something from; check knew the form of settings and records alone. Keys are never printed. Result: each finding has an example in examples/bad_rules, whose expected lines are compared exactly; examples of the deployments exit 0.

--- a/cli/cli.feature
+++ b/cli/cli.feature
@@ -22,6 +22,22 @@
       | status 127.0.0.1:1                     | connection to 127.0.0.1:1 |
       | load --rate 5                          | --url is missing          |
 
+  Scenario Outline: The command line compares a configuration with the one in force, and prints no key
+    When the command line "check <arguments>" runs in the test process
+    Then the command line exits with <code> and prints "<out>" to standard <stream>
+    And the command line prints no key of "examples/rules/in_force.json"
+
+    Examples:
+      | arguments                                                            | code | out                                              | stream |
+      | examples/rules/next.json --against examples/rules/in_force.json      | 0    | callers of a.example/sign/ get 404               | output |
+      | examples/rules/next.json --against examples/rules/in_force.json      | 0    | 1 key withdrawn: callers who use it get 401      | output |
+      | examples/rules/next.json --against examples/rules/in_force.json      | 0    | all its callers get 401                          | output |
+      | examples/rules/in_force.json --against examples/rules/next.json      | 1    | 7 is not higher than 8                           | error  |
+      | --json examples/rules/next.json --against examples/rules/in_force.json | 0  | "kind":"removed"                                 | output |
+      | examples/fleuve/records.jsonc --against examples/velluto/records.jsonc | 0  | caller/teatro-regio: gets 401                    | output |
+      | examples/rules/next.json --against examples/velluto/records.jsonc    | 1    | holds no configuration of the kind that is checked | error |
+      | --json examples/bad_rules/keys.json                                  | 2    | "level":"warning"                                | output |
+
   Scenario: The command line load tool counts what finished, was refused and broke off
     Given a command line target whose responses in turn finish, are refused with "no_capacity" and break off
     When the command line sends load to the target at 100 requests per second for 1 s
--- a/cli/cli_test.ts
+++ b/cli/cli_test.ts
@@ -71,6 +71,12 @@
   })
 })
 
+Then('the command line prints no key of {string}', function (this: World, file: string) {
+  const { tenants } = JSON.parse(readFileSync(file, 'utf8')) as { tenants: Array<{ api_keys: string[] }> }
+  const printed = Object.values(this.streams).join('\n')
+  for (const key of tenants.flatMap((organisation) => organisation.api_keys)) assert.ok(!printed.includes(key), `key "${key}" is printed`)
+})
+
 When('the command line {string} runs in the test process', async function (this: World, line: string) {
   const [out, err]: [string[], string[]] = [[], []]
   const output = { out: (text: string) => out.push(text), err: (text: string) => err.push(text) }
--- a/cli/parse_command.ts
+++ b/cli/parse_command.ts
@@ -20,6 +20,8 @@
 interface Flags extends Record<string, unknown> {
   _: string[]
   settings?: string
+  against?: string
+  json?: boolean
 }
 
 /** Holds a parsed command line. */
@@ -29,7 +31,7 @@
 }
 
 /** Flags whose values stay text, also when they look like numbers. */
-const stringFlags = ['_', 'settings', 'url', 'key', 'model', 'words']
+const stringFlags = ['_', 'settings', 'against', 'url', 'key', 'model', 'words']
 
 /**
  * Parses a command line. Help, the version and usage errors are printed by the parser, which then ends the process.
@@ -79,9 +81,12 @@
 }
 
 function addTools (program: Sade, output: Output): void {
-  program.command('check <file>', "Validate settings, policies, configuration records and the platform's settings files")
+  program.command('check <file>', "Check settings, policies, routing rules, configuration records and the platform's settings files")
+    .option('--against', 'File with the configuration in force; what differs from it is printed')
+    .option('--json', 'Print one JSON object in place of lines', false)
     .example('check entry.jsonc records.jsonc')
-    .action((file: string, flags: Flags) => checkFiles([file, ...flags._], output))
+    .example('check next.json --against in-force.json')
+    .action((file: string, { against, json, _: others }: Flags) => checkFiles([file, ...others], output, { against, json }))
   program.command('write-policy <from> <to>', 'Validate the policies for the platform and write them without comments')
     .example('write-policy deploy/policy.jsonc target/policy.json')
     .action((from: string, to: string) => Promise.resolve(writePolicy(from, to, output)))
--- a/examples/examples.feature
+++ b/examples/examples.feature
@@ -7,6 +7,10 @@
     When the examples of "bad" are checked
     Then the examples check exits with 1 for each file and reports the path and the text from its first line
 
+  Scenario: Every finding of the check has an example
+    When the examples of "bad_rules" are checked
+    Then the examples check reports exactly the findings that each file names
+
   Scenario Outline: The example records have the workers of the brief
     When the example records of "<deployment>" are read
     Then the example records have <workers> workers that serve "<service>"
--- a/examples/examples_test.ts
+++ b/examples/examples_test.ts
@@ -50,6 +50,18 @@
   }
 })
 
+Then('the examples check reports exactly the findings that each file names', function (this: World) {
+  assert.ok(this.results.length > 0)
+  for (const { file, exitCode, lines } of this.results) {
+    const { expected } = JSON.parse(readFileSync(file, 'utf8')) as { expected: string[] }
+    const reported = lines.map((line) => line.slice(`${file}: `.length)).map((line) => /^(error|warning): /.test(line) ? line : `problem: ${line}`)
+    const missing = expected.filter((text) => !reported.some((line) => line.startsWith(text)))
+    const unexpected = reported.filter((line) => !expected.some((text) => line.startsWith(text)))
+    assert.deepEqual({ missing, unexpected }, { missing: [], unexpected: [] }, file)
+    assert.equal(exitCode, expected.every((text) => text.startsWith('warning')) ? 2 : 1, file)
+  }
+})
+
 When('the example records of {string} are read', function (this: World, deployment: string) {
   const file = `examples/${deployment}/records.jsonc`
   this.records = loadRecords(readFileSync(file, 'utf8'), { file }).unwrap()
