Let the workers of a scenario share the modes of their next requests

Cause: in the scenarios of a repeated idempotent request a timer of 1 ms set the other workers to succeed once the first had failed. Beside other work (load average 13 to 17 on 7 cores) the second send came before the timer: two of eleven scenarios ended in 500 and 502, once. Change: the workers take the modes from one list, so that the first request fails and the second succeeds whenever they come. The checks are as they were.

--- a/gateway/gateway_test.ts
+++ b/gateway/gateway_test.ts
@@ -219,13 +219,9 @@
 })
 
 Given('gateway workers that are {string} to their first request', function (this: World, mode: WorkerMode) {
-  for (const worker of this.gatewaySite.workers.values()) worker.setMode(mode, WorkerMode.Good)
-  // Only the first worker that receives the request fails; the others are set to succeed as soon as it has.
-  const settle = setInterval(() => {
-    if (allSeen(this.gatewaySite).length === 0) return
-    clearInterval(settle)
-    for (const worker of this.gatewaySite.workers.values()) worker.setMode(WorkerMode.Good)
-  }, 1)
+  // Only the first worker that receives the request fails, whichever that is.
+  const modes = [mode, WorkerMode.Good]
+  for (const worker of this.gatewaySite.workers.values()) worker.shareModes(modes)
 })
 
 Given('a gateway worker {string} that has closed but keeps its entry', async function (this: World, id: string) {
--- a/testing/fleuve/start_worker.ts
+++ b/testing/fleuve/start_worker.ts
@@ -147,6 +147,8 @@
   sentBytes (): number
   /** Sets the modes of the next requests, one each; the last one stays. */
   setMode (...modes: WorkerMode[]): void
+  /** Sets the modes of the next requests from a list that workers share: whichever gets the next request takes the next mode. */
+  shareModes (modes: WorkerMode[]): void
   /** Sets the mode of requests that continue a stream; undefined for that of other requests. */
   setResumeMode (mode: WorkerMode | undefined): void
   /** Sets the memory of the worker in tokens: the largest reservation that it accepts. */
@@ -601,6 +603,7 @@
     listControlCalls: () => controlCalls,
     sentBytes: () => [...sockets].reduce((sum, socket) => sum + socket.bytesWritten, 0),
     setMode (...next) { modes = next },
+    shareModes (next) { modes = next },
     setResumeMode (next) { resumeMode = next },
     setReservableTokens (tokens) { memoryTokens = tokens },
     resetAfterEvent (event, times) { reset = { event, times } },
