--- a/gateway/organisations_test.ts
+++ b/gateway/organisations_test.ts
@@ -90,15 +90,8 @@
 const faults: { readonly [what: string]: (site: Site) => void } = {
   'are sound': () => {},
   'fail their first request' (site) {
-    for (const id of ['w1', 'w2']) {
-      const [worker, other] = [site.workers.get(id), site.workers.get(id === 'w1' ? 'w2' : 'w1')]
-      worker?.setMode(WorkerMode.Error)
-      const settle = setInterval(() => {
-        if (worker?.listRequests().length === 0) return
-        clearInterval(settle)
-        other?.setMode(WorkerMode.Good)
-      }, 1)
-    }
+    const modes = [WorkerMode.Error, WorkerMode.Good]
+    for (const id of ['w1', 'w2']) site.workers.get(id)?.shareModes(modes)
   },
   'lose the stream after an event' (site) { for (const id of ['d1', 'd2']) site.workers.get(id)?.resetAfterEvent(1, 1) },
   'have no memory' (site) { for (const id of ['d1', 'd2']) site.workers.get(id)?.setReservableTokens(10) },
