--- a/cli/run_platform_process.feature
+++ b/cli/run_platform_process.feature
@@ -52,6 +52,19 @@
       | 3000  |
       | 6000  |
 
+  # Guards against a frozen process that goes on with the keys that it knew.
+  Scenario Outline: A key that is withdrawn while a gateway process is <state> is refused soon after, and for good
+    Given a platform process "gateway" with a worker
+    And version 2 of the platform rules has the key "k-1"
+    When version 3 of the platform rules takes the key "k-1" away while the platform process is <state> for 3000 ms
+    Then a request with the key "k-1" gets 401 from the platform process within 4000 ms, and then each time
+
+    Examples:
+      | state                  |
+      | frozen                 |
+      | cut off from the store |
+      | killed                 |
+
   # Guards against the end of a process that completes a response without a length, which its client takes for whole.
   Scenario Outline: A gateway process that ends by <signal> leaves the streams without a length incomplete
     Given a platform process "gateway" with a worker
--- a/cli/run_platform_process_test.ts
+++ b/cli/run_platform_process_test.ts
@@ -8,7 +8,7 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { After, Given, Then, When } from '@cucumber/cucumber'
-import { buildConfiguration, startStore, startWorker } from '../testing/fleuve/mod.ts'
+import { buildConfiguration, startStore, startWorker, StoreMode } from '../testing/fleuve/mod.ts'
 import { findFreePort } from '../testing/ports/mod.ts'
 import { writePolicy } from './write_policy.ts'
 import type { ChildProcess } from 'node:child_process'
@@ -23,6 +23,8 @@
   stream: Promise<{ isComplete: boolean, body: string }>
   streams: Array<{ isComplete: boolean, body: string }>
   child: ChildProcess
+  /** Starts the process again, with the same settings. */
+  spawnProcess: () => void
   output: string
   exit: Promise<number | null>
   status: Promise<number>
@@ -42,8 +44,8 @@
 
 function settingsPath (world: World): string { return join(world.folder, 'node.json') }
 
-function send (world: World): Promise<number> {
-  const headers = { Host: 'a.example', 'X-Request-Id': `p-${Math.random()}`, 'X-Request-Deadline-Ms': '4000' }
+function send (world: World, added: { [name: string]: string } = {}): Promise<number> {
+  const headers = { Host: 'a.example', 'X-Request-Id': `p-${Math.random()}`, 'X-Request-Deadline-Ms': '4000', ...added }
   return new Promise((resolve) => {
     httpRequest({ host: '127.0.0.1', port: world.port, method: 'POST', path: '/unsafe/x', headers, agent: false }, (res) => {
       res.resume()
@@ -84,6 +86,7 @@
     listen: kind === 'gateway' ? { front: `127.0.0.1:${world.port}`, ready: `127.0.0.1:${await findFreePort()}` } : {},
     internal_port_range: [internalPort, 65_000],
     heartbeat_ms: 1200,
+    contracts: ['base', 'tenants'],
     app: world.platformWorker.address,
     platform: { address: world.platformStore.address },
     bounds: { grace_s: 5, drain_ms: 2500, budget_ratio: 0.2, budget_slack: 54, budget_window_s: 10, lease_ms: 3000 }
@@ -117,12 +120,15 @@
     }`
   const preloaded = loadSignal !== undefined ? loading : signal !== undefined ? early : faults
   const module = `data:text/javascript,${encodeURIComponent(preloaded)}`
-  world.child = spawn(process.execPath, ['--import', module, 'dist/cli/platform_main.js', kind, policyFile], {
-    env: { ...process.env, BRIARLOOM_NODE_FILE: settingsPath(world) }, stdio: ['ignore', 'pipe', 'pipe']
-  })
-  world.output = ''
-  for (const stream of [world.child.stdout, world.child.stderr]) stream?.on('data', (chunk) => { world.output += String(chunk) })
-  world.exit = new Promise((resolve) => world.child.once('exit', resolve))
+  world.spawnProcess = () => {
+    world.child = spawn(process.execPath, ['--import', module, 'dist/cli/platform_main.js', kind, policyFile], {
+      env: { ...process.env, BRIARLOOM_NODE_FILE: settingsPath(world) }, stdio: ['ignore', 'pipe', 'pipe']
+    })
+    world.output = ''
+    for (const stream of [world.child.stdout, world.child.stderr]) stream?.on('data', (chunk) => { world.output += String(chunk) })
+    world.exit = new Promise((resolve) => world.child.once('exit', resolve))
+  }
+  world.spawnProcess()
   await until(() => world.output.includes('"worker":"w1"') || world.child.exitCode !== null || world.child.signalCode !== null, 5000, 'the first worker')
 }
 
@@ -250,3 +256,49 @@
 Then('no platform stream is complete', function (this: World) {
   for (const { isComplete, body } of this.streams) assert.equal(isComplete, false, body)
 })
+
+function sendWithKey (world: World, key: string): Promise<number> { return send(world, { Authorization: `Token ${key}` }) }
+
+function writeKeys (world: World, version: number, keys: string[]): void {
+  world.platformStore.put('op/config', buildConfiguration(version, { tenants: [{ name: 'north', api_keys: keys }] }))
+}
+
+Given('version {int} of the platform rules has the key {string}', async function (this: World, version: number, key: string) {
+  writeKeys(this, version, [key])
+  await until(() => this.output.includes(`"version":${version},`), 2000, `version ${version}`)
+  assert.deepEqual([await sendWithKey(this, key), await sendWithKey(this, 'other')], [200, 401])
+})
+
+const outages: { readonly [what: string]: (world: World) => () => Promise<void> | void } = {
+  frozen (world) {
+    world.child.kill('SIGSTOP')
+    return () => { world.child.kill('SIGCONT') }
+  },
+  'cut off from the store' (world) {
+    world.platformStore.setMode(StoreMode.Silent)
+    return () => { world.platformStore.setMode(StoreMode.Up) }
+  },
+  killed (world) {
+    world.child.kill('SIGKILL')
+    return async () => {
+      await world.exit
+      world.spawnProcess()
+    }
+  }
+}
+
+When(/^version (\d+) of the platform rules takes the key "(.*)" away while the platform process is (.*) for (\d+) ms$/, { timeout: 20_000 },
+  async function (this: World, version: string, key: string, what: string, ms: string) {
+    const end = (outages[what] as (world: World) => () => Promise<void> | void)(this)
+    writeKeys(this, Number(version), [`${key}-new`])
+    await new Promise((resolve) => setTimeout(resolve, Number(ms)))
+    await end()
+  })
+
+Then('a request with the key {string} gets {int} from the platform process within {int} ms, and then each time', { timeout: 20_000 },
+  async function (this: World, key: string, status: number, ms: number) {
+    await until(async () => await sendWithKey(this, key) === status, ms, `status ${status}`)
+    for (let i = 0; i < 20; i++) assert.equal(await sendWithKey(this, key), status)
+    assert.equal(await sendWithKey(this, `${key}-new`), 200)
+    assert.ok(!this.output.includes(key), 'the key is in the output')
+  })
