Spend one allowance for each organisation over all gateways

Three exchange points sum what gateways report, in a bucket for each organisation; gateways admit by the points' levels without a round trip, thin their admission when the demand until the next answer exceeds the level, and spend a set-aside part of the tolerance while they hear no majority of the points. Refused requests get 429 with the delay until the allowance holds again, before the body is read, and what was spent for a request that has not run is given back.

--- a/core/limits/_bucket.ts
+++ b/core/limits/_bucket.ts
@@ -13,14 +13,18 @@
   canSpend (amount: number): boolean
   /** Takes an amount, even when the bucket holds less; a negative amount is put back. */
   spend (amount: number): void
+  /** Returns the amount that the bucket holds; negative after more was taken than it held. */
+  level (): number
+  /** Sets the amount that the bucket holds. */
+  setLevel (amount: number): void
   /** Returns the time in milliseconds until the bucket holds `amount` at `perS` per second, from 1 to 10000. */
   getWaitMs (amount: number, perS: number): number
 }
 
-/** Creates a bucket that is full after the first refill. */
-export function createBucket (): Bucket {
-  let available = Infinity
-  let lastMs = 0
+/** Creates a bucket that is full after the first refill, or one that holds `amount` at the time `startMs` in milliseconds. */
+export function createBucket (amount = Infinity, startMs = 0): Bucket {
+  let available = amount
+  let lastMs = startMs
   return {
     refill (perS, cap, nowMs) {
       available = Math.min(cap, available + perS * Math.max(0, nowMs - lastMs) / msPerS)
@@ -28,6 +32,8 @@
     },
     canSpend: (amount) => available >= amount,
     spend (amount) { available -= amount },
+    level: () => available,
+    setLevel (amount) { available = amount },
     getWaitMs: (amount, perS) => {
       const ms = Math.ceil((amount - available) * msPerS / Math.max(perS, 0.001))
       return Math.min(maxRetryAfterMs, Math.max(1, ms))
--- a/gateway/_client_server.ts
+++ b/gateway/_client_server.ts
@@ -151,6 +151,9 @@
     if (service === undefined) return refuse(503, 'no_service', notReadyRetryMs)
     if (Number(req.headers['content-length'] ?? 0) > table.limits.maxBodyBytes) return refuse(413, 'body_too_large')
 
+    const spent = context.allowances.spend(caller.val.organisation, head, deadlineMs - startedMs)
+    if (spent.err) return refuse(429, spent.val.reason, spent.val.retryAfterMs, spent.val.details)
+
     const { stop, onStop, stopReason } = createStopSignal()
     const fail = (err: unknown): void => {
       failUnexpectedly(reply, head.requestId, err)
@@ -169,6 +172,7 @@
       stops.delete(stop)
       finalTimer.cancel()
       if (!res.writableFinished) stop(StopReason.ClientDisconnected)
+      if (isReadingBody || reply.isRefusal()) spent.val.giveBack()
     })
     const checkCaller = createCallerCheck(context, { table, route, head, caller: caller.val })
     let isReadingBody = true
@@ -193,6 +197,7 @@
         ...(caller.val.organisation !== undefined && { organisation: caller.val.organisation }),
         priority: caller.val.organisation?.priority ?? route.priority,
         identifyCaller: checkCaller,
+        spent: spent.val,
         usedConnections: new Set(),
         reply,
         startedMs,
@@ -214,6 +219,7 @@
 
   async function serve (request: ClientRequest): Promise<void> {
     const result = await (request.service.engine === undefined ? handlers.plain : handlers.engine)(context, request)
+    if (result.status === 503 && !request.reply.isFinished()) request.spent.giveBack()
     const tookMs = Math.round(timer.now() - request.startedMs)
     recordResult(context, request, result, tookMs)
   }
--- a/gateway/_reply.ts
+++ b/gateway/_reply.ts
@@ -34,13 +34,19 @@
   onDrain (fn: () => void): void
   /** Tells whether the head of a response has been sent. */
   hasBegun (): boolean
+  /** Tells whether the response is one of the gateway to a request that has not run. */
+  isRefusal (): boolean
   /** Tells whether the response is complete or aborted. */
   isFinished (): boolean
 }
 
+/** Statuses with which the gateway answers only requests that have not run and never will. */
+const notRunStatuses: ReadonlySet<number> = new Set([401, 408, 413, 421, 429, 503])
+
 /** Creates the reply on a response object of Node's server. */
 export function createReply (res: ServerResponse, requestId: string | undefined): Reply {
   let isOver = false
+  let isRefusal = false
   let isCloseDelimited = false
   let onDrained: (() => void) | undefined
 
@@ -74,6 +80,7 @@
       })
       res.writeHead(response.status, [...headers, 'Content-Length', String(body.length)])
       isOver = true
+      isRefusal = notRunStatuses.has(response.status)
       res.end(body)
     },
     sendWhole (response, body) {
@@ -107,6 +114,7 @@
       onDrained = fn
     },
     hasBegun: () => res.headersSent,
+    isRefusal: () => isRefusal,
     isFinished: () => isOver
   }
 }
--- a/gateway/_types.ts
+++ b/gateway/_types.ts
@@ -11,6 +11,7 @@
 import type { Caller, CallerRefusal, OrganisationRule, RouteRule, ServiceRule } from '../core/route/mod.ts'
 import type { ByteBudget } from '../core/stream/mod.ts'
 import type { Timer } from '../timer/mod.ts'
+import type { Allowances, SpentAllowance } from './_allowance.ts'
 import type { PromptGuard } from './_prompt_guard.ts'
 import type { SidecarClient } from './_sidecar_client.ts'
 import type { Reply } from './_reply.ts'
@@ -27,6 +28,7 @@
   controlPool: ExchangePool
   sidecars: SidecarClient
   promptGuard: PromptGuard
+  allowances: Allowances
   /** Bounds the bytes of responses that are held back until it is known whether they may be passed on. */
   heldBytes: ByteBudget
   metrics: PrometheusMetrics
@@ -54,6 +56,8 @@
   priority: number
   /** Returns who sends the request by the rules in force now, or why it may not be sent to a worker any more. */
   identifyCaller (): Result<Caller, CallerRefusal>
+  /** What was spent of the organisation's allowance. */
+  spent: SpentAllowance
   /** Numbers of the connections to workers that have carried this request. */
   usedConnections: Set<number>
   reply: Reply
--- a/gateway/start_gateway.ts
+++ b/gateway/start_gateway.ts
@@ -10,6 +10,7 @@
 import { Count, createPrometheusMetrics } from '../metrics/mod.ts'
 import { readyPath } from '../platform/mod.ts'
 import { parseAddress } from '../wire/mod.ts'
+import { createAllowances } from './_allowance.ts'
 import { createPromptGuard } from './_prompt_guard.ts'
 import { createSidecarClient } from './_sidecar_client.ts'
 import { createClientServer } from './_client_server.ts'
@@ -99,6 +100,8 @@
       leaving_workers: () => directory.fleet.all().filter((worker) => worker.word.leavingSinceMs !== undefined).length,
       held_workers: () => directory.fleet.all().filter((worker) => worker.word.hold.untilMs() > timer.now()).length,
       held_bytes: () => heldBytes.heldBytes(),
+      allowance_isolated: () => Number(allowances.isIsolated()),
+      allowance_level_age_ms: () => allowances.levelAgeMs(),
       quarantines: () => promptGuard.quarantines(),
       log_lines_dropped: () => options.droppedLines?.() ?? 0
     },
@@ -112,6 +115,8 @@
   })
   const promptGuard = createPromptGuard({ directory, timer, log, metrics, sendEvidence: sidecars.sendEvidence })
 
+  const allowances = createAllowances({ settings, directory, sidecars, timer, log, metrics, random })
+
   const heldBytes = createByteBudget({ maxBytes: heldMemoryShare * (settings.memoryBytes ?? defaultMemoryBytes) })
 
   const context: GatewayContext = {
@@ -124,6 +129,7 @@
     controlPool: createExchangePool(),
     sidecars,
     promptGuard,
+    allowances,
     heldBytes,
     random,
     gatewayCount: gateways,
@@ -181,6 +187,7 @@
     readinessServer.close()
     readinessServer.closeAllConnections()
     promptGuard.close()
+    allowances.close()
     sidecars.close()
     await records.close()
     await view.close()
--- a/metrics/create_prometheus_metrics.ts
+++ b/metrics/create_prometheus_metrics.ts
@@ -44,7 +44,9 @@
   /** Connections of clients that closed while a request had no complete response, by the side that closed them. */
   Unanswered = 'requests_unanswered_total',
   /** Records of the store that had no effect although they differ from the known ones, by reason. */
-  RecordsPassedOver = 'records_passed_over_total'
+  RecordsPassedOver = 'records_passed_over_total',
+  /** Units of the allowances of organisations that requests asked for, by organisation and result. */
+  AllowanceUnits = 'allowance_units_total'
 }
 
 const labelNames: { readonly [C in Count]: readonly string[] } = {
@@ -59,7 +61,8 @@
   [Count.SendsHeld]: ['service', 'reason'],
   [Count.StoreReads]: ['result'],
   [Count.Unanswered]: ['closed_by'],
-  [Count.RecordsPassedOver]: ['reason']
+  [Count.RecordsPassedOver]: ['reason'],
+  [Count.AllowanceUnits]: ['organisation', 'result']
 }
 
 const helpTexts: { readonly [M in Count | Latency]: string } = {
@@ -75,6 +78,7 @@
   [Count.StoreReads]: 'Calls to the store by result',
   [Count.Unanswered]: 'Requests whose connection closed before their response was complete, by the side that closed it',
   [Count.RecordsPassedOver]: 'Records of the store without effect, by reason',
+  [Count.AllowanceUnits]: 'Units of allowances that requests asked for, by organisation and result',
   [Latency.Request]: 'Time from a request to its final answer in ms',
   [Latency.FirstEvent]: 'Time from a request to the first event in ms',
   [Latency.Pause]: 'Longest pause of a stream in ms',
--- a/sidecar/start_sidecar.ts
+++ b/sidecar/start_sidecar.ts
@@ -1,11 +1,13 @@
 /**
  * Starts a sidecar: the process that admits streams to the engine on its machine and orders the stage of the engine.
  */
+import { getAllowanceTolerance } from '../core/limits/mod.ts'
 import { createDirectory, listStoreReaders, shareView, syncRecords, viewPortOffset } from '../directory/mod.ts'
 import { callJson, createExchangePool } from '../exchange/mod.ts'
 import { Count, createPrometheusMetrics } from '../metrics/mod.ts'
 import { decodeEngineReport, decodeResponseHead, buildReportCall } from '../platform/mod.ts'
 import { formatAddress, listen } from '../wire/mod.ts'
+import { createAllowanceTask } from './_allowance_task.ts'
 import { createAdmissionTask } from './_admission_task.ts'
 import { createStageTask } from './_stage_task.ts'
 import type { ChooseStagesOptions } from '../core/balance/mod.ts'
@@ -70,8 +72,9 @@
   const readers = (): string[] => listStoreReaders({ fleet: directory.fleet, regions, zone, internalPort })
   const view = await shareView({ directory, timer, log, address: formatAddress(settings.ip, internalPort + viewPortOffset), readers })
   const packing = { ...options.packing, startMs }
+  const allowances = createAllowanceTask({ directory, timer, tolerance: getAllowanceTolerance(settings) })
   const admission = createAdmissionTask({
-    directory, pool, timer, log, packing, random, drainMs: settings.drainMs, isSwitching: () => stages.isSwitching()
+    directory, pool, timer, log, packing, random, drainMs: settings.drainMs, isSwitching: () => stages.isSwitching(), exchange: allowances.handlers
   })
   const stages = createStageTask({
     machine: settings.machine,
@@ -96,6 +99,7 @@
       view_revision: () => directory.position().revision,
       room_tokens: () => admission.roomTokens(),
       gateways: () => admission.gateways(),
+      allowance_gateways: () => allowances.gateways(),
       log_lines_dropped: () => options.droppedLines?.() ?? 0
     },
     onError: (reason) => log.warn({ reason }, 'metrics not served')
--- a/wire/_checks.ts
+++ b/wire/_checks.ts
@@ -28,6 +28,9 @@
 /** Accepts finite numbers that are not negative. */
 export const isAmount = createCheck('a number from 0 up', (value) => Number.isFinite(value) && (value as number) >= 0)
 
+/** Accepts finite numbers. */
+export const isNumber = createCheck('a number', (value) => Number.isFinite(value))
+
 /** Accepts true and false. */
 export const isBoolean = createCheck('true or false', (value) => typeof value === 'boolean')
 
--- a/wire/_message_checks.ts
+++ b/wire/_message_checks.ts
@@ -3,7 +3,7 @@
  */
 import { Outcome, RefusalCode, Role, TierClass } from '../core/types/mod.ts'
 import {
-  isAmount, isBytes, isCount, isBoolean, isMap, isName, isString, isStringMap, listOf, nullable, oneOf, optional, shape
+  isAmount, isBytes, isCount, isBoolean, isMap, isName, isNumber, isString, isStringMap, listOf, nullable, oneOf, optional, shape
 } from './_checks.ts'
 import type { LeavingWorker } from '../core/fleet/mod.ts'
 import type { CrashObservation } from '../core/quarantine/mod.ts'
@@ -11,6 +11,7 @@
 import type { StoreChange } from '../core/view/mod.ts'
 import type { Check } from './_checks.ts'
 import { MessageKind } from './message_kind.ts'
+import type { AllowanceLevels, AllowanceReport } from './allowance_messages.ts'
 import type { CallDone, MessageOf, UsageShare } from './messages.ts'
 
 type FieldChecks<K extends MessageKind> = { [F in Exclude<keyof MessageOf<K>, 'kind'>]-?: Check }
@@ -27,6 +28,8 @@
 const isUsage = shape<UsageShare['usage'][number]>({
   caller: isName, requests: isAmount, tokens: isAmount, concurrency: isAmount, waiting: isAmount
 })
+const isSpending = shape<AllowanceReport['spending'][number]>({ organisation: isName, spent: isNumber, offered: isNumber })
+const isLevel = shape<AllowanceLevels['levels'][number]>({ organisation: isName, level: isNumber, share: isAmount, demandPerS: isAmount })
 const isCrash = shape<CrashObservation>({ crash: isName, parts: listOf(isName), ageMs: isAmount })
 const isLeaving = shape<LeavingWorker>({ id: isName, bornMs: isAmount })
 
@@ -137,6 +140,8 @@
   },
   [MessageKind.PeerReport]: { name: isName, incarnation: isCount, state: oneOf(['suspect', 'leaving', 'gone']) },
   [MessageKind.UsageShare]: { entry: isName, incarnation: isCount, seq: isCount, usage: listOf(isUsage) },
+  [MessageKind.AllowanceReport]: { sender: isName, seq: isCount, after: isCount, full: isBoolean, spending: listOf(isSpending) },
+  [MessageKind.AllowanceLevels]: { seq: isCount, wantsFull: isBoolean, gateways: isCount, levels: listOf(isLevel) },
   [MessageKind.Admit]: {
     ...attempt,
     workerId: isName,
--- a/wire/message_kind.ts
+++ b/wire/message_kind.ts
@@ -37,6 +37,8 @@
   ViewChanges = 'view_changes',
   PeerReport = 'peer_report',
   UsageShare = 'usage_share',
+  AllowanceReport = 'allowance_report',
+  AllowanceLevels = 'allowance_levels',
   Status = 'status',
   StatusReply = 'status_reply',
   Explain = 'explain',
--- a/wire/mod.ts
+++ b/wire/mod.ts
@@ -21,5 +21,6 @@
   Failed, Finished, Heartbeat, Hello, LoadReport, Message, MessageOf, PeerReport, Prefill, Prefilled, Refused, Reserve,
   Reserved, Resume, StatusReply, StatusRequest, TicketIssue, TicketIssued, TicketVoid, TicketVoided, Tokens, UsageShare
 } from './messages.ts'
+export type { AllowanceLevels, AllowanceReport } from './allowance_messages.ts'
 export type { ViewChanges, ViewRequest, ViewStateMessage } from './view_messages.ts'
 export type { EngineCapacity, Admit, Admitted, PromptEvidenceMessage, StreamEnded } from './pack_messages.ts'
--- a/wire/wire_fuzz_test.ts
+++ b/wire/wire_fuzz_test.ts
@@ -137,6 +137,12 @@
     seq: 2,
     usage: [{ caller: 'notaires', requests: 1, tokens: 30, concurrency: 1, waiting: 0 }]
   },
+  [MessageKind.AllowanceReport]: {
+    kind: MessageKind.AllowanceReport, sender: 'levis-1/1', seq: 2, after: 1, full: true, spending: [{ organisation: 'notaires', spent: 5900, offered: 11800 }]
+  },
+  [MessageKind.AllowanceLevels]: {
+    kind: MessageKind.AllowanceLevels, seq: 2, wantsFull: false, gateways: 30, levels: [{ organisation: 'notaires', level: -120.5, share: 0.25, demandPerS: 9000 }]
+  },
   [MessageKind.Status]: { kind: MessageKind.Status },
   [MessageKind.StatusReply]: { kind: MessageKind.StatusReply, status: { revision: 3 } },
   [MessageKind.Explain]: { kind: MessageKind.Explain, requestId: 'r1' },
