--- a/core/limits/_point_view.ts
+++ b/core/limits/_point_view.ts
@@ -1,7 +1,7 @@
 /**
  * What a gateway knows of one exchange point.
  */
-import { freshMs, getCapacity, getReportMs, unreportedFactor } from './_allowance_terms.ts'
+import { freshMs, getCapacity, getReportMs, unreportedFactor, unreportedShare } from './_allowance_terms.ts'
 import type { AllowanceLevels } from '../../wire/mod.ts'
 import type { AllowanceLimit, AllowanceTolerance } from './_allowance_types.ts'
 
@@ -72,13 +72,12 @@
       const refilled = limit.perS * (nowMs - receivedMs) / msPerS
       const level = Math.min(capacity, (told?.level ?? untoldShare * capacity) + refilled)
       const unreported = total - (acked.get(organisation) ?? 0)
-      const part = unreportedFactor * Math.max(told?.share ?? 0, 1 / gateways) * Math.max(0, level)
-      const most = Math.max(part, Math.min(level / 4, 2 * cost))
+      const part = Math.max(unreportedShare, unreportedFactor * (told?.share ?? 0)) * Math.max(0, level)
       // What all gateways are asked for until the answer to the next report comes, by their recent demand.
       const awaitedDemand = (told?.demandPerS ?? 0) * (getReportMs(gateways) + receivedMs - asOfMs) / msPerS
       const chance = awaitedDemand <= level ? 1 : Math.max(0, level) / awaitedDemand
       // One request is admitted whatever its size, so that requests larger than the part are not refused for ever.
-      return { left: level - unreported, chance, isUnreported: unreported > 0 && unreported + cost > most }
+      return { left: level - unreported, chance, isUnreported: unreported > 0 && unreported + cost > part }
     },
     beginReport (connection, totals, nowMs) {
       if (connection !== connectionNumber) {
--- a/core/limits/create_allowance_spender.ts
+++ b/core/limits/create_allowance_spender.ts
@@ -38,9 +38,9 @@
  * The gateway reports to each exchange point what it has spent of each allowance, and gets back the levels of those that it asked for or
  * that are scarce. It admits a request without a round trip: when each fresh point's level, refilled since, less what the gateway has spent
  * since its report, is above 0. When all gateways together are asked for more than the level before the points know of it, each
- * admits a request with a chance, so that about the level is spent. Before a point knows of a request, the gateway spends at most one,
- * two of which each counts an eighth of the level, or 1.5 times the level by its share of the demand. A gateway that hears no majority of the
- * points spends what is set aside.
+ * admits a request with a chance, so that about the level is spent. Before a point knows of it, the gateway spends at most one request, a
+ * quarter of the level, or 1.5 times the level by its share of the demand. A gateway that hears no majority of the points spends what is
+ * set aside.
  *
  * With `T = over * (perS * window + burst) + slack`, any window of length `W` has at most
  * - `perS * W + burst + 0.4 * T`: the refill and the depth of the bucket;
