--- a/core/limits/_allowance_terms.ts
+++ b/core/limits/_allowance_terms.ts
@@ -4,7 +4,7 @@
 import type { AllowanceLimit, AllowanceTolerance } from './_allowance_types.ts'
 
 /** Share of the tolerance by which the bucket is deeper than the burst, so that few large requests are refused below the limit. */
-const depthShare = 0.4
+const depthShare = 0.45
 /** Share of the tolerance that is set aside for gateways that hear too few exchange points; half of it at once, half over a window. */
 const isolatedShare = 0.3
 
--- a/core/limits/create_allowance_spender.ts
+++ b/core/limits/create_allowance_spender.ts
@@ -5,7 +5,7 @@
 import { MessageKind } from '../../wire/mod.ts'
 import { createBucket } from './_bucket.ts'
 import { createPointView } from './_point_view.ts'
-import { getIsolatedLimit, getReportMs } from './_allowance_terms.ts'
+import { getCapacity, getIsolatedLimit, getReportMs } from './_allowance_terms.ts'
 import { AllowanceRefusal } from './_allowance_types.ts'
 import type { Result } from '../results/mod.ts'
 import type { Bucket } from './_bucket.ts'
@@ -23,6 +23,8 @@
 /** Delay in milliseconds after which a gateway that hears too few points is likely to hear them. */
 const isolatedRetryMs = 600
 const msPerS = 1000
+/** Factor by which each request lessens the weight of those before it in the typical cost. */
+const costDecay = 0.9
 
 interface Account extends Spent {
   /** What may be spent while too few points are heard. */
@@ -30,6 +32,9 @@
   /** Units refused in the last second, about. */
   refused: number
   refusedMs: number
+  /** Sums of the costs of recent requests, and of their squares. */
+  costs: number
+  squares: number
 }
 
 /**
@@ -37,13 +42,14 @@
  *
  * The gateway reports to each exchange point what it has spent of each allowance, and gets back the levels of those that it asked for or
  * that are scarce. It admits a request without a round trip: when each fresh point's level, refilled since, less what the gateway has spent
- * since its report, is above 0. When all gateways together are asked for more than the level before the points know of it, each
- * admits a request with a chance, so that about the level is spent. Before a point knows of it, the gateway spends at most one request, a
- * quarter of the level, or 1.5 times the level by its share of the demand. A gateway that hears no majority of the points spends what is
- * set aside.
+ * since its report, holds the request, or a typical one of the organisation if that is less. When all gateways together are asked for more
+ * than the level before the points know of it, each admits a typical request with a chance, so that about the level is spent, and smaller
+ * ones with a higher one, so that a few large requests don't crowd out many small ones. Before a point knows of it, the gateway spends at
+ * most one request, a quarter of the level, or 1.5 times the level by its share of the demand. A gateway that hears no majority of the points
+ * spends what is set aside.
  *
  * With `T = over * (perS * window + burst) + slack`, any window of length `W` has at most
- * - `perS * W + burst + 0.4 * T`: the refill and the depth of the bucket;
+ * - `perS * W + burst + 0.45 * T`: the refill and the depth of the bucket;
  * - `0.3 * T`: all isolated gateways together;
  * - what gateways spend before the points know of it: at most what they are asked for between a report and the next answer, 0.1 s (1 ms for
  *   each gateway, if that is more) and a round trip as a rule and one second at most;
@@ -71,7 +77,7 @@
   function getAccount (organisation: string): Account {
     const known = totals.get(organisation)
     if (known !== undefined) return known
-    const account = { spent: 0, offered: 0, isolated: createBucket(0, startMs), refused: 0, refusedMs: startMs }
+    const account = { spent: 0, offered: 0, isolated: createBucket(0, startMs), refused: 0, refusedMs: startMs, costs: 0, squares: 0 }
     totals.set(organisation, account)
     return account
   }
@@ -106,16 +112,16 @@
     return Math.round(lowest + random() * Math.min(highest - lowest, Math.max(overMs, lowest)))
   }
 
-  function refuse (request: AllowanceRequest, account: Account, worst: { left: number, isUnreported: boolean, gateways: number }, nowMs: number): AllowanceDenial {
+  function refuse (request: AllowanceRequest, account: Account, worst: { left: number, need: number, isUnreported: boolean, gateways: number }, nowMs: number): AllowanceDenial {
     const { limit, cost, maxRetryAfterMs } = request
     const left = Math.round(worst.left)
     account.refused = account.refused * Math.exp((account.refusedMs - nowMs) / msPerS) + cost
     account.refusedMs = nowMs
-    if (worst.left > 0 && worst.isUnreported) {
+    if (worst.left >= worst.need && worst.isUnreported) {
       isUrgent = true
       return { reason: AllowanceRefusal.Unreported, left, retryAfterMs: spread(getReportMs(worst.gateways), getReportMs(worst.gateways), maxRetryAfterMs) }
     }
-    const untilMs = Math.max(0, -worst.left) / Math.max(limit.perS, 1) * msPerS
+    const untilMs = Math.max(0, worst.need - worst.left) / Math.max(limit.perS, 1) * msPerS
     // What this gateway has refused comes back together with what others have, so that it takes as long as all of it needs.
     const backlogMs = account.refused * worst.gateways / Math.max(limit.perS, 1) * msPerS
     return { reason: AllowanceRefusal.Spent, left, retryAfterMs: spread(untilMs, backlogMs, maxRetryAfterMs) }
@@ -129,6 +135,11 @@
       for (const view of views.values()) view.markChanged(organisation)
       const fresh = listFresh(nowMs)
       if (fresh === undefined) return spendIsolated(request, account, nowMs)
+      account.costs = account.costs * costDecay + cost
+      account.squares = account.squares * costDecay + cost * cost
+      // Costs of the requests that make up most of the spending; larger ones are refused no more often, smaller ones less.
+      const typicalCost = account.squares / account.costs
+      const need = Math.min(cost, typicalCost, getCapacity(limit, tolerance) / 2)
       let left = Infinity
       let chance = 1
       let isUnreported = false
@@ -138,11 +149,11 @@
         chance = Math.min(chance, verdict.chance)
         isUnreported ||= verdict.isUnreported
       }
-      if (left > 0 && !isUnreported && (chance >= 1 || random() < chance)) {
+      if (left >= need && !isUnreported && (chance >= 1 || random() < chance ** (need / typicalCost))) {
         add(organisation, account, cost)
         return Ok(undefined)
       }
-      return Err(refuse(request, account, { left, isUnreported, gateways: knownGateways ?? 1 }, nowMs))
+      return Err(refuse(request, account, { left, need, isUnreported, gateways: knownGateways ?? 1 }, nowMs))
     },
     giveBack (organisation, cost) { add(organisation, getAccount(organisation), -cost) },
     setPoints (points) {
