--- a/core/limits/allowance.feature
+++ b/core/limits/allowance.feature
@@ -31,14 +31,20 @@
     And a caller asks for 4 times its allowance for 9 s, spread over the gateways "last"
     Then the allowances admit between 95 and 105 percent over the last 8 s
 
-  Scenario: Allowances hold after a limit fell far below the demand
-    Given allowances of 100000 units per s at 30 gateways
-    When a caller asks for 0.6 times its allowance for 10 s, spread over the gateways "even"
-    And the allowances fall to 5000 units per s
-    And a caller asks for 12 times its allowance for 20 s, spread over the gateways "even"
-    Then the allowances admit between 80 and 130 percent over the last 16 s
+  Scenario Outline: Allowances of <gateways> gateways hold after a limit fell far below the demand
+    Given allowances of 100000 units per s at <gateways> gateways
+    When a caller asks for <times> times its allowance for 10 s, spread over the gateways "even"
+    And the allowances fall to 10000 units per s
+    And a caller asks for <then> times its allowance for 10 s, spread over the gateways "even"
+    Then the allowances admit between 80 and <most> percent over the last 9 s
     And no window of the allowances is beyond their tolerance
 
+    Examples:
+      | gateways | times | then | most |
+      | 30       | 0.6   | 6    | 160  |
+      | 30       | 4     | 40   | 120  |
+      | 430      | 4     | 40   | 120  |
+
   Scenario: Allowances of gateways without exchange points stay within what is set aside
     Given allowances of 20000 units per s at 30 gateways
     When the exchange points of the allowances are lost after 5 s
--- a/core/limits/create_allowance_point.ts
+++ b/core/limits/create_allowance_point.ts
@@ -13,6 +13,8 @@
 /** Time in milliseconds without a report after which a gateway does not count as one that is heard, and after which it is forgotten. */
 const unheardMs = 2000
 const forgetMs = 10_000
+/** Time in milliseconds after the fall of a limit in which gateways may still spend by the higher one. */
+const fallMs = 1000
 /** Share of its capacity below which the level of an organisation is told to all gateways. */
 const scarceShare = 0.5
 /** Time in milliseconds for which the list of scarce organisations is kept. */
@@ -23,7 +25,13 @@
 
 interface Spending { spent: number, offered: number, demand: Decayed }
 interface Sender { seq: number, heardMs: number, spending: Map<string, Spending> }
-interface Account { bucket: Bucket, limit: AllowanceLimit, demand: Decayed }
+interface Account {
+  bucket: Bucket
+  limit: AllowanceLimit
+  demand: Decayed
+  /** Time in milliseconds at which the limit fell. */
+  fallenMs: number
+}
 
 function addDecayed (sum: Decayed, amount: number, nowMs: number): void {
   sum.value = sum.value * Math.exp(-Math.max(0, nowMs - sum.atMs) / demandMs) + amount
@@ -66,17 +74,20 @@
       return undefined
     }
     const known = accounts.get(name)
-    const account = known ?? { bucket: createBucket(limit.burst, nowMs), limit, demand: { value: 0, atMs: nowMs } }
+    const account = known ?? { bucket: createBucket(limit.burst, nowMs), limit, demand: { value: 0, atMs: nowMs }, fallenMs: -Infinity }
     if (known === undefined) accounts.set(name, account)
     account.bucket.refill(account.limit.perS, getCapacity(limit, tolerance), nowMs)
-    if (account.limit !== limit) applyLimit(account, limit)
+    if (account.limit !== limit) applyLimit(account, limit, nowMs)
     return account
   }
 
   /** Puts a new limit in force. What was spent beyond the old one is paid back in the same time. */
-  function applyLimit (account: Account, limit: AllowanceLimit): void {
+  function applyLimit (account: Account, limit: AllowanceLimit, nowMs: number): void {
     const level = account.bucket.level()
-    if (level < 0 && limit.perS < account.limit.perS) account.bucket.setLevel(level * limit.perS / account.limit.perS)
+    if (limit.perS < account.limit.perS) {
+      account.fallenMs = nowMs
+      if (level < 0) account.bucket.setLevel(level * limit.perS / account.limit.perS)
+    }
     account.limit = limit
   }
 
@@ -97,8 +108,8 @@
     if (known === undefined) sender.spending.set(organisation, spending)
     const account = getAccount(organisation, nowMs)
     if (account !== undefined && !isBaseline) {
-      // More than a window's worth of debt would refuse what the rule does not count any more.
-      const floor = -account.limit.perS * tolerance.windowMs / 1000
+      // What gateways spent by a higher limit is not owed by the lower one, nor is what was spent longer ago than a window.
+      const floor = nowMs - account.fallenMs < fallMs ? 0 : -account.limit.perS * tolerance.windowMs / 1000
       account.bucket.spend(spent - spending.spent)
       if (account.bucket.level() < floor) account.bucket.setLevel(floor)
       const demand = Math.max(0, offered - spending.offered)
