--- a/gateway/_sidecar_client.ts
+++ b/gateway/_sidecar_client.ts
@@ -72,6 +72,8 @@
 /** Interval in milliseconds at which connections to engines without one are opened. */
 const reconnectMs = 500
 const connectTimeoutMs = 500
+/** Interval in milliseconds at which the first workers are looked for, and connections to exchange points without one are opened. */
+const pointCheckMs = 100
 /** Number of exchange points: each may be lost without loss of what they know together. */
 const exchangePointCount = 3
 
@@ -179,7 +181,12 @@
     }
   }
 
-  const reconnectTimer = timer.every(reconnectMs, connectMissing)
+  function connectPoints (): void {
+    if (points.length === 0 && directory.fleet.all().length > 0) connectMissing()
+    for (const address of points) if (!links.has(address)) open(address)
+  }
+
+  const timers = [timer.every(reconnectMs, connectMissing), timer.every(pointCheckMs, connectPoints)]
   let attempts = 0
 
   return {
@@ -219,7 +226,7 @@
     sendLeaving: (leaving, count) => sendToSome({ crashes: [], sound: [], leaving }, count),
     close () {
       isClosed = true
-      reconnectTimer.cancel()
+      for (const one of timers) one.cancel()
       for (const link of links.values()) link.connection?.close()
     }
   }
