--- a/core/limits/create_allowance_spender.ts
+++ b/core/limits/create_allowance_spender.ts
@@ -50,7 +50,7 @@
  *
  * With `T = over * (perS * window + burst) + slack`, any window of length `W` has at most
  * - `perS * W + burst + 0.45 * T`: the refill and the depth of the bucket;
- * - `0.3 * T`: all isolated gateways together;
+ * - `0.3 * T`: all isolated gateways together, of which a gateway that has just started and knows no number of gateways takes 1/128;
  * - what gateways spend before the points know of it: at most what they are asked for between a report and the next answer, 0.1 s (1 ms for
  *   each gateway, if that is more) and a round trip as a rule and one second at most;
  * - `burst`, once, when all points that gateways hear have started anew.
@@ -77,7 +77,7 @@
   function getAccount (organisation: string): Account {
     const known = totals.get(organisation)
     if (known !== undefined) return known
-    const account = { spent: 0, offered: 0, isolated: createBucket(0, startMs), refused: 0, refusedMs: startMs, costs: 0, squares: 0 }
+    const account = { spent: 0, offered: 0, isolated: createBucket(Infinity, startMs), refused: 0, refusedMs: startMs, costs: 0, squares: 0 }
     totals.set(organisation, account)
     return account
   }
