--- a/gateway/allowance_test.ts
+++ b/gateway/allowance_test.ts
@@ -33,12 +33,12 @@
 const ruleParts = { hasOrganisations: true, hasAllowances: true }
 const deadlineMs = 700
 
-/** Starts the exchange point at the port of the sidecars; a real one, with the rules of the configuration. */
-async function startPoint (world: World): Promise<void> {
+/** Starts the exchange point at the port of the sidecars; a real one, which knows the rules of the configuration or none. */
+async function startPoint (world: World, knowsRules = true): Promise<void> {
   const [site] = world.allowanceSites.values()
   assert.ok(site)
   const table = createRouteTable(decodeRoutingRules(buildConfiguration(1, world.allowanceConfiguration), ruleParts).unwrap())
-  const directory = { routeTable: () => table } as unknown as Directory
+  const directory = { routeTable: () => knowsRules ? table : undefined } as unknown as Directory
   const task = createAllowanceTask({ directory, timer: createSystemTimer(), tolerance: getAllowanceTolerance(settings) })
   const listener = await listen({
     host: '127.0.0.1',
@@ -128,6 +128,12 @@
   await sleep(ms)
 })
 
+When('the exchange point of the allowance gateways is started again without rules for {int} ms', async function (this: World, ms: number) {
+  await this.allowancePoint?.close()
+  await startPoint(this, false)
+  await sleep(ms)
+})
+
 When('the exchange point of the allowance gateways is back for {int} ms', async function (this: World, ms: number) {
   await startPoint(this)
   await sleep(ms)
