Give the gateway of the key scenarios an allowance without limit

Cause: the request path spends an allowance since the merge of the allowances; the scenarios of withdrawn keys build their own gateway and had none, so nine of them ended in 500. Change: it has one that admits everything.

--- a/gateway/withdrawn_key_test.ts
+++ b/gateway/withdrawn_key_test.ts
@@ -103,6 +103,7 @@
       metrics: { count () {}, observe () {} },
       random: Math.random,
       retryBudget: () => ({ recordRequest () {}, take: () => true, remaining: () => 1, used: () => 0 }),
+      allowances: { spend: () => Ok({ giveBack () {} }) },
       promptGuard: { find: () => undefined, watch: () => ({}), recordUnreachable () {} },
       sidecars: { isConnected: () => true, reserve: async () => Ok('hold-1'), release () {}, reportStreamEnd () {} },
       controlPool: { send: () => ({ abort () {}, pause () {}, resume () {} }) },
