Await the prefix hasher before peers can connect to a starting entry

Cause: startEntry awaited it after its listener and connections were made, so a message that an agent sent meanwhile met the table of handlers before its initialization and ended the process (ReferenceError at start). Change: the hasher is awaited first.

--- a/entry/start_entry.ts
+++ b/entry/start_entry.ts
@@ -77,6 +77,8 @@
   const { timings, name } = settings
   const place = { availabilityZone: settings.availabilityZone, region: settings.region }
   const ring = createDecisionRing({ size: decisionRingSize })
+  // Awaited before peers can connect: from then on, their messages need all that is created below.
+  const hashPrefixes = await createPrefixHasher()
   let draining = false
 
   const base = createDaemonBase({
@@ -124,7 +126,7 @@
   })
   const peerEntries = createPeerEntries(base, name, limiter)
   const requestPorts = createRequestPorts({
-    timer, router, retryBudget, hashPrefixes: await createPrefixHasher(), regionOf: (agent) => agents.getRecord(agent)?.region
+    timer, router, retryBudget, hashPrefixes, regionOf: (agent) => agents.getRecord(agent)?.region
   })
 
   function onMemberChanges (changes: MemberChange[]): void {
