--- a/testing/deployment/_layout.ts
+++ b/testing/deployment/_layout.ts
@@ -35,6 +35,8 @@
   serviceTimeoutMs?: number
   /** Fields merged into the settings of every entry and agent. */
   settings?: Record<string, unknown>
+  /** Arguments of Node.js for every entry, such as the limit on its heap. */
+  entryArguments?: string[]
 }
 
 /** Host of an entry, or of the agent beside a backend server. */
--- a/testing/deployment/start_deployment.ts
+++ b/testing/deployment/start_deployment.ts
@@ -142,7 +142,8 @@
     const name = `${kind}/${host.name}`
     const file = join(folder, `${kind}-${host.name}.jsonc`)
     await writeFile(file, JSON.stringify(buildSettings(host, platform, options), undefined, 2))
-    processes.set(name, startProcess(name, [mainPath, kind, '--settings', file], timer))
+    const nodeArguments = kind === 'entry' ? options.entryArguments ?? [] : []
+    processes.set(name, startProcess(name, [...nodeArguments, mainPath, kind, '--settings', file], timer))
   }
 
   async function waitFor (condition: string, names: string[], timeoutMs: number, check: () => Promise<boolean>): Promise<void> {
