Bound the bytes of all requests that a gateway reads or holds, and let long bodies take turns

Cause: each chunk of a body was kept as an object until its end, nothing bounded the bytes of all bodies together, and what a refused client still sent was read as fast as it came. Chunks of one byte took some 400 bytes each, which ended the process (heap out of memory). Change: pieces are joined in memory that is used again (core/stream), one budget of bytes covers bodies, waiting requests, responses and events, and evicts unfinished bodies, those without progress first (503 or 408, not run); long bodies are read in turns, and what follows a refusal within bounds. The limit on bodies in force holds for half-read ones.

--- a/core/stream/create_byte_budget.ts
+++ b/core/stream/create_byte_budget.ts
@@ -10,12 +10,27 @@
   close (): void
 }
 
+/** Configures an account. */
+export interface ByteAccountOptions {
+  /**
+   * Returns how readily the account is evicted, when the budget is exceeded: a higher rank before a lower one, whatever they hold; 0 by
+   * default. Of accounts of one rank, the one that holds the most is evicted; one without a rank is not evicted.
+   */
+  rank?: () => number | undefined
+  /** Number of bytes up to which the account is evicted only when no other is left; 0 by default. */
+  floorBytes?: number
+}
+
 /** Bounds the bytes of all open accounts together. */
 export interface ByteBudget {
-  /** Opens an account. `onEvicted` is called when the account holds the most while all together hold too much; it is closed by then. */
-  open (onEvicted: () => void): ByteAccount
+  /** Largest number of bytes that all accounts may hold together. */
+  readonly maxBytes: number
+  /** Opens an account. `onEvicted` is called when all accounts together hold too much and this one is the first to go; it is closed by then. */
+  open (onEvicted: () => void, options?: ByteAccountOptions): ByteAccount
   /** Returns the number of bytes that all open accounts hold. */
   heldBytes (): number
+  /** Tells whether more than half of the budget is held, so that accounts without progress should end. */
+  isTight (): boolean
 }
 
 /** Configures a budget. */
@@ -26,7 +41,7 @@
 
 /**
  * Creates a budget without accounts. When the accounts together exceed it, those that hold the most are evicted until they do not, so
- * that a stream that holds little goes on whatever the others hold.
+ * that a stream that holds little goes on whatever the others hold. Options of the accounts refine that order.
  *
  * @param options the bound
  * @returns the budget
@@ -43,7 +58,7 @@
  * ```
  */
 export function createByteBudget (options: ByteBudgetOptions): ByteBudget {
-  interface Entry { bytes: number, onEvicted: () => void }
+  interface Entry { bytes: number, rank: () => number | undefined, floorBytes: number, onEvicted: () => void }
   const { maxBytes } = options
   const entries = new Set<Entry>()
   let heldBytes = 0
@@ -54,28 +69,40 @@
     if (entries.delete(entry)) heldBytes -= entry.bytes
   }
 
-  function evictLargest (): void {
-    let largest: Entry | undefined
-    for (const entry of entries) if (largest === undefined || entry.bytes > largest.bytes) largest = entry
-    if (largest === undefined) return
-    close(largest)
-    largest.onEvicted()
+  /** Evicts one account; returns false when there is none that may be evicted. */
+  function evictFirst (): boolean {
+    let first: Entry | undefined
+    let firstRank = 0
+    for (const entry of entries) {
+      const ownRank = entry.rank()
+      if (ownRank === undefined) continue
+      const rank = entry.bytes <= entry.floorBytes ? -Infinity : ownRank
+      if (first !== undefined && (rank < firstRank || (rank === firstRank && entry.bytes <= first.bytes))) continue
+      first = entry
+      firstRank = rank
+    }
+    if (first === undefined) return false
+    close(first)
+    first.onEvicted()
+    return true
   }
 
   return {
-    open (onEvicted) {
-      const entry: Entry = { bytes: 0, onEvicted }
+    maxBytes,
+    open (onEvicted, { rank = () => 0, floorBytes = 0 } = {}) {
+      const entry: Entry = { bytes: 0, rank, floorBytes, onEvicted }
       entries.add(entry)
       return {
         set (bytes) {
           if (!entries.has(entry)) return
           heldBytes += bytes - entry.bytes
           entry.bytes = bytes
-          while (isExceeded()) evictLargest()
+          while (isExceeded() && evictFirst());
         },
         close: () => close(entry)
       }
     },
-    heldBytes: () => heldBytes
+    heldBytes: () => heldBytes,
+    isTight: () => heldBytes > maxBytes / 2
   }
 }
--- a/gateway/_client_server.ts
+++ b/gateway/_client_server.ts
@@ -4,7 +4,7 @@
 import { createServer } from 'node:http'
 import { chooseTarget, RequestKind } from '../core/route/mod.ts'
 import { Count } from '../metrics/mod.ts'
-import { ClosedBy, manageConnections } from '../http/mod.ts'
+import { ClosedBy, createBodyReader, manageConnections } from '../http/mod.ts'
 import { decodeRequestHead } from '../platform/mod.ts'
 import { readBody } from './_read_body.ts'
 import { recordResult } from './_record_result.ts'
@@ -71,6 +71,7 @@
   const stops = new Set<(reason: StopReason) => void>()
   const server = createServer({ keepAlive: true, noDelay: true, connectionsCheckingInterval: 500 }, onRequest)
   server.requestTimeout = 0
+  const bodies = createBodyReader({ timer, budget: context.heldBytes })
   const connections = manageConnections(server, { timer, log, idleTimeoutMs: server.keepAliveTimeout })
 
   function onRequest (req: IncomingMessage, res: ServerResponse): void {
@@ -131,7 +132,7 @@
     const startedMs = timer.now()
     if (isDraining) res.shouldKeepAlive = false
     const refuse = (status: number, reason: string, retryAfterMs?: number): void => {
-      req.resume()
+      bodies.discard(req)
       if (!req.complete) res.shouldKeepAlive = false
       reply.sendLocal(retryAfterMs === undefined ? { status, reason } : { status, reason, retryAfterMs })
       log.warn({ request: head.requestId, status, reason }, 'refused')
@@ -171,10 +172,9 @@
     })
     let isReadingBody = true
     onStop((reason) => { if (isReadingBody && reason !== StopReason.ClientDisconnected) refuse(408, 'body_too_slow') })
-    const onBody = (body: Buffer | undefined): void => {
+    const onBody = (body: Buffer): void => {
       isReadingBody = false
       if (stopReason() !== undefined) return
-      if (body === undefined) return refuse(413, 'body_too_large')
       // The process may have begun to stop while the body came.
       if (!canFinishBeforeExit(route, deadlineMs)) return refuseStopping()
       const request: ClientRequest = {
@@ -195,13 +195,8 @@
       context.retryBudget(service.name).recordRequest(timer.now())
       serve(request).catch(fail)
     }
-    readBody(req, table.limits.maxBodyBytes, (body) => {
-      try {
-        onBody(body)
-      } catch (err) {
-        fail(err)
-      }
-    })
+    const maxBytes = (): number => (directory.routeTable() ?? table).limits.maxBodyBytes
+    readBody(req, res, { bodies, maxBytes, priority: route.priority, onBody, onFault: () => { isReadingBody = false }, refuse, onError: fail })
   }
 
   async function serve (request: ClientRequest): Promise<void> {
--- a/gateway/_forward_stream.ts
+++ b/gateway/_forward_stream.ts
@@ -64,6 +64,8 @@
 const minRefusalStatus = 300
 /** Bytes beyond which an event counts as one without end: as many as the operators allow in the longest request. */
 const maxEventBytes = 4 * 1_048_576
+/** Length in bytes up to which an incomplete event is lost only when nothing longer is held. */
+const heldFloorBytes = 65_536
 
 /** Forwards one stream and returns how it ended; the client's response is completed only when the stream is complete. */
 export function forwardStream (context: GatewayContext, request: ClientRequest, options: ForwardStreamOptions): Promise<StreamResult> {
@@ -85,7 +87,8 @@
     const isContinued = request.reply.hasBegun()
     const scanner = createEventScanner()
     const partialBytes = events?.partialBytes ?? scanner.partialBytes
-    const held = context.heldBytes.open(() => loseEndless(`an event of ${partialBytes()} bytes is the longest of too many that are not complete`))
+    const tooMany = 'bytes is the longest of too many that are not complete'
+    const held = context.heldBytes.open(() => loseEndless(`an event of ${partialBytes()} ${tooMany}`), { floorBytes: heldFloorBytes })
     const observer = observeStream(context.promptGuard, worker, request.head.sharedParts)
 
     const watch = resumption === undefined
--- a/gateway/start_gateway.ts
+++ b/gateway/start_gateway.ts
@@ -55,8 +55,11 @@
 /** Longest time in milliseconds for which the process waits until the responses to the requests that it stops have been sent. */
 const finalResponseMs = 150
 const finalCheckMs = 10
-/** Share of the memory of the process that responses may take while they are held back; the rest is for all else and for garbage. */
-const heldMemoryShare = 1 / 8
+/** Least share of the memory of the process that requests and responses may take while they are held; the rest is for all else and for garbage. */
+const minHeldShare = 1 / 8
+/** Memory in bytes that the process takes besides what is held, and the share of the rest that may be held. */
+const ownMemoryBytes = 112 * 1_048_576
+const heldShare = 1 / 2
 /** Memory in bytes of a process whose platform names none. */
 const defaultMemoryBytes = 128 * 1_048_576
 
@@ -110,7 +113,8 @@
   })
   const promptGuard = createPromptGuard({ directory, timer, log, metrics, sendEvidence: sidecars.sendEvidence })
 
-  const heldBytes = createByteBudget({ maxBytes: heldMemoryShare * (settings.memoryBytes ?? defaultMemoryBytes) })
+  const memoryBytes = settings.memoryBytes ?? defaultMemoryBytes
+  const heldBytes = createByteBudget({ maxBytes: Math.max(minHeldShare * memoryBytes, heldShare * (memoryBytes - ownMemoryBytes)) })
 
   const context: GatewayContext = {
     metrics,
