Bound the connections at every door of a gateway and a sidecar, and read slowly when memory is short

Cause: nothing bounded connections or descriptors; a frame of 4 MiB was accepted from a peer that had said nothing before.

--- a/directory/share_view.ts
+++ b/directory/share_view.ts
@@ -5,7 +5,7 @@
 import type { ViewState } from '../core/view/mod.ts'
 import type { Log } from '../log/mod.ts'
 import type { Timer } from '../timer/mod.ts'
-import type { Connection, Message } from '../wire/mod.ts'
+import type { Connection, ListenBounds, Message } from '../wire/mod.ts'
 import type { Directory } from './_types.ts'
 
 /** Configures the sharing of a view. */
@@ -17,6 +17,8 @@
   address?: string
   /** Returns the addresses of the processes that read the store for this one, with its own when it is one of them. */
   readers: () => readonly string[]
+  /** Bounds of the listener; unlimited by default. */
+  bounds?: ListenBounds
 }
 
 /** Follows the readers of the store and passes the view of this process on. */
@@ -136,6 +138,7 @@
     ? undefined
     : await listen({
       ...listenAddress.val,
+      ...options.bounds,
       onConnection (connection) {
         connection.onClose(() => { followers.delete(connection) })
         connection.onMessage((msg) => onFollowerMessage(connection, msg))
--- a/directory/sync_records.ts
+++ b/directory/sync_records.ts
@@ -4,6 +4,7 @@
 import { connect, listen, MessageKind, parseAddress } from '../wire/mod.ts'
 import type { Log } from '../log/mod.ts'
 import type { Timer } from '../timer/mod.ts'
+import type { ListenBounds } from '../wire/mod.ts'
 import type { Directory } from './_types.ts'
 
 /** Configures the copying of records. */
@@ -15,6 +16,8 @@
   address?: string
   /** Addresses of processes that may have the records. */
   seeds: readonly string[]
+  /** Bounds of the listener; unlimited by default. */
+  bounds?: ListenBounds
 }
 
 /** Sends records to other processes on request, and requests them once at the start and until the store has been read. */
@@ -72,6 +75,7 @@
     ? undefined
     : await listen({
       ...listenAddress.val,
+      ...options.bounds,
       onConnection (connection) {
         connection.onMessage((msg) => {
           if (msg.kind !== MessageKind.ConfigDigest) return
--- a/gateway/_client_server.ts
+++ b/gateway/_client_server.ts
@@ -2,6 +2,7 @@
  * The HTTP server for clients, which applies the operator's limits.
  */
 import { createServer } from 'node:http'
+import { divideProcess } from '../core/bounds/mod.ts'
 import { chooseTarget, RequestKind } from '../core/route/mod.ts'
 import { Count } from '../metrics/mod.ts'
 import { ClosedBy, createBodyReader, manageConnections } from '../http/mod.ts'
@@ -71,7 +72,12 @@
   const stops = new Set<(reason: StopReason) => void>()
   const server = createServer({ keepAlive: true, noDelay: true, connectionsCheckingInterval: 500 }, onRequest)
   server.requestTimeout = 0
-  const bodies = createBodyReader({ timer, budget: context.heldBytes })
+  const bodies = createBodyReader({
+    timer,
+    budget: context.heldBytes,
+    slowFromBytes: divideProcess(context.settings).slowFromBytes,
+    onCut: () => context.metrics.count(Count.ConnectionsClosed, { address: 'front', reason: 'body_after_refusal' })
+  })
   const connections = manageConnections(server, { timer, log, idleTimeoutMs: server.keepAliveTimeout })
 
   function onRequest (req: IncomingMessage, res: ServerResponse): void {
--- a/gateway/start_gateway.ts
+++ b/gateway/start_gateway.ts
@@ -1,21 +1,23 @@
 /**
  * Starts a gateway, the process between the clients and the workers of the platform.
  */
-import { createServer } from 'node:http'
+import { divideProcess } from '../core/bounds/mod.ts'
 import { Err, Ok } from '../core/results/mod.ts'
 import { createSharedRetryBudget } from '../core/retry/mod.ts'
 import { createDirectory, listStoreReaders, shareView, syncRecords } from '../directory/mod.ts'
 import { createByteBudget } from '../core/stream/mod.ts'
 import { createExchangePool } from '../exchange/mod.ts'
+import { boundConnections } from '../http/mod.ts'
 import { Count, createPrometheusMetrics } from '../metrics/mod.ts'
-import { readyPath } from '../platform/mod.ts'
 import { parseAddress } from '../wire/mod.ts'
+import { createReadyServer } from './_ready_server.ts'
 import { createPromptGuard } from './_prompt_guard.ts'
 import { createSidecarClient } from './_sidecar_client.ts'
 import { createClientServer } from './_client_server.ts'
 import type { Server } from 'node:http'
 import type { Result } from '../core/results/mod.ts'
 import type { SharedRetryBudget } from '../core/retry/mod.ts'
+import type { BoundedConnections } from '../http/mod.ts'
 import type { Log } from '../log/mod.ts'
 import type { NodeSettings } from '../platform/mod.ts'
 import type { Timer } from '../timer/mod.ts'
@@ -55,13 +57,8 @@
 /** Longest time in milliseconds for which the process waits until the responses to the requests that it stops have been sent. */
 const finalResponseMs = 150
 const finalCheckMs = 10
-/** Least share of the memory of the process that requests and responses may take while they are held; the rest is for all else and for garbage. */
-const minHeldShare = 1 / 8
-/** Memory in bytes that the process takes besides what is held, and the share of the rest that may be held. */
-const ownMemoryBytes = 112 * 1_048_576
-const heldShare = 1 / 2
-/** Memory in bytes of a process whose platform names none. */
-const defaultMemoryBytes = 128 * 1_048_576
+/** Largest first frame that a process may send, in bytes. */
+const maxFirstFrameBytes = 65_536
 
 /**
  * Starts a gateway.
@@ -78,6 +75,7 @@
  */
 export async function startGateway (options: GatewayOptions): Promise<Result<Gateway, string>> {
   const { settings, timer, log, random } = options
+  const bounds = divideProcess(settings)
   const budgets = new Map<string, SharedRetryBudget>()
   const startedAtMs = timer.now()
   let lastKnownGateways = assumedGateways
@@ -100,11 +98,19 @@
       leaving_workers: () => directory.fleet.all().filter((worker) => worker.word.leavingSinceMs !== undefined).length,
       held_workers: () => directory.fleet.all().filter((worker) => worker.word.hold.untilMs() > timer.now()).length,
       held_bytes: () => heldBytes.heldBytes(),
+      held_bytes_max: () => heldBytes.maxBytes,
+      client_connections: () => clients?.count() ?? 0,
       quarantines: () => promptGuard.quarantines(),
       log_lines_dropped: () => options.droppedLines?.() ?? 0
     },
+    onServer: (server) => bound(server, 'metrics', bounds.checks),
     onError: (reason) => log.warn({ reason }, 'metrics not served')
   })
+  function bound (server: Server, address: string, maxConnections: number | undefined): BoundedConnections | undefined {
+    const onClosed = (): void => metrics.count(Count.ConnectionsClosed, { address, reason: 'too_many' })
+    return maxConnections === undefined ? undefined : boundConnections(server, { timer, maxConnections, onClosed })
+  }
+
   function onRecordPassedOver (reason: string): void { metrics.count(Count.RecordsPassedOver, { reason }) }
   function onStoreCall (hasResponded: boolean): void { metrics.count(Count.StoreReads, { result: hasResponded ? 'answered' : 'failed' }) }
 
@@ -113,8 +119,7 @@
   })
   const promptGuard = createPromptGuard({ directory, timer, log, metrics, sendEvidence: sidecars.sendEvidence })
 
-  const memoryBytes = settings.memoryBytes ?? defaultMemoryBytes
-  const heldBytes = createByteBudget({ maxBytes: Math.max(minHeldShare * memoryBytes, heldShare * (memoryBytes - ownMemoryBytes)) })
+  const heldBytes = createByteBudget({ maxBytes: bounds.heldBytes })
 
   const context: GatewayContext = {
     metrics,
@@ -159,8 +164,10 @@
   }
 
   const clientServer = createClientServer(context)
+  const clients = bound(clientServer.server, 'front', bounds.clients)
   const peerAddress = settings.peerAddress === undefined ? {} : { address: settings.peerAddress }
-  const records = await syncRecords({ directory, timer, log, seeds: settings.seeds, ...peerAddress })
+  const peerBounds = { maxFirstFrameBytes, ...(bounds.peers === undefined ? {} : { maxConnections: bounds.peers }) }
+  const records = await syncRecords({ directory, timer, log, seeds: settings.seeds, ...peerAddress, bounds: peerBounds })
 
   const { regions, zone, internalPort } = settings
   const readers = (): string[] => listStoreReaders({ fleet: directory.fleet, regions, zone, internalPort })
@@ -172,11 +179,8 @@
     return table !== undefined && table.listServices().some((service) => directory.fleet.serving(service.name).length > 0)
   }
 
-  const readinessServer = createServer((req, res) => {
-    const status = req.url !== readyPath ? 404 : isReady() ? 200 : 503
-    res.writeHead(status, { 'Content-Length': 0 })
-    res.end()
-  })
+  const readinessServer = createReadyServer(isReady)
+  bound(readinessServer, 'ready', bounds.checks)
 
   async function close (): Promise<void> {
     clientServer.close()
--- a/http/create_body_reader.ts
+++ b/http/create_body_reader.ts
@@ -43,6 +43,8 @@
 export interface BodyReaderOptions {
   timer: Timer
   budget: ByteBudget
+  /** Memory of the process in bytes from which on long bodies are read slowly; never by default. */
+  slowFromBytes?: number
   /** Largest number of bytes of one body that are discarded before its connection is closed; 8 MiB by default. */
   maxDiscardedBytes?: number
   /** Called when the rest of a body is too long to be discarded. */
@@ -81,7 +83,7 @@
  */
 export function createBodyReader (options: BodyReaderOptions): BodyReader {
   const { timer, budget, maxDiscardedBytes = defaultMaxDiscardedBytes, onCut = () => {} } = options
-  const turns = createReadTurns()
+  const turns = createReadTurns({ timer, memoryBytes: process.memoryUsage.rss, slowFromBytes: options.slowFromBytes ?? Infinity })
   const pieces = createPiecePool({ maxBytes: budget.maxBytes })
   /** Requests whose bodies are read or discarded already. */
   const known = new WeakSet<IncomingMessage>()
--- a/metrics/create_prometheus_metrics.ts
+++ b/metrics/create_prometheus_metrics.ts
@@ -4,6 +4,7 @@
 import { createServer } from 'node:http'
 import { monitorEventLoopDelay } from 'node:perf_hooks'
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
+import type { Server } from 'node:http'
 
 /** Names the latency histograms, in milliseconds. */
 export enum Latency {
@@ -43,6 +44,8 @@
   StoreReads = 'store_reads_total',
   /** Connections of clients that closed while a request had no complete response, by the side that closed them. */
   Unanswered = 'requests_unanswered_total',
+  /** Connections of callers that were closed to keep a bound, by the address and the reason. */
+  ConnectionsClosed = 'connections_closed_total',
   /** Records of the store that had no effect although they differ from the known ones, by reason. */
   RecordsPassedOver = 'records_passed_over_total'
 }
@@ -59,6 +62,7 @@
   [Count.SendsHeld]: ['service', 'reason'],
   [Count.StoreReads]: ['result'],
   [Count.Unanswered]: ['closed_by'],
+  [Count.ConnectionsClosed]: ['address', 'reason'],
   [Count.RecordsPassedOver]: ['reason']
 }
 
@@ -74,6 +78,7 @@
   [Count.SendsHeld]: 'Workers that the choice for a request held back, by service and reason',
   [Count.StoreReads]: 'Calls to the store by result',
   [Count.Unanswered]: 'Requests whose connection closed before their response was complete, by the side that closed it',
+  [Count.ConnectionsClosed]: 'Connections of callers that were closed to keep a bound, by address and reason',
   [Count.RecordsPassedOver]: 'Records of the store without effect, by reason',
   [Latency.Request]: 'Time from a request to its final answer in ms',
   [Latency.FirstEvent]: 'Time from a request to the first event in ms',
@@ -89,6 +94,9 @@
 /** Sampling interval of the event loop delay. */
 const loopDelayResolutionMs = 100
 const nsPerMs = 1e6
+/** Times in milliseconds within which a reader must send its head, and its whole request. */
+const headersTimeoutMs = 5_000
+const requestTimeoutMs = 10_000
 
 /** Functions that read the gauges, by name; they are called each time the metrics are rendered. */
 export type GaugeReaders = { readonly [name: string]: () => number }
@@ -111,6 +119,8 @@
   listen?: { host: string, port: number }
   /** Gauges of the process, besides event loop delay and memory. */
   gauges: GaugeReaders
+  /** Receives the server before it accepts connections. */
+  onServer?: (server: Server) => void
   /** Called with the error message of the server, such as when the address cannot be bound. */
   onError?: (message: string) => void
 }
@@ -145,11 +155,12 @@
   for (const [name, read] of Object.entries(gauges)) {
     const gauge: Gauge = new Gauge({ name: namePrefix + name, help: name.replaceAll('_', ' '), registers, collect: () => gauge.set(read()) })
   }
-  const server = createServer((_req, res) => {
+  const server = createServer({ headersTimeout: headersTimeoutMs, requestTimeout: requestTimeoutMs }, (_req, res) => {
     registry.metrics().then((text) => res.writeHead(200, { 'Content-Type': registry.contentType }).end(text))
       .catch((err) => res.writeHead(500).end(String(err)))
   })
   server.on('error', (err) => options.onError?.(err.message))
+  options.onServer?.(server)
   if (options.listen !== undefined) server.listen(options.listen.port, options.listen.host)
 
   return {
--- a/peer/create_peers.ts
+++ b/peer/create_peers.ts
@@ -7,6 +7,8 @@
 import type { Connection, Listener, Message } from '../wire/mod.ts'
 import type { Peer, Peers, PeersOptions } from './_types.ts'
 
+/** Largest first frame that a peer may send, in bytes. */
+const maxHelloBytes = 65_536
 /** Time within which a new connection must deliver its first message, whichever end opened it. */
 const helloTimeoutMs = 2000
 
@@ -118,7 +120,7 @@
   return {
     async listen (host, port) {
       const { psk, maxFrameBytes } = options
-      const bound = await listen({ host, port, psk, maxFrameBytes, onConnection: (conn) => handleConnection(conn, false) })
+      const bound = await listen({ host, port, psk, maxFrameBytes, maxFirstFrameBytes: maxHelloBytes, onConnection: (conn) => handleConnection(conn, false) })
       if (bound.err) return Err(`cannot listen at "${host}:${port}": ${bound.val.message}`)
       listener = bound.val
       address = bound.val.address
--- a/sidecar/start_sidecar.ts
+++ b/sidecar/start_sidecar.ts
@@ -1,8 +1,10 @@
 /**
  * Starts a sidecar: the process that admits streams to the engine on its machine and orders the stage of the engine.
  */
+import { divideProcess } from '../core/bounds/mod.ts'
 import { createDirectory, listStoreReaders, shareView, syncRecords, viewPortOffset } from '../directory/mod.ts'
 import { callJson, createExchangePool } from '../exchange/mod.ts'
+import { boundConnections } from '../http/mod.ts'
 import { Count, createPrometheusMetrics } from '../metrics/mod.ts'
 import { decodeEngineReport, decodeResponseHead, buildReportCall } from '../platform/mod.ts'
 import { formatAddress, listen } from '../wire/mod.ts'
@@ -40,6 +42,8 @@
 /** Interval in milliseconds at which the report of the engine is read; calls on the same machine are free of charge. */
 const reportPeriodMs = 50
 const reportTimeoutMs = 500
+/** Largest first frame that a process may send, in bytes. */
+const maxFirstFrameBytes = 65_536
 /**
  * Time in milliseconds that one watch call to the store waits. A long wait saves calls, which are charged, and a sidecar forwards no
  * requests. It is limited because a sidecar whose watch stops responding may miss a restart of its engine, and then admits no stream.
@@ -68,7 +72,9 @@
   const records = await syncRecords({ directory, timer, log, seeds: settings.seeds })
   const { regions, zone, internalPort } = settings
   const readers = (): string[] => listStoreReaders({ fleet: directory.fleet, regions, zone, internalPort })
-  const view = await shareView({ directory, timer, log, address: formatAddress(settings.ip, internalPort + viewPortOffset), readers })
+  const bounds = divideProcess(settings)
+  const peerBounds = { maxFirstFrameBytes, ...(bounds.clients === undefined ? {} : { maxConnections: bounds.clients / 2 }) }
+  const view = await shareView({ directory, timer, log, address: formatAddress(settings.ip, internalPort + viewPortOffset), readers, bounds: peerBounds })
   const packing = { ...options.packing, startMs }
   const admission = createAdmissionTask({
     directory, pool, timer, log, packing, random, drainMs: settings.drainMs, isSwitching: () => stages.isSwitching()
@@ -84,7 +90,7 @@
     isLeaving: () => admission.isLeaving()
   })
   const listener = await listen({
-    host: settings.ip, port: settings.internalPort, firstMessageTimeoutMs: 0, onConnection: (connection) => admission.addGateway(connection)
+    host: settings.ip, port: settings.internalPort, firstMessageTimeoutMs: 0, ...peerBounds, onConnection: (connection) => admission.addGateway(connection)
   })
   if (listener.err) log.error({ reason: listener.val.message }, 'not listening')
   const metrics = createPrometheusMetrics({
@@ -98,6 +104,10 @@
       gateways: () => admission.gateways(),
       log_lines_dropped: () => options.droppedLines?.() ?? 0
     },
+    onServer (server) {
+      const onClosed = (): void => metrics.count(Count.ConnectionsClosed, { address: 'metrics', reason: 'too_many' })
+      if (bounds.checks !== undefined) boundConnections(server, { timer, maxConnections: bounds.checks, onClosed })
+    },
     onError: (reason) => log.warn({ reason }, 'metrics not served')
   })
   function onRecordPassedOver (reason: string): void { metrics.count(Count.RecordsPassedOver, { reason }) }
--- a/wire/_connection.ts
+++ b/wire/_connection.ts
@@ -29,6 +29,10 @@
 export interface ConnectionOptions {
   /** Largest frame accepted, in bytes; 4 MiB by default. */
   maxFrameBytes?: number
+  /** Largest first frame accepted, in bytes; `maxFrameBytes` by default. */
+  maxFirstFrameBytes?: number
+  /** Called when the first message has arrived. */
+  onFirstMessage?: () => void
   /** Largest number of unsent bytes; 16 MiB by default. */
   maxBufferedBytes?: number
   /** Time in milliseconds within which the first message must arrive; unlimited by default. */
@@ -44,6 +48,7 @@
   let receiver: ((msg: Message) => void) | undefined
   let unsentFrames: Buffer[] = []
   let unsentBytes = 0
+  let hasMessage = false
   let isClosing = false
   let closeReason = 'closed by the peer'
   let isClosed = false
@@ -97,7 +102,11 @@
       abort(values.val.message)
       return
     }
-    if (values.val.length > 0) socket.setTimeout(0)
+    if (values.val.length > 0) {
+      socket.setTimeout(0)
+      if (!hasMessage) options.onFirstMessage?.()
+      hasMessage = true
+    }
     for (const value of values.val) {
       if (isClosing) return
       handleValue(value)
--- a/wire/create_frame_decoder.ts
+++ b/wire/create_frame_decoder.ts
@@ -14,6 +14,8 @@
 export interface FrameDecoderOptions {
   /** Largest frame accepted, in bytes without the header; 4 MiB by default. */
   maxFrameBytes?: number
+  /** Largest first frame accepted, in bytes without the header; `maxFrameBytes` by default. */
+  maxFirstFrameBytes?: number
 }
 
 /** Decodes the frames of a byte stream. */
@@ -40,7 +42,8 @@
  * ```
  */
 export function createFrameDecoder (options: FrameDecoderOptions = {}): FrameDecoder {
-  const maxFrameBytes = options.maxFrameBytes ?? defaultMaxFrameBytes
+  const laterMaxFrameBytes = options.maxFrameBytes ?? defaultMaxFrameBytes
+  let maxFrameBytes = options.maxFirstFrameBytes ?? laterMaxFrameBytes
   let chunks: Uint8Array[] = []
   let bufferedBytes = 0
   let requiredBytes = frameHeaderBytes
@@ -73,6 +76,7 @@
       const value = decodeBody(bytes.subarray(offset + frameHeaderBytes, offset + requiredBytes))
       if (value.err) return value
       values.push(value.val)
+      maxFrameBytes = laterMaxFrameBytes
       offset += requiredBytes
       requiredBytes = frameHeaderBytes
     }
--- a/wire/listen.ts
+++ b/wire/listen.ts
@@ -15,8 +15,16 @@
 import { WireErrorKind } from './wire_error.ts'
 import type { WireError } from './wire_error.ts'
 
+/** Bounds what connections may take from peers of which nothing is known. */
+export interface ListenBounds {
+  /** Largest number of open connections; unlimited by default. A further one has that closed which has sent no message for longest. */
+  maxConnections?: number
+  /** Largest first frame accepted of each connection, in bytes; as any other by default. */
+  maxFirstFrameBytes?: number
+}
+
 /** Configures a listener. */
-export interface ListenOptions {
+export interface ListenOptions extends ListenBounds {
   /** IP address to bind. */
   host: string
   /** Port to bind; 0 lets the operating system choose one. */
@@ -57,18 +65,30 @@
  */
 export function listen (options: ListenOptions): Promise<Result<Listener, WireError>> {
   const { host, port, psk } = options
+  const { maxConnections = Infinity } = options
   const sockets = new Set<Socket>()
+  /** Sockets on which no message has come, by the address of the peer, the oldest first; with a key, those in their handshake too. */
+  const silent = new Map<string, Socket>()
+  const getPeer = (socket: Socket): string => `${socket.remoteAddress} ${socket.remotePort}`
 
   function accept (socket: Socket): void {
     const firstMessageTimeoutMs = options.firstMessageTimeoutMs ?? defaultFirstMessageTimeoutMs
-    options.onConnection(createConnection(socket, { ...options, firstMessageTimeoutMs }))
+    const peer = getPeer(socket)
+    options.onConnection(createConnection(socket, { ...options, firstMessageTimeoutMs, onFirstMessage: () => { silent.delete(peer) } }))
   }
 
   const server: Server = psk === undefined ? createTcpServer(accept) : createTlsServer(serverPskOptions(psk), accept)
   // Raw sockets are tracked, so that `close` also ends a connection in the middle of its TLS handshake.
   server.on('connection', (socket: Socket) => {
+    const peer = getPeer(socket)
     sockets.add(socket)
-    socket.on('close', () => { sockets.delete(socket) })
+    silent.set(peer, socket)
+    socket.on('close', () => {
+      sockets.delete(socket)
+      if (silent.get(peer) === socket) silent.delete(peer)
+    })
+    // When all others have sent messages, the oldest without one is this one.
+    if (sockets.size > maxConnections) silent.values().next().value?.destroy()
     socket.on('error', () => { socket.destroy() })
   })
   server.on('tlsClientError', (_err: Error, socket: Socket) => { socket.destroy() })
