Bound the bodies and connections of an entry; limits on heads and idle times reach open connections

Entry: bodies are read by http/create_body_reader.ts within a quarter of the limit on the heap, at most twice maxRequests connections; a ticket whose body is too long gets 413, not 400. Gateway: the parser of a connection keeps the limit on heads with which it was created, so raised limits ended requests on open connections with 431, and lowered ones did not hold. The parser now has 32 KiB at least and the limit in force is checked for each head; a lowered idle limit reaches idle connections. Both new scenarios of gateway/client_connections.feature fail with http/manage_connections.ts as before.

--- a/entry/_completions.ts
+++ b/entry/_completions.ts
@@ -214,7 +214,7 @@
       sendRefusal(call.res, createRefusal(RefusalCode.NoCapacity, Outcome.NotRun, 1000))
       return
     }
-    const body = await readBody(call.req, options.maxBodyBytes)
+    const body = await readBody(call.bodies, call, options.maxBodyBytes)
     if (body.err) {
       sendRefusal(call.res, body.val)
       return
--- a/entry/_http_server.ts
+++ b/entry/_http_server.ts
@@ -3,11 +3,13 @@
  */
 import { createServer } from 'node:http'
 import { Err, Ok } from '../core/results/mod.ts'
-import { manageConnections } from '../http/mod.ts'
-import { createClientError, createHandlerError, sendRefusal } from './_refusals.ts'
+import { boundConnections, createBodyReader, manageConnections } from '../http/mod.ts'
+import { createBodyRefusal, createClientError, createHandlerError, sendRefusal } from './_refusals.ts'
 import type { AddressInfo } from 'node:net'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Result } from '../core/results/mod.ts'
+import type { ByteBudget } from '../core/stream/mod.ts'
+import type { BodyReader } from '../http/mod.ts'
 import type { Log } from '../log/mod.ts'
 import type { Timer } from '../timer/mod.ts'
 import type { HttpRefusal } from './_refusals.ts'
@@ -21,6 +23,8 @@
   /** Path with the query. */
   url: string
   requestId: string
+  /** Reads the body of the request. */
+  bodies: BodyReader
 }
 
 /** Handles one route. */
@@ -38,6 +42,12 @@
   port: number
   routes: HttpRoute[]
   maxHeaderBytes: number
+  /** Largest number of open connections. */
+  maxConnections: number
+  /** Bounds the bytes of the bodies that are read or held. */
+  budget: ByteBudget
+  /** Memory of the process in bytes from which on long bodies are read slowly. */
+  slowFromBytes: number
   nextRequestId: () => string
   timer: Timer
   log: Log
@@ -75,8 +85,11 @@
     const url = req.url ?? '/'
     const path = url.split('?', 1)[0] ?? '/'
     const route = findRoute(options.routes, req.method ?? 'GET', path)
-    if (route.err) sendRefusal(res, route.val)
-    else await route.val.handle({ req, res, path, url, requestId })
+    if (route.err) {
+      bodies.discard(req)
+      sendRefusal(res, route.val)
+    }
+    if (route.ok) await route.val.handle({ req, res, path, url, requestId, bodies })
   }
 
   const server = createServer({
@@ -86,7 +99,9 @@
     keepAliveTimeout: keepAliveTimeoutMs,
     noDelay: true
   })
-  const { timer, log } = options
+  const { timer, log, budget, slowFromBytes, maxConnections } = options
+  const bodies = createBodyReader({ timer, budget, slowFromBytes })
+  boundConnections(server, { timer, maxConnections })
   const connections = manageConnections(server, { timer, log, idleTimeoutMs: keepAliveTimeoutMs })
   server.on('request', (req, res) => {
     const requestId = options.nextRequestId()
@@ -121,26 +136,17 @@
 /**
  * Reads the body of a request up to a limit.
  *
- * @param req the request
+ * @param bodies the reader of the server
+ * @param call the request and its response
  * @param maxBytes largest body accepted, in bytes
- * @returns the body, a refusal with status 413, or one with status 400 when the connection closed before the end of the body
+ * @returns the body; a refusal with status 413, 503 or 408, or one with status 400 when the connection closed before the end of the body
  */
-export function readBody (req: IncomingMessage, maxBytes: number): Promise<Result<Buffer, HttpRefusal>> {
+export function readBody (
+  bodies: BodyReader, { req, res }: Pick<HttpCall, 'req' | 'res'>, maxBytes: number
+): Promise<Result<Buffer, HttpRefusal>> {
   return new Promise((resolve) => {
-    const chunks: Buffer[] = []
-    let length = 0
-    req.on('data', (chunk: Buffer) => {
-      length += chunk.length
-      if (length > maxBytes) {
-        // The rest is read and discarded: closing now would reset the connection before the caller reads the refusal.
-        chunks.length = 0
-        resolve(Err(createClientError(413, 'body_too_large', `body is larger than ${maxBytes} bytes`)))
-        return
-      }
-      chunks.push(chunk)
+    bodies.read(req, res, {
+      maxBytes: () => maxBytes, onBody: (body) => resolve(Ok(body)), onFault: (fault) => resolve(Err(createBodyRefusal(fault, maxBytes)))
     })
-    req.on('end', () => resolve(Ok(Buffer.concat(chunks))))
-    req.on('close', () => resolve(Err(createClientError(400, 'body_incomplete', 'body ended early'))))
-    req.on('error', () => resolve(Err(createClientError(400, 'body_incomplete', 'body ended early'))))
   })
 }
--- a/entry/_refusals.ts
+++ b/entry/_refusals.ts
@@ -2,6 +2,7 @@
  * Refusals as callers see them: the HTTP status of each code, and the body in the OpenAI error format.
  */
 import { Outcome, RefusalCode } from '../core/types/mod.ts'
+import { BodyFault } from '../http/mod.ts'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 
 /** A refusal that is sent to a caller. */
@@ -68,6 +69,21 @@
   return { status, code, message, outcome: Outcome.NotRun, param }
 }
 
+/** Delay in milliseconds after which a caller may retry whose body the process had no memory for. */
+const crowdedRetryMs = 1_000
+
+/**
+ * Creates the refusal of a request whose body is not read to its end; `maxBytes` is the limit on bodies.
+ */
+export function createBodyRefusal (fault: BodyFault, maxBytes: number): HttpRefusal {
+  switch (fault) {
+    case BodyFault.TooLong: return createClientError(413, fault, `body is larger than ${maxBytes} bytes`)
+    case BodyFault.Stalled: return createClientError(408, fault, 'body came too slowly while memory was short')
+    case BodyFault.Crowded: return { ...createClientError(503, fault, 'no memory for the body now'), retryAfterMs: crowdedRetryMs }
+    case BodyFault.Broken: return createClientError(400, fault, 'body ended early')
+  }
+}
+
 /**
  * Returns the refusal of a call with its true outcome: under a ticket, an earlier call may have run, whatever is wrong with this one.
  */
@@ -99,7 +115,7 @@
   res.statusCode = refusal.status
   res.setHeader('content-type', 'application/json')
   res.setHeader('x-briarloom-outcome', refusal.outcome)
-  if (refusal.status === 413) res.setHeader('connection', 'close')
+  if (!res.req.complete) res.setHeader('connection', 'close')
   if (refusal.retryAfterMs !== undefined && refusal.retryAfterMs > 0) {
     res.setHeader('retry-after', String(Math.ceil(refusal.retryAfterMs / 1000)))
   }
--- a/entry/_services.ts
+++ b/entry/_services.ts
@@ -175,7 +175,7 @@
       sendRefusal(call.res, createRefusal(RefusalCode.TicketRequired, Outcome.NotRun))
       return
     }
-    const body = await readBody(call.req, options.maxBodyBytes)
+    const body = await readBody(call.bodies, call, options.maxBodyBytes)
     if (body.err) {
       sendRefusal(call.res, refuseUnrouted(body.val, call.req))
       return
--- a/entry/_tickets.ts
+++ b/entry/_tickets.ts
@@ -24,8 +24,12 @@
   async function issueTicket (call: HttpCall): Promise<void> {
     const identity = identifyOrRefuse(options.auth, call)
     if (identity === undefined) return
-    const body = await readBody(call.req, options.maxBodyBytes)
-    const service = body.ok ? parseServiceName(body.val) : undefined
+    const body = await readBody(call.bodies, call, options.maxBodyBytes)
+    if (body.err) {
+      sendRefusal(call.res, body.val)
+      return
+    }
+    const service = parseServiceName(body.val)
     if (service === undefined || config.get(RecordKind.Service, service) === undefined) {
       sendRefusal(call.res, createClientError(400, 'invalid_request', 'field "service" must name a service', 'service'))
       return
--- a/entry/connections_test.ts
+++ b/entry/connections_test.ts
@@ -9,6 +9,7 @@
 import { After, Given, Then, When } from '@cucumber/cucumber'
 import { createLog } from '../log/mod.ts'
 import { createSystemTimer } from '../timer/mod.ts'
+import { divideEntry } from './_divide_entry.ts'
 import { readBody, startHttpServer } from './_http_server.ts'
 import { sendRefusal } from './_refusals.ts'
 import type { Socket } from 'node:net'
@@ -31,8 +32,8 @@
   {
     method: 'POST',
     path: '/body',
-    async handle ({ req, res }) {
-      const body = await readBody(req, maxBytes)
+    async handle ({ req, res, bodies }) {
+      const body = await readBody(bodies, { req, res }, maxBytes)
       if (body.err) sendRefusal(res, body.val)
       else res.end()
     }
@@ -65,6 +66,7 @@
     port: 0,
     routes,
     maxHeaderBytes: 8_192,
+    ...divideEntry(100),
     nextRequestId: () => 'entry-1',
     timer: this.entryTimer,
     log: createLog({ name: 'entry-1', level: 'info', stream }),
--- a/entry/start_entry.ts
+++ b/entry/start_entry.ts
@@ -12,6 +12,7 @@
 import { createDecisionRing, DecisionKind } from '../log/mod.ts'
 import { Metric } from '../metrics/mod.ts'
 import { MessageKind } from '../wire/mod.ts'
+import { divideEntry } from './_divide_entry.ts'
 import { createAgentConnections } from './_agent_connections.ts'
 import { createAuth } from './_auth.ts'
 import { createPeerEntries } from './_peer_entries.ts'
@@ -255,6 +256,7 @@
     port: settings.http.port,
     routes,
     maxHeaderBytes,
+    ...divideEntry(settings.limits.maxRequests),
     nextRequestId: () => `${name}-${randomBytes(requestIdBytes).toString('base64url')}`,
     timer,
     log: base.log,
--- a/gateway/_client_server.ts
+++ b/gateway/_client_server.ts
@@ -155,7 +155,6 @@
     if (!canFinishBeforeExit(route, deadlineMs)) return refuseStopping()
     const service = table.getService(chooseTarget(route, context.random()) ?? '')
     if (service === undefined) return refuse(503, 'no_service', notReadyRetryMs)
-    if (Number(req.headers['content-length'] ?? 0) > table.limits.maxBodyBytes) return refuse(413, 'body_too_large')
 
     const { stop, onStop, stopReason } = createStopSignal()
     const fail = (err: unknown): void => {
@@ -231,8 +230,7 @@
       connections.setIdleTimeout(limits.idleTimeoutMs)
       server.headersTimeout = limits.headerTimeoutMs
       server.keepAliveTimeout = limits.idleTimeoutMs
-      // Node reads this limit for each new connection, but its types declare it only as an option of the constructor.
-      Object.assign(server, { maxHeaderSize: limits.maxHeaderBytes })
+      connections.setMaxHeaderBytes(limits.maxHeaderBytes)
     },
     drain (graceMs) {
       isDraining = true
--- a/gateway/client_connections.feature
+++ b/gateway/client_connections.feature
@@ -83,3 +83,18 @@
     Given a gateway idle limit of 300 ms
     When a raw gateway client sends a request
     Then the connection of the raw gateway client ends without a reset
+
+  Scenario: Raised and lowered limits on heads hold for connections that are open
+    When a raw gateway client sends a request
+    And the gateway limit on heads is raised to 16384 bytes
+    And the raw gateway client sends the next request with a head of 9000 bytes
+    Then the raw gateway client gets 2 responses with 200 within 2000 ms
+    When the gateway limit on heads is lowered to 4096 bytes
+    And the raw gateway client sends the next request with a head of 5000 bytes
+    Then the connection of the raw gateway client ends within 1500 ms, with the statuses "200 200 431"
+
+  Scenario: A lowered idle limit holds for connections that are idle
+    Given a gateway idle limit of 20000 ms
+    When a raw gateway client sends a request
+    And the gateway idle limit is lowered to 200 ms
+    Then the connection of the raw gateway client ends within 3000 ms, with the statuses "200"
--- a/gateway/client_connections_test.ts
+++ b/gateway/client_connections_test.ts
@@ -126,11 +126,21 @@
 
 Given('a gateway idle limit of {int} ms', async function (this: World, ms: number) { await setIdleLimit(this, 20, ms) })
 
-When('the gateway idle limit is raised to {int} ms', async function (this: World, ms: number) { await setIdleLimit(this, 30, ms) })
+When(/^the gateway idle limit is (?:raised|lowered) to (\d+) ms$/, async function (this: World, ms: string) { await setIdleLimit(this, 30, Number(ms)) })
 
-async function setIdleLimit ({ gatewaySite }: World, version: number, ms: number): Promise<void> {
+When(/^the gateway limit on heads is (raised|lowered) to (\d+) bytes$/, async function (this: World, change: string, bytes: string) {
+  await setLimits(this, change === 'raised' ? 20 : 30, { max_header_bytes: Number(bytes) })
+})
+
+When('the raw gateway client sends the next request with a head of {int} bytes', function (this: World, bytes: number) {
+  this.rawClient.socket.write(`${buildRequest().slice(0, -2)}X-Large: ${'x'.repeat(bytes)}\r\n\r\n`)
+})
+
+async function setIdleLimit (world: World, version: number, ms: number): Promise<void> { await setLimits(world, version, { idle_timeout_ms: ms }) }
+
+async function setLimits ({ gatewaySite }: World, version: number, changed: object): Promise<void> {
   const { limits } = JSON.parse(buildConfiguration(version))
-  gatewaySite.writeConfiguration(version, { limits: { ...limits, idle_timeout_ms: ms } })
+  gatewaySite.writeConfiguration(version, { limits: { ...limits, ...changed } })
   await until(() => gatewaySite.readLog().includes(`"version":${version}`), 1000, `version ${version} in force`)
 }
 
--- a/http/create_body_reader.ts
+++ b/http/create_body_reader.ts
@@ -175,6 +175,7 @@
         fail(BodyFault.Broken)
         account?.close()
       })
+      if (Number(req.headers['content-length'] ?? 0) > maxBytes()) fail(BodyFault.TooLong)
     },
     discard (req) {
       if (known.has(req)) return
--- a/http/manage_connections.ts
+++ b/http/manage_connections.ts
@@ -1,61 +1,10 @@
 /**
  * The connections of an HTTP server: how they end, and which of their requests are served.
  */
-import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import { ClosedBy } from './_types.ts'
+import type { IncomingMessage, Server } from 'node:http'
 import type { Socket } from 'node:net'
-import type { Log } from '../log/mod.ts'
-import type { Timer } from '../timer/mod.ts'
-
-/** A request with its response. */
-export interface ConnectionRequest {
-  req: IncomingMessage
-  res: ServerResponse
-  /** Identifier of the request; undefined when the client has sent none. */
-  requestId: string | undefined
-}
-
-/** Names the sides that can close a connection. */
-export enum ClosedBy {
-  Client = 'client',
-  /** The process broke the response off. */
-  Process = 'process',
-  /** A limit on the connection, or the end of the process. */
-  Server = 'server'
-}
-
-/** Describes a request whose connection closed before its response was complete. */
-export interface UnansweredRequest {
-  requestId: string | undefined
-  closedBy: ClosedBy
-  /** Time in milliseconds from the head of the request to the close. */
-  tookMs: number
-  /** True when the head of the response had been sent. */
-  hasBegun: boolean
-}
-
-/** Configures the connections of a server. */
-export interface ManageConnectionsOptions {
-  timer: Timer
-  log: Log
-  /** Idle time in milliseconds after which a connection is closed; `setIdleTimeout` changes it. */
-  idleTimeoutMs: number
-}
-
-/** Receives what becomes of a request. */
-export interface AdmissionHandlers {
-  /** Serves the request. */
-  serve (): void
-  /** Called when the connection of a request that is served closes before its response is complete. */
-  onUnanswered (unanswered: UnansweredRequest): void
-}
-
-/** The connections of a server. */
-export interface ConnectionManager {
-  /** Has a request served once those before it on its connection have their responses; one behind the last response is not served. */
-  admit (request: ConnectionRequest, handlers: AdmissionHandlers): void
-  /** Sets the idle time in milliseconds after which a connection is closed. */
-  setIdleTimeout (ms: number): void
-}
+import type { AdmissionHandlers, ConnectionManager, ConnectionRequest, ManageConnectionsOptions } from './_types.ts'
 
 interface ConnectionState {
   /** The request that is served; its response is not complete. */
@@ -78,11 +27,24 @@
 /** Time in milliseconds for which a connection is read after its last response; closing one with unread bytes resets it, and the response may be lost. */
 const lingerMs = 1_000
 
+/**
+ * Limit on heads in bytes that the parser of each new connection has at least. It keeps its limit for good; the one in force, which may be
+ * raised up to this one while the connection is open, is checked for each head.
+ */
+const minParserLimitBytes = 32_768
+
 const clientErrors: { readonly [code: string]: number } = { HPE_HEADER_OVERFLOW: 431, ERR_HTTP_REQUEST_TIMEOUT: 408 }
 const statusTexts: { readonly [status: number]: string } = {
   400: 'Bad Request', 408: 'Request Timeout', 431: 'Request Header Fields Too Large'
 }
 
+/** Counts the bytes of a head as the parser does: the path, and names and values of the headers. */
+function countHeadBytes ({ url = '', rawHeaders }: IncomingMessage): number {
+  let bytes = url.length
+  for (const text of rawHeaders) bytes += text.length
+  return bytes
+}
+
 /**
  * Takes over how a server closes its connections, so that no request that has been read loses its response.
  *
@@ -103,7 +65,9 @@
 export function manageConnections (server: Server, options: ManageConnectionsOptions): ConnectionManager {
   const { timer, log } = options
   const states = new WeakMap<Socket, ConnectionState>()
+  const sockets = new Set<Socket>()
   let { idleTimeoutMs } = options
+  let maxHeaderBytes = Infinity
 
   function stateOf (socket: Socket): ConnectionState {
     const known = states.get(socket)
@@ -189,7 +153,11 @@
   server.on('connect', (_req, socket) => onClientError(Object.assign(new Error('method CONNECT'), { code: 'CONNECT' }), socket as Socket))
   server.on('timeout', onIdle)
   // Node closes a connection after its last response by this method, which would not wait for what the client still sends.
-  server.on('connection', (socket) => { socket.destroySoon = () => closeInOrder(socket) })
+  server.on('connection', (socket) => {
+    socket.destroySoon = () => closeInOrder(socket)
+    sockets.add(socket)
+    socket.once('close', () => sockets.delete(socket))
+  })
 
   /** Serves the next request of a connection, or closes the connection when that was the last one. */
   function goOn (socket: Socket, state: ConnectionState): void {
@@ -220,6 +188,10 @@
     admit (request, handlers) {
       const { req, requestId } = request
       const state = stateOf(req.socket)
+      if (countHeadBytes(req) >= maxHeaderBytes) {
+        onClientError(Object.assign(new Error('head too long'), { code: 'HPE_HEADER_OVERFLOW' }), req.socket)
+        return
+      }
       if (state.isLast) {
         log.info({ request: requestId }, 'not served: it came behind the last response of its connection')
         req.resume()
@@ -229,6 +201,19 @@
       if (state.current === undefined && state.waiting.length === 0) serve(request, state, handlers)
       else state.waiting.push(() => serve(request, state, handlers))
     },
-    setIdleTimeout (ms) { idleTimeoutMs = ms }
+    setIdleTimeout (ms) {
+      const isLowered = ms < idleTimeoutMs
+      idleTimeoutMs = ms
+      if (!isLowered) return
+      for (const socket of sockets) {
+        const { current, requests, idleSinceMs } = stateOf(socket)
+        if (current === undefined && requests > 0) socket.setTimeout(Math.max(1, idleSinceMs + ms + idleMarginMs - timer.now()))
+      }
+    },
+    setMaxHeaderBytes (bytes) {
+      maxHeaderBytes = bytes
+      // Node reads this limit for each new connection, but its types declare it only as an option of the constructor.
+      Object.assign(server, { maxHeaderSize: Math.max(bytes, minParserLimitBytes) })
+    }
   }
 }
