--- a/core/stream/stream.feature
+++ b/core/stream/stream.feature
@@ -21,3 +21,12 @@
     Given an event splitter that has passed on the events 1 to 2
     When the event splitter gets the events 3, 4, 3 in one chunk
     Then the event splitter passes on nothing, has a repeated event, and its last event is 2
+
+  Scenario: A byte budget evicts by rank before size, small accounts last, and none without a rank
+    Then byte budget accounts are evicted in the order of their ranks, and one without a rank never
+
+  Scenario: A byte buffer returns what was added, in whatever pieces, and lends no memory that it has returned
+    Then a byte buffer with a pool of pieces returns 200 random series of chunks unchanged, and holds at most 64 KiB more than their bytes
+
+  Scenario: A process is divided so that its bounds fit into its machine
+    Then a process of 178, 200 and 602 MiB and 4100 descriptors may hold 33, 44 and 245 MiB and take 1950 clients
--- a/core/stream/stream_test.ts
+++ b/core/stream/stream_test.ts
@@ -4,7 +4,8 @@
 import assert from 'node:assert/strict'
 import { Given, Then, When } from '@cucumber/cucumber'
 import fc from 'fast-check'
-import { createByteBudget, createEventSplitter, createTokenAssembler } from './mod.ts'
+import { divideProcess } from '../bounds/mod.ts'
+import { createByteBudget, createByteBuffer, createEventSplitter, createPiecePool, createTokenAssembler } from './mod.ts'
 import type { EventSplitter } from './mod.ts'
 
 interface World {
@@ -112,3 +113,45 @@
     assert.equal(budget.heldBytes(), 0)
   }), { seed: 5, numRuns: 300 })
 })
+
+Then('byte budget accounts are evicted in the order of their ranks, and one without a rank never', function () {
+  const budget = createByteBudget({ maxBytes: 100 })
+  const evicted: string[] = []
+  const open = (name: string, rank: number | undefined, floorBytes = 0) => budget.open(() => evicted.push(name), { rank: () => rank, floorBytes })
+  open('kept', undefined).set(60)
+  open('small', 9, 10).set(10)
+  open('low', 1).set(15)
+  open('high', 2).set(5)
+  open('low too', 1).set(20)
+  assert.deepEqual(evicted, ['high', 'low too'])
+  open('small too', 9, 10).set(10)
+  open('whole', undefined).set(30)
+  assert.deepEqual(evicted, ['high', 'low too', 'low', 'small'])
+  open('more', undefined).set(30)
+  assert.deepEqual(evicted, ['high', 'low too', 'low', 'small', 'small too'])
+  assert.equal(budget.heldBytes(), 120)
+})
+
+Then('a byte buffer with a pool of pieces returns {int} random series of chunks unchanged, and holds at most 64 KiB more than their bytes',
+  function (numRuns: number) {
+    const pieces = createPiecePool({ maxBytes: 1_048_576 })
+    const returned: Array<[Buffer, Buffer]> = []
+    fc.assert(fc.property(fc.array(fc.tuple(fc.nat(255), fc.oneof(fc.nat(9), fc.nat(100_000)))), (chunks) => {
+      const buffer = createByteBuffer({ pieces })
+      const all = Buffer.concat(chunks.map(([byte, length]) => Buffer.alloc(length, byte)))
+      for (const [byte, length] of chunks) {
+        buffer.append(Buffer.alloc(length, byte))
+        assert.ok(buffer.capacity() <= buffer.length() + 65_536)
+      }
+      assert.equal(buffer.length(), all.length)
+      returned.push([buffer.take(), all])
+      assert.equal(buffer.capacity(), 0)
+      for (const [got, wanted] of returned.splice(0, Math.max(0, returned.length - 2))) assert.ok(got.equals(wanted))
+    }), { seed: 5, numRuns })
+  })
+
+Then('a process of 178, 200 and 602 MiB and 4100 descriptors may hold 33, 44 and 245 MiB and take 1950 clients', function () {
+  const divided = [178, 200, 602].map((mebibytes) => divideProcess({ memoryBytes: mebibytes * 1_048_576, maxDescriptors: 4100 }))
+  assert.deepEqual(divided.map(({ heldBytes }) => heldBytes / 1_048_576), [33, 44, 245])
+  assert.deepEqual(divided.map(({ clients }) => clients), [1950, 1950, 1950])
+})
