Merge the bounds on clients that nobody controls

Conflicts: refusals go through gateway/_refuse_request.ts, which now discards the rest of a body within bounds; a body waits its turn by the priority of the organisation before that of the route; an allowance is given back when the request was never served, also when its client left while its body was read (it was kept then).

--- a/entry/start_entry.ts
+++ b/entry/start_entry.ts
@@ -12,6 +12,7 @@
 import { createDecisionRing, DecisionKind } from '../log/mod.ts'
 import { Metric } from '../metrics/mod.ts'
 import { MessageKind } from '../wire/mod.ts'
+import { divideEntry } from './_divide_entry.ts'
 import { createAgentConnections } from './_agent_connections.ts'
 import { createAuth } from './_auth.ts'
 import { createPeerEntries } from './_peer_entries.ts'
@@ -77,6 +78,8 @@
   const { timings, name } = settings
   const place = { availabilityZone: settings.availabilityZone, region: settings.region }
   const ring = createDecisionRing({ size: decisionRingSize })
+  // Awaited before peers can connect: from then on, their messages need all that is created below.
+  const hashPrefixes = await createPrefixHasher()
   let draining = false
 
   const base = createDaemonBase({
@@ -124,7 +127,7 @@
   })
   const peerEntries = createPeerEntries(base, name, limiter)
   const requestPorts = createRequestPorts({
-    timer, router, retryBudget, hashPrefixes: await createPrefixHasher(), regionOf: (agent) => agents.getRecord(agent)?.region
+    timer, router, retryBudget, hashPrefixes, regionOf: (agent) => agents.getRecord(agent)?.region
   })
 
   function onMemberChanges (changes: MemberChange[]): void {
@@ -253,6 +256,7 @@
     port: settings.http.port,
     routes,
     maxHeaderBytes,
+    ...divideEntry(settings.limits.maxRequests),
     nextRequestId: () => `${name}-${randomBytes(requestIdBytes).toString('base64url')}`,
     timer,
     log: base.log,
--- a/gateway/_client_server.ts
+++ b/gateway/_client_server.ts
@@ -3,9 +3,10 @@
  */
 import { createServer } from 'node:http'
 import { getKeyLabel } from '../core/keys/mod.ts'
+import { divideProcess } from '../core/bounds/mod.ts'
 import { chooseTarget, RequestKind } from '../core/route/mod.ts'
 import { Count } from '../metrics/mod.ts'
-import { ClosedBy, manageConnections } from '../http/mod.ts'
+import { ClosedBy, createBodyReader, manageConnections } from '../http/mod.ts'
 import { decodeRequestHead } from '../platform/mod.ts'
 import { createCallerCheck, findCallerReply, getCallerReply, identify } from './_identify_caller.ts'
 import { readBody } from './_read_body.ts'
@@ -73,6 +74,12 @@
   const stops = new Set<(reason: StopReason) => void>()
   const server = createServer({ keepAlive: true, noDelay: true, connectionsCheckingInterval: 500 }, onRequest)
   server.requestTimeout = 0
+  const bodies = createBodyReader({
+    timer,
+    budget: context.heldBytes,
+    slowFromBytes: divideProcess(context.settings).slowFromBytes,
+    onCut: () => context.metrics.count(Count.ConnectionsClosed, { address: 'front', reason: 'body_after_refusal' })
+  })
   const connections = manageConnections(server, { timer, log, idleTimeoutMs: server.keepAliveTimeout })
 
   function onRequest (req: IncomingMessage, res: ServerResponse): void {
@@ -132,7 +139,7 @@
   function accept (req: IncomingMessage, res: ServerResponse, head: RequestHead, reply: Reply): void {
     const startedMs = timer.now()
     if (isDraining) res.shouldKeepAlive = false
-    const refuse = createRefusal(context, { req, res, head, reply })
+    const refuse = createRefusal(context, { req, res, head, reply, bodies })
     const table = directory.routeTable()
     if (table === undefined) return refuse(503, 'not_ready', notReadyRetryMs)
     if (head.requestId === undefined) return refuse(400, 'no_request_id')
@@ -149,7 +156,6 @@
     if (!canFinishBeforeExit(route, deadlineMs)) return refuseStopping()
     const service = table.getService(chooseTarget(route, context.random()) ?? '')
     if (service === undefined) return refuse(503, 'no_service', notReadyRetryMs)
-    if (Number(req.headers['content-length'] ?? 0) > table.limits.maxBodyBytes) return refuse(413, 'body_too_large')
 
     const spent = context.allowances.spend(caller.val.organisation, head, deadlineMs - startedMs)
     if (spent.err) return refuse(429, spent.val.reason, spent.val.retryAfterMs, spent.val.details)
@@ -172,15 +178,14 @@
       stops.delete(stop)
       finalTimer.cancel()
       if (!res.writableFinished) stop(StopReason.ClientDisconnected)
-      if (isReadingBody || reply.isRefusal()) spent.val.giveBack()
+      if (!isServed || reply.isRefusal()) spent.val.giveBack()
     })
+    const priority = caller.val.organisation?.priority ?? route.priority
     const checkCaller = createCallerCheck(context, { table, route, head, caller: caller.val })
-    let isReadingBody = true
-    onStop((reason) => { if (isReadingBody && reason !== StopReason.ClientDisconnected) refuse(408, 'body_too_slow') })
-    const onBody = (body: Buffer | undefined): void => {
-      isReadingBody = false
+    let isServed = false
+    onStop((reason) => { if (!isServed && !reply.isFinished() && reason !== StopReason.ClientDisconnected) refuse(408, 'body_too_slow') })
+    const onBody = (body: Buffer): void => {
       if (stopReason() !== undefined) return
-      if (body === undefined) return refuse(413, 'body_too_large')
       // The process may have begun to stop while the body came.
       if (!canFinishBeforeExit(route, deadlineMs)) return refuseStopping()
       // The rules may have changed while the body came.
@@ -195,7 +200,7 @@
         route,
         service,
         ...(caller.val.organisation !== undefined && { organisation: caller.val.organisation }),
-        priority: caller.val.organisation?.priority ?? route.priority,
+        priority,
         identifyCaller: checkCaller,
         spent: spent.val,
         usedConnections: new Set(),
@@ -205,16 +210,12 @@
         onStop,
         stopReason
       }
+      isServed = true
       context.retryBudget(service.name).recordRequest(timer.now())
       serve(request).catch(fail)
     }
-    readBody(req, table.limits.maxBodyBytes, (body) => {
-      try {
-        onBody(body)
-      } catch (err) {
-        fail(err)
-      }
-    })
+    const limits = (): ClientLimits => (directory.routeTable() ?? table).limits
+    readBody(req, res, { bodies, maxBytes: () => limits().maxBodyBytes, priority, onBody, refuse, onError: fail })
   }
 
   async function serve (request: ClientRequest): Promise<void> {
@@ -231,8 +232,7 @@
       connections.setIdleTimeout(limits.idleTimeoutMs)
       server.headersTimeout = limits.headerTimeoutMs
       server.keepAliveTimeout = limits.idleTimeoutMs
-      // Node reads this limit for each new connection, but its types declare it only as an option of the constructor.
-      Object.assign(server, { maxHeaderSize: limits.maxHeaderBytes })
+      connections.setMaxHeaderBytes(limits.maxHeaderBytes)
     },
     drain (graceMs) {
       isDraining = true
--- a/gateway/_refuse_request.ts
+++ b/gateway/_refuse_request.ts
@@ -3,6 +3,7 @@
  */
 import { Count } from '../metrics/mod.ts'
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { BodyReader } from '../http/mod.ts'
 import type { RequestHead } from '../platform/mod.ts'
 import type { Reply } from './_reply.ts'
 import type { GatewayContext } from './_types.ts'
@@ -13,15 +14,17 @@
   res: ServerResponse
   head: RequestHead
   reply: Reply
+  /** Discards what its client still sends. */
+  bodies: BodyReader
 }
 
 /** Refuses a request; `retryAfterMs` is the delay in milliseconds after which its client may retry, `fields` are logged with the refusal. */
 export type Refuse = (status: number, reason: string, retryAfterMs?: number, fields?: object) => void
 
-/** Creates the refusal of one request; a body that has not arrived is read and discarded, and its connection ends with the response. */
-export function createRefusal (context: GatewayContext, { req, res, head, reply }: ArrivedRequest): Refuse {
+/** Creates the refusal of one request; a body that has not arrived is read and discarded within bounds, and its connection ends with the response. */
+export function createRefusal (context: GatewayContext, { req, res, head, reply, bodies }: ArrivedRequest): Refuse {
   return (status, reason, retryAfterMs, fields = {}) => {
-    req.resume()
+    bodies.discard(req)
     if (!req.complete) res.shouldKeepAlive = false
     reply.sendLocal(retryAfterMs === undefined ? { status, reason } : { status, reason, retryAfterMs })
     context.log.warn({ request: head.requestId, status, reason, ...fields }, 'refused')
--- a/gateway/start_gateway.ts
+++ b/gateway/start_gateway.ts
@@ -1,22 +1,24 @@
 /**
  * Starts a gateway, the process between the clients and the workers of the platform.
  */
-import { createServer } from 'node:http'
+import { divideProcess } from '../core/bounds/mod.ts'
 import { Err, Ok } from '../core/results/mod.ts'
 import { createSharedRetryBudget } from '../core/retry/mod.ts'
 import { createDirectory, listStoreReaders, shareView, syncRecords } from '../directory/mod.ts'
 import { createByteBudget } from '../core/stream/mod.ts'
 import { createExchangePool } from '../exchange/mod.ts'
+import { boundConnections } from '../http/mod.ts'
 import { Count, createPrometheusMetrics } from '../metrics/mod.ts'
-import { readyPath } from '../platform/mod.ts'
 import { parseAddress } from '../wire/mod.ts'
 import { createAllowances } from './_allowance.ts'
+import { createReadyServer } from './_ready_server.ts'
 import { createPromptGuard } from './_prompt_guard.ts'
 import { createSidecarClient } from './_sidecar_client.ts'
 import { createClientServer } from './_client_server.ts'
 import type { Server } from 'node:http'
 import type { Result } from '../core/results/mod.ts'
 import type { SharedRetryBudget } from '../core/retry/mod.ts'
+import type { BoundedConnections } from '../http/mod.ts'
 import type { Log } from '../log/mod.ts'
 import type { NodeSettings } from '../platform/mod.ts'
 import type { Timer } from '../timer/mod.ts'
@@ -56,10 +58,8 @@
 /** Longest time in milliseconds for which the process waits until the responses to the requests that it stops have been sent. */
 const finalResponseMs = 150
 const finalCheckMs = 10
-/** Share of the memory of the process that responses may take while they are held back; the rest is for all else and for garbage. */
-const heldMemoryShare = 1 / 8
-/** Memory in bytes of a process whose platform names none. */
-const defaultMemoryBytes = 128 * 1_048_576
+/** Largest first frame that a process may send, in bytes. */
+const maxFirstFrameBytes = 65_536
 
 /**
  * Starts a gateway.
@@ -76,6 +76,7 @@
  */
 export async function startGateway (options: GatewayOptions): Promise<Result<Gateway, string>> {
   const { settings, timer, log, random } = options
+  const bounds = divideProcess(settings)
   const budgets = new Map<string, SharedRetryBudget>()
   const startedAtMs = timer.now()
   let lastKnownGateways = assumedGateways
@@ -102,11 +103,19 @@
       held_bytes: () => heldBytes.heldBytes(),
       allowance_isolated: () => Number(allowances.isIsolated()),
       allowance_level_age_ms: () => allowances.levelAgeMs(),
+      held_bytes_max: () => heldBytes.maxBytes,
+      client_connections: () => clients?.count() ?? 0,
       quarantines: () => promptGuard.quarantines(),
       log_lines_dropped: () => options.droppedLines?.() ?? 0
     },
+    onServer: (server) => bound(server, 'metrics', bounds.checks),
     onError: (reason) => log.warn({ reason }, 'metrics not served')
   })
+  function bound (server: Server, address: string, maxConnections: number | undefined): BoundedConnections | undefined {
+    const onClosed = (): void => metrics.count(Count.ConnectionsClosed, { address, reason: 'too_many' })
+    return maxConnections === undefined ? undefined : boundConnections(server, { timer, maxConnections, onClosed })
+  }
+
   function onRecordPassedOver (reason: string): void { metrics.count(Count.RecordsPassedOver, { reason }) }
   function onStoreCall (hasResponded: boolean): void { metrics.count(Count.StoreReads, { result: hasResponded ? 'answered' : 'failed' }) }
 
@@ -117,7 +126,7 @@
 
   const allowances = createAllowances({ settings, directory, sidecars, timer, log, metrics, random })
 
-  const heldBytes = createByteBudget({ maxBytes: heldMemoryShare * (settings.memoryBytes ?? defaultMemoryBytes) })
+  const heldBytes = createByteBudget({ maxBytes: bounds.heldBytes })
 
   const context: GatewayContext = {
     metrics,
@@ -163,8 +172,10 @@
   }
 
   const clientServer = createClientServer(context)
+  const clients = bound(clientServer.server, 'front', bounds.clients)
   const peerAddress = settings.peerAddress === undefined ? {} : { address: settings.peerAddress }
-  const records = await syncRecords({ directory, timer, log, seeds: settings.seeds, ...peerAddress })
+  const peerBounds = { maxFirstFrameBytes, ...(bounds.peers === undefined ? {} : { maxConnections: bounds.peers }) }
+  const records = await syncRecords({ directory, timer, log, seeds: settings.seeds, ...peerAddress, bounds: peerBounds })
 
   const { regions, zone, internalPort } = settings
   const readers = (): string[] => listStoreReaders({ fleet: directory.fleet, regions, zone, internalPort })
@@ -176,11 +187,8 @@
     return table !== undefined && table.listServices().some((service) => directory.fleet.serving(service.name).length > 0)
   }
 
-  const readinessServer = createServer((req, res) => {
-    const status = req.url !== readyPath ? 404 : isReady() ? 200 : 503
-    res.writeHead(status, { 'Content-Length': 0 })
-    res.end()
-  })
+  const readinessServer = createReadyServer(isReady)
+  bound(readinessServer, 'ready', bounds.checks)
 
   async function close (): Promise<void> {
     clientServer.close()
