--- a/gateway/unexpected_errors_test.ts
+++ b/gateway/unexpected_errors_test.ts
@@ -92,6 +92,7 @@
     metrics: { count () {}, observe () {} },
     random: Math.random,
     retryBudget: () => budget,
+    allowances: { spend: () => Ok({ giveBack () {} }) },
     promptGuard: { find: () => undefined },
     roundTripMs: () => 1,
     heldBytes: { open: () => ({ set () {}, close () {} }) },
