--- a/core/limits/_simulated_gateways_test.ts
+++ b/core/limits/_simulated_gateways_test.ts
@@ -18,7 +18,15 @@
   seed: number
 }
 
-interface Host { isFrozen: boolean, isCut: boolean, isMute: boolean, delayMs: number, held: Array<() => void> }
+interface Host {
+  isFrozen: boolean
+  isCut: boolean
+  isMute: boolean
+  /** Hosts of different sides don't reach each other. */
+  side: number
+  delayMs: number
+  held: Array<() => void>
+}
 interface Gateway extends Host { spender: AllowanceSpender, weight: number, connections: Map<string, number>, generation: number, isGone: boolean }
 interface Point extends Host { name: string, point: AllowancePoint, connectionEpoch: number, isDead: boolean }
 
@@ -43,7 +51,7 @@
   const runs: Run[] = []
   const refusals = { count: 0, cost: 0, byReason: new Map<string, number>() }
 
-  function createHost (): Host { return { isFrozen: false, isCut: false, isMute: false, delayMs: options.delayMs, held: [] } }
+  function createHost (): Host { return { isFrozen: false, isCut: false, isMute: false, side: 0, delayMs: options.delayMs, held: [] } }
 
   function createSpender (): AllowanceSpender {
     const spender = createAllowanceSpender({ sender: `g/${++starts}`, tolerance, random, startMs: nowMs })
@@ -74,7 +82,7 @@
   /** Delivers a message; what arrives at a frozen host waits until it runs again, and a cut or mute link loses it. */
   function deliver (from: Host, to: Host, fn: () => void): void {
     messages++
-    if (from.isMute || from.isCut || to.isCut) return
+    if (from.isMute || from.isCut || to.isCut || from.side !== to.side) return
     at(nowMs + (from.delayMs + to.delayMs) / 2 * (0.8 + 0.4 * random()), () => {
       if (to.isFrozen) to.held.push(fn)
       else fn()
--- a/core/limits/allowance.feature
+++ b/core/limits/allowance.feature
@@ -52,6 +52,14 @@
     Then the allowances of isolated gateways admit less than 0.3 of the tolerance in any 8 s
     And the gateways know that they are isolated from the exchange points
 
+  # Two sides of a cut must not both spend the whole.
+  Scenario: Allowances are spent once when a region is cut off with one of the points
+    Given allowances of 20000 units per s at 30 gateways
+    When half of the gateways and one point of the allowances are cut off from the others
+    And a caller asks for 8 times its allowance for 30 s, spread over the gateways "even"
+    Then the allowances admit between 95 and 140 percent over the last 20 s
+    And no window of the allowances is beyond their tolerance
+
   Scenario: Allowances that were given back are spent by others
     Given allowances of 100000 units per s at 22 gateways
     When a caller asks for 8 times its allowance for 30 s, half of it given back
--- a/core/limits/allowance_test.ts
+++ b/core/limits/allowance_test.ts
@@ -59,6 +59,11 @@
     this.simulation.run(seconds * 1000, this.allowance.perS * times, costs)
   })
 
+When('half of the gateways and one point of the allowances are cut off from the others', function (this: World) {
+  const { gateways, points } = this.simulation
+  for (const host of [...gateways.filter((_, i) => i % 2 === 0), ...points.slice(0, 1)]) host.side = 1
+})
+
 When('a caller asks for {int} times its allowance for {int} s, half of it given back', function (this: World, times: number, seconds: number) {
   this.simulation.run(seconds * 1000, this.allowance.perS * times, costs, 0.5)
 })
@@ -139,10 +144,13 @@
   killPoint: ({ points, killPoint }, pick) => killPoint(pickOne(points, pick)),
   killPoints: ({ points, killPoint }) => points.forEach(killPoint),
   mutePoint: ({ points }, pick) => { pickOne(points, pick).isMute = true },
+  split: ({ gateways, points }, pick) => {
+    for (const [i, host] of [...gateways, ...points].entries()) host.side = (i + pick) % 2
+  },
   mend: ({ gateways, points, thaw, startPoint }) => {
     for (const host of [...gateways, ...points]) {
       thaw(host)
-      Object.assign(host, { isCut: false, isMute: false, delayMs: 20 })
+      Object.assign(host, { isCut: false, isMute: false, side: 0, delayMs: 20 })
     }
     for (const point of points) if (point.isDead) startPoint(point)
   }
