--- a/gateway/_sidecar_client.ts
+++ b/gateway/_sidecar_client.ts
@@ -23,6 +23,8 @@
   timer: Timer
   log: Log
   random: () => number
+  /** True when the gateway needs the exchange points to serve requests: connections to them are opened earlier and more often. */
+  needsPoints?: boolean
   /** Called with the evidence on prompts that a sidecar passes on. */
   onEvidence: (evidence: PromptEvidence) => void
 }
@@ -186,7 +188,8 @@
     for (const address of points) if (!links.has(address)) open(address)
   }
 
-  const timers = [timer.every(reconnectMs, connectMissing), timer.every(pointCheckMs, connectPoints)]
+  const timers = [timer.every(reconnectMs, connectMissing)]
+  if (options.needsPoints === true) timers.push(timer.every(pointCheckMs, connectPoints))
   let attempts = 0
 
   return {
--- a/gateway/start_gateway.ts
+++ b/gateway/start_gateway.ts
@@ -111,7 +111,13 @@
   function onStoreCall (hasResponded: boolean): void { metrics.count(Count.StoreReads, { result: hasResponded ? 'answered' : 'failed' }) }
 
   const sidecars = createSidecarClient({
-    port: settings.internalPort, directory, timer, log, random, onEvidence: (evidence) => promptGuard.merge(evidence)
+    port: settings.internalPort,
+    directory,
+    timer,
+    log,
+    random,
+    needsPoints: settings.hasAllowances === true,
+    onEvidence: (evidence) => promptGuard.merge(evidence)
   })
   const promptGuard = createPromptGuard({ directory, timer, log, metrics, sendEvidence: sidecars.sendEvidence })
 
