Count what slow readers leave unread: whole responses of a gateway, event streams of an entry

Cause: a whole response of up to 256 KiB, and up to 1 MiB of an event stream at an entry, were kept for each client that does not read. Change: both are accounts of the byte budget. gateway/reply.feature fails on the code before (nothing is counted).

--- a/entry/_completions.ts
+++ b/entry/_completions.ts
@@ -4,7 +4,8 @@
 import { CompletionKind, createResponseFormat, parseCompletion } from './_openai.ts'
 import { chooseVersion } from './_versions.ts'
 import { identifyOrRefuse } from './_identify.ts'
-import { buildErrorBody, createRefusal, sendRefusal } from './_refusals.ts'
+import { createRefusal, sendRefusal } from './_refusals.ts'
+import { createBodySink, createEventStreamSink } from './_sinks.ts'
 import { readBody } from './_http_server.ts'
 import { Outcome, RefusalCode } from '../core/types/mod.ts'
 import { Err, Ok } from '../core/results/mod.ts'
@@ -16,7 +17,7 @@
 import type { Auth, Identity } from './_auth.ts'
 import type { HttpCall, HttpRoute } from './_http_server.ts'
 import type { ResponseSink } from './_model_requests.ts'
-import type { ResponseFormat, CompletionRequest } from './_openai.ts'
+import type { CompletionRequest } from './_openai.ts'
 import type { HttpRefusal } from './_refusals.ts'
 import type { EntryStats } from './_stats.ts'
 
@@ -69,54 +70,6 @@
   return Ok({ request, spec })
 }
 
-/** Creates a sink that writes a response as server-sent events. */
-function createEventStreamSink (call: HttpCall, format: ResponseFormat, onSlow: () => void, maxUnsentBytes: number): ResponseSink {
-  const { res } = call
-
-  function writeEvent (body: unknown): void {
-    res.write(`data: ${typeof body === 'string' ? body : JSON.stringify(body)}\n\n`)
-    if (res.writableLength > maxUnsentBytes) onSlow()
-  }
-
-  function writeHead (): void {
-    if (res.headersSent) return
-    res.writeHead(200, { 'content-type': 'text/event-stream', 'cache-control': 'no-cache' })
-  }
-
-  return {
-    onTokens (tokens) {
-      writeHead()
-      writeEvent(format.buildChunk(tokens.join(''), null))
-    },
-    onFinish (_tokens, reason) {
-      writeHead()
-      writeEvent(format.buildChunk('', reason))
-      writeEvent('[DONE]')
-      res.end()
-    },
-    onRefused: (code, outcome, retryAfterMs) => sendRefusal(res, createRefusal(code, outcome, retryAfterMs)),
-    onAbort (code, outcome) {
-      writeEvent(buildErrorBody(createRefusal(code, outcome)))
-      res.end()
-    }
-  }
-}
-
-/** Creates a sink that writes a response as one JSON body. */
-function createBodySink (call: HttpCall, format: ResponseFormat, promptTokens: number): ResponseSink {
-  const { res } = call
-  const parts: string[] = []
-  return {
-    onTokens: (tokens) => { parts.push(...tokens) },
-    onFinish (tokens, reason) {
-      res.writeHead(200, { 'content-type': 'application/json', 'x-briarloom-outcome': Outcome.Done })
-      res.end(JSON.stringify(format.buildWhole(parts.join(''), reason, promptTokens, tokens)))
-    },
-    onRefused: (code, outcome, retryAfterMs) => sendRefusal(res, createRefusal(code, outcome, retryAfterMs)),
-    onAbort: (code, outcome) => sendRefusal(res, createRefusal(code, outcome))
-  }
-}
-
 /** Charges a request's tokens to its caller's limits and measures latency at the caller's side. */
 interface Meter {
   sink: ResponseSink
--- a/entry/_http_server.ts
+++ b/entry/_http_server.ts
@@ -25,6 +25,8 @@
   requestId: string
   /** Reads the body of the request. */
   bodies: BodyReader
+  /** Bounds the bytes that are held for callers. */
+  budget: ByteBudget
 }
 
 /** Handles one route. */
@@ -89,7 +91,7 @@
       bodies.discard(req)
       sendRefusal(res, route.val)
     }
-    if (route.ok) await route.val.handle({ req, res, path, url, requestId, bodies })
+    if (route.ok) await route.val.handle({ req, res, path, url, requestId, bodies, budget })
   }
 
   const server = createServer({
--- a/gateway/_client_server.ts
+++ b/gateway/_client_server.ts
@@ -82,7 +82,7 @@
 
   function onRequest (req: IncomingMessage, res: ServerResponse): void {
     const head = decodeRequestHead(req.rawHeaders)
-    const reply = createReply(res, head.requestId)
+    const reply = createReply(res, head.requestId, context.heldBytes)
     const version = directory.routeTable()?.version
     connections.admit({ req, res, requestId: head.requestId }, {
       serve: () => begin(req, res, head, reply),
--- a/gateway/_reply.ts
+++ b/gateway/_reply.ts
@@ -3,6 +3,7 @@
  */
 import { encodeLocalReplyHeaders } from '../platform/mod.ts'
 import type { ServerResponse } from 'node:http'
+import type { ByteBudget } from '../core/stream/mod.ts'
 import type { WorkerResponse } from './_send_to_worker.ts'
 
 /** A response that the gateway generates itself. */
@@ -36,12 +37,25 @@
   isFinished (): boolean
 }
 
+/** Length in bytes up to which a response that is sent is not counted. */
+const freeBytes = 65_536
+/** Rank of a response that is sent, behind those that can still be passed on as they come. */
+const sentRank = -1
+
 /** Creates the reply on a response object of Node's server. */
-export function createReply (res: ServerResponse, requestId: string | undefined): Reply {
+export function createReply (res: ServerResponse, requestId: string | undefined, heldBytes: ByteBudget): Reply {
   let isOver = false
   let isCloseDelimited = false
   let onDrained: (() => void) | undefined
 
+  /** Counts a whole response until its client has read it; one that is too many is broken off. */
+  function hold (bytes: number): void {
+    if (bytes <= freeBytes) return
+    const held = heldBytes.open(() => res.destroy(), { floorBytes: freeBytes, rank: () => sentRank })
+    held.set(bytes)
+    res.once('close', held.close)
+  }
+
   function runOnDrained (): void {
     const fn = onDrained
     onDrained = undefined
@@ -76,6 +90,7 @@
       // A head that cannot be written leaves the reply open, so that another one can take its place.
       writeHead(response, body.length)
       isOver = true
+      hold(body.length)
       res.end(body)
     },
     begin (response) {
