Choose exchange points among the sidecars, and let gateways send to them

Gateways don't talk to each other. Three sidecars, chosen by rendezvous hash from different zones, serve all gateways as points at which sums over gateways are kept: SidecarClient.exchangePoints, sendToPoint and receive; the sidecar's handlers come in by the option exchange.

--- a/core/subset/subset.feature
+++ b/core/subset/subset.feature
@@ -34,3 +34,17 @@
     Given a subset deployment of 26 entries and 390 agents in 13 availability zones with 3 groups
     When every entry chooses its subset of 5 agents of each group with a coverage of 0
     Then without agent 17 the subsets lose only that agent and gain at most as many agents as lost it
+
+  Scenario Outline: Exchange points are odd in number, lie in different zones, and one lost machine replaces at most one
+    Then subset exchange points of 3 among <machines> machines in <zones> zones are <count> in <spread> zones and change by at most one
+
+    Examples:
+      | machines | zones | count | spread |
+      | 1        | 1     | 1     | 1      |
+      | 2        | 2     | 1     | 1      |
+      | 4        | 2     | 3     | 2      |
+      | 24       | 6     | 3     | 3      |
+      | 300      | 13    | 3     | 3      |
+
+  Scenario: A process without candidates has no exchange points
+    Then subset exchange points of 3 among 0 machines in 1 zones are 0 in 0 zones and change by at most one
--- a/core/subset/subset_test.ts
+++ b/core/subset/subset_test.ts
@@ -3,7 +3,7 @@
  */
 import assert from 'node:assert/strict'
 import { Given, Then, When } from '@cucumber/cucumber'
-import { chooseReaders, chooseRelayPeers, chooseSubset } from './mod.ts'
+import { chooseExchangePoints, chooseReaders, chooseRelayPeers, chooseSubset } from './mod.ts'
 import type { SubsetAgent, SubsetMember } from './mod.ts'
 
 interface World {
@@ -134,3 +134,19 @@
 Then('each subset has exactly {int} agents', function (this: World, size: number) {
   for (const subset of this.subsets.values()) assert.equal(subset.length, size)
 })
+
+Then('subset exchange points of {int} among {int} machines in {int} zones are {int} in {int} zones and change by at most one',
+  function (wanted: number, machines: number, zones: number, count: number, spread: number) {
+    const candidates = Array.from({ length: machines }, (_, i) => ({ name: `10.0.${i % zones}.${i}:7660`, zone: `z${i % zones}` }))
+    const choose = (from: typeof candidates): string[] => chooseExchangePoints({ candidates: from, count: wanted })
+    const points = choose(candidates)
+    const zoneOf = new Map(candidates.map(({ name, zone }) => [name, zone]))
+    assert.equal(points.length, count)
+    assert.equal(new Set(points.map((name) => zoneOf.get(name))).size, spread)
+    assert.deepEqual(choose([...candidates].reverse()), points)
+    for (const lost of machines > wanted ? candidates : []) {
+      const rest = choose(candidates.filter((one) => one !== lost))
+      const isPoint = points.includes(lost.name)
+      assert.equal(points.filter((name) => !rest.includes(name)).length, isPoint ? 1 : 0, `without ${lost.name}`)
+    }
+  })
--- a/gateway/_sidecar_client.ts
+++ b/gateway/_sidecar_client.ts
@@ -1,6 +1,7 @@
 /**
  * The connections of a gateway to the sidecars of the engines.
  */
+import { chooseExchangePoints } from '../core/subset/mod.ts'
 import { RefusalCode } from '../core/types/mod.ts'
 import { connect, MessageKind, parseAddress } from '../wire/mod.ts'
 import { Err, Ok } from '../core/results/mod.ts'
@@ -8,6 +9,7 @@
 import type { PromptEvidence } from '../core/quarantine/mod.ts'
 import type { PackRequest } from '../core/packing/mod.ts'
 import type { LeavingWorker, Worker } from '../core/fleet/mod.ts'
+import type { ExchangeCandidate } from '../core/subset/mod.ts'
 import type { Directory } from '../directory/mod.ts'
 import type { Log } from '../log/mod.ts'
 import type { Timer } from '../timer/mod.ts'
@@ -39,10 +41,19 @@
   sendEvidence (evidence: PromptEvidence, count: number): void
   /** Tells up to `count` connected sidecars, chosen at random, of workers that leave. */
   sendLeaving (leaving: LeavingWorker[], count: number): void
+  /** Returns the addresses of the sidecars that serve as exchange points, connected or not; all gateways with the same workers choose the same. */
+  exchangePoints (): readonly string[]
+  /** Returns the number of the connection to an address, which no other connection has; undefined while there is none. */
+  connectionNumber (address: string): number | undefined
+  /** Sends a message to an exchange point; returns false when it is not connected. */
+  sendToPoint (address: string, msg: Message): boolean
+  /** Sets the receiver of one kind of message, which gets the address of its sender. */
+  receive<K extends MessageKind> (kind: K, fn: (address: string, msg: MessageOf<K>) => void): void
   close (): void
 }
 
 interface SidecarLink {
+  number: number
   connection?: Connection
   pending: Map<string, (result: Result<string, RefusalCode>) => void>
   /** Time in milliseconds of the last message; that of the connection before the first one. */
@@ -61,11 +72,16 @@
 /** Interval in milliseconds at which connections to engines without one are opened. */
 const reconnectMs = 500
 const connectTimeoutMs = 500
+/** Number of exchange points: each may be lost without loss of what they know together. */
+const exchangePointCount = 3
 
 /** Opens connections to the sidecars of all engines, and opens them again when they close. */
 export function createSidecarClient (options: SidecarClientOptions): SidecarClient {
   const { directory, timer, log } = options
   const links = new Map<string, SidecarLink>()
+  const receivers = new Map<MessageKind, (address: string, msg: Message) => void>()
+  let points: readonly string[] = []
+  let connectionNumber = 0
   let isClosed = false
 
   function addressOf (worker: Worker): string | undefined {
@@ -74,7 +90,7 @@
   }
 
   async function open (address: string): Promise<void> {
-    const link: SidecarLink = { pending: new Map(), lastMessageMs: timer.now(), timeouts: 0, unansweredSinceMs: 0 }
+    const link: SidecarLink = { number: ++connectionNumber, pending: new Map(), lastMessageMs: timer.now(), timeouts: 0, unansweredSinceMs: 0 }
     links.set(address, link)
     const connected = await connect({ address, connectTimeoutMs })
     if (connected.err || isClosed) {
@@ -85,7 +101,7 @@
     link.connection = connected.val
     link.lastMessageMs = timer.now()
     connected.val.onClose((reason) => drop(address, link, reason))
-    connected.val.onMessage((msg) => onMessage(link, msg))
+    connected.val.onMessage((msg) => onMessage(address, link, msg))
     log.info({ address }, 'sidecar connected')
   }
 
@@ -137,17 +153,22 @@
     }
   }
 
-  function onMessage (link: SidecarLink, msg: Message): void {
+  function onMessage (address: string, link: SidecarLink, msg: Message): void {
     link.lastMessageMs = timer.now()
+    receivers.get(msg.kind)?.(address, msg)
     const handle = handlers[msg.kind] as ((link: SidecarLink, msg: Message) => void) | undefined
     handle?.(link, msg)
   }
 
   function connectMissing (): void {
+    const candidates: ExchangeCandidate[] = []
     for (const worker of directory.fleet.all()) {
       const address = worker.entry.stage === undefined ? undefined : addressOf(worker)
-      if (address !== undefined && !links.has(address)) open(address)
+      if (address === undefined) continue
+      candidates.push({ name: address, zone: worker.entry.zone })
+      if (!links.has(address)) open(address)
     }
+    points = chooseExchangePoints({ candidates, count: exchangePointCount })
   }
 
   function sendToSome (evidence: Omit<MessageOf<MessageKind.PromptEvidence>, 'kind'>, count: number): void {
@@ -191,6 +212,10 @@
       links.get(addressOf(worker) ?? '')?.connection?.send({ kind: MessageKind.StreamEnded, requestId, attempt: 0, whole })
     },
     sendEvidence: (evidence, count) => sendToSome(evidence, count),
+    exchangePoints: () => points,
+    connectionNumber: (address) => links.get(address)?.connection === undefined ? undefined : links.get(address)?.number,
+    sendToPoint: (address, msg) => links.get(address)?.connection?.send(msg) ?? false,
+    receive: (kind, fn) => { receivers.set(kind, fn as (address: string, msg: Message) => void) },
     sendLeaving: (leaving, count) => sendToSome({ crashes: [], sound: [], leaving }, count),
     close () {
       isClosed = true
--- a/sidecar/_admission_task.ts
+++ b/sidecar/_admission_task.ts
@@ -35,8 +35,13 @@
   random: () => number
   /** Time in milliseconds for which the engine takes requests after it has said that it leaves. */
   drainMs: number
+  /** Handlers of the kinds of messages for which this process is an exchange point. */
+  exchange?: ExchangeHandlers
 }
 
+/** Handlers of the messages that gateways send to their exchange points. */
+export type ExchangeHandlers = { [K in MessageKind]?: (connection: Connection, msg: MessageOf<K>) => void }
+
 /** Admits streams to one engine. */
 export interface AdmissionTask {
   /** Handles the messages of a gateway that has connected. */
@@ -189,7 +194,8 @@
     for (const gateway of gateways) gateway.send({ kind: MessageKind.PromptEvidence, ...news })
   }
 
-  const handlers: { [K in MessageKind]?: (connection: Connection, msg: MessageOf<K>) => void } = {
+  const handlers: ExchangeHandlers = {
+    ...options.exchange,
     [MessageKind.Admit]: (connection, msg) => { admit(connection, msg) },
     [MessageKind.Cancel]: (_connection, msg) => { packer.releaseUnstarted(msg.requestId) },
     [MessageKind.PromptEvidence]: (_connection, { crashes, sound, leaving = [] }) => {
