--- a/core/cost/_types.ts
+++ b/core/cost/_types.ts
@@ -2,6 +2,14 @@
  * Types for the cost of requests and for the work that workers still have to do.
  */
 
+/** Names the ways in which requests of plain services are placed. */
+export enum PlacementPolicy {
+  /** By the mean latency of each worker and the requests of this process there. */
+  Latency = 'latency',
+  /** By the expected time until the answer, from the work of the request and what all processes have at each worker. */
+  Completion = 'completion'
+}
+
 /** What a worker still has to do. */
 export interface WorkerLoad {
   /** Requests that it has not answered yet. */
--- a/core/cost/create_load_sums.ts
+++ b/core/cost/create_load_sums.ts
@@ -20,6 +20,8 @@
   add (report: LoadReportData, nowMs: number): boolean
   /** Sums up what all processes but one have at the workers. */
   sumOthers (name: string, nowMs: number): LoadEntry[]
+  /** Returns the mean age in milliseconds of the reports of all processes but one; 0 when there is none. */
+  meanAgeMs (name: string, nowMs: number): number
   /** Returns the number of processes whose reports count. */
   members (nowMs: number): number
 }
@@ -85,6 +87,10 @@
       }
       return [...sums.values()].map(({ logs, ...sum }) => ({ ...sum, slowness: sum.samples > 0 ? Math.exp(logs / sum.samples) : 1 }))
     },
+    meanAgeMs (name, nowMs) {
+      const ages = [...members].filter(([member]) => member !== name).map(([, { atMs }]) => nowMs - atMs)
+      return ages.length === 0 ? 0 : ages.reduce((sum, ageMs) => sum + ageMs, 0) / ages.length
+    },
     members (nowMs) {
       forget(nowMs)
       return members.size
--- /dev/null
+++ b/core/cost/create_usual_deadline.ts
@@ -0,0 +1,50 @@
+/**
+ * The deadline that first requests of a kind usually have.
+ */
+
+/** Knows the usual deadlines. */
+export interface UsualDeadline {
+  /** Records the deadline in milliseconds that a client stated. */
+  record (kind: string, deadlineMs: number): void
+  /** Tells whether a deadline is so much shorter than usual that its client has come back after a refusal. */
+  isReturning (kind: string, deadlineMs: number): boolean
+}
+
+/** Number of the newest deadlines of a kind, their rank that counts as usual, and the number of kinds. */
+const maxValues = 32
+const usualRank = 0.75
+const maxKinds = 512
+/** A deadline below this share of the usual one is that of a client that has come back. */
+const returningShare = 0.93
+
+/**
+ * Creates an empty record. Three quarters of the newest deadlines bound what is usual, so that neither many who come back nor a few who
+ * state a long time change it.
+ *
+ * @returns the record
+ *
+ * @example
+ * ```ts
+ * import { createUsualDeadline } from 'briarloom/core/cost'
+ *
+ * const deadlines = createUsualDeadline()
+ * for (let i = 0; i < 8; i++) deadlines.record('stamp', 4000)
+ * console.assert(deadlines.isReturning('stamp', 2500) && !deadlines.isReturning('stamp', 4000))
+ * ```
+ */
+export function createUsualDeadline (): UsualDeadline {
+  const kinds = new Map<string, { values: number[], usualMs: number }>()
+  return {
+    record (kind, deadlineMs) {
+      const known = kinds.get(kind) ?? { values: [], usualMs: deadlineMs }
+      kinds.delete(kind)
+      kinds.set(kind, known)
+      if (kinds.size > maxKinds) kinds.delete(kinds.keys().next().value as string)
+      known.values.push(deadlineMs)
+      if (known.values.length > maxValues) known.values.shift()
+      const sorted = [...known.values].sort((a, b) => a - b)
+      known.usualMs = sorted[Math.floor(usualRank * (sorted.length - 1))] ?? deadlineMs
+    },
+    isReturning: (kind, deadlineMs) => deadlineMs < returningShare * (kinds.get(kind)?.usualMs ?? 0)
+  }
+}
--- /dev/null
+++ b/core/cost/decide_send.ts
@@ -0,0 +1,98 @@
+/**
+ * The decision whether a request of a plain service is sent now, waits for a moment, or is refused.
+ */
+
+/** Names what is done with a request now. */
+export enum SendDecision {
+  Send = 'send',
+  /** Asked again shortly. */
+  Wait = 'wait',
+  Refuse = 'refuse'
+}
+
+/** Describes a request and the best worker for it; times in milliseconds. */
+export interface SendSituation {
+  /** Expected time until the best worker has answered. */
+  levelMs: number
+  /** The same if that worker had nothing to do. */
+  idleMs: number
+  /** Time for which the request has waited here. */
+  waitedMs: number
+  targetMs: number
+  /** Time that its client has left. */
+  leftMs: number
+  /** True when its client has come back after a refusal, so that the target is missed already. */
+  isReturning: boolean
+  /** Number of more urgent kinds of requests that the same workers serve. */
+  rank: number
+}
+
+/** Share of the target that the expected answer may take; the rest is for a worker that turns slow meanwhile. */
+const inTimeShare = 0.82
+/** Share of the target by which each more urgent kind lowers that, so that it still finds room when the others do not. */
+const rankShare = 0.15
+/** Lowest such share. */
+const minInTimeShare = 0.4
+/** Share of the target for which a request waits before it is refused; up to it, the wait costs its client next to nothing. */
+const waitShare = 0.12
+/** Share of the target that the queue of a worker may take for a request that is late already: it fills what those in time leave. */
+const lateQueueShare = 0.22
+/** Share of the time left for which such a request waits for that; then it is sent if it can still be answered. */
+const lateWaitShare = 0.45
+
+/**
+ * Decides whether a request is sent now, waits, or is refused.
+ *
+ * The load that it answers: in a burst of some seconds, more requests come than the workers of a service can answer. If each is sent at
+ * once, the queues fill to the point where every answer misses its target, and workers refuse the rest, at a cost of one arrival each.
+ * So a request is sent while it will be answered in time; one that will not be is told to come back when the burst may be over, and then
+ * waits here until the queues are short, so that it delays none that can still be in time.
+ *
+ * @param situation the request and the best worker
+ * @returns the decision
+ *
+ * @example
+ * ```ts
+ * import { decideSend, SendDecision } from 'briarloom/core/cost'
+ *
+ * const situation = { levelMs: 100, idleMs: 90, waitedMs: 0, targetMs: 400, leftMs: 4000, isReturning: false, rank: 0 }
+ * console.assert(decideSend(situation) === SendDecision.Send)
+ * console.assert(decideSend({ ...situation, levelMs: 900, waitedMs: 60 }) === SendDecision.Refuse)
+ * ```
+ */
+export function decideSend (situation: SendSituation): SendDecision {
+  const { levelMs, idleMs, waitedMs, targetMs, leftMs, isReturning, rank } = situation
+  if (isReturning) {
+    if (levelMs - idleMs <= lateQueueShare * targetMs) return SendDecision.Send
+    if (waitedMs < lateWaitShare * (leftMs + waitedMs)) return SendDecision.Wait
+    return levelMs < leftMs ? SendDecision.Send : SendDecision.Refuse
+  }
+  const share = Math.max(minInTimeShare, inTimeShare - rankShare * rank)
+  // A worker that is idle gets the request however slow it is: no other will be faster.
+  if (levelMs + waitedMs <= share * targetMs || levelMs - idleMs < 1) return SendDecision.Send
+  return waitedMs < waitShare * targetMs ? SendDecision.Wait : SendDecision.Refuse
+}
+
+/** Longest wait that clients are asked for, as a share of the time that they have left; they honour no longer one. */
+const maxReturnShare = 1 / 3
+
+/**
+ * Returns the time after which a refused client may come back: when the work that the best worker has now will be done at the earliest, and
+ * spread from there over the time for which clients wait, so that those who return meet the room that comes free one after the other.
+ *
+ * @param situation the request and the best worker
+ * @param random a number from 0 up to but not including 1
+ * @returns the time in milliseconds
+ *
+ * @example
+ * ```ts
+ * import { getReturnDelayMs } from 'briarloom/core/cost'
+ *
+ * console.assert(getReturnDelayMs({ levelMs: 500, leftMs: 3900 }, 0) === 500)
+ * ```
+ */
+export function getReturnDelayMs ({ levelMs, leftMs }: Pick<SendSituation, 'levelMs' | 'leftMs'>, random: number): number {
+  const latestMs = Math.max(0, leftMs) * maxReturnShare
+  const earliestMs = Math.min(levelMs, latestMs / 2)
+  return Math.round(earliestMs + (latestMs - earliestMs) * random)
+}
--- a/core/route/create_route_table.ts
+++ b/core/route/create_route_table.ts
@@ -14,6 +14,8 @@
   getService (name: string): ServiceRule | undefined
   /** Returns all services. */
   listServices (): ServiceRule[]
+  /** Returns the priorities of the routes to a service, each once. */
+  listPriorities (service: string): readonly number[]
   /** Returns all organisations; undefined when callers carry no keys. */
   organisations (): readonly OrganisationRule[] | undefined
   /** Returns the organisation that holds a key; undefined when none does. A lookup, whose time does not grow with the number of keys. */
@@ -44,6 +46,10 @@
   const organisationsByName = new Map(organisations.map((rule) => [rule.name, rule]))
   const keys = createKeyIndex(organisations.flatMap((holder) => holder.keys.map((key) => ({ digest: digestKey(key), holder }))))
   for (const route of rules.routes) routesByHost.set(route.host, [...routesByHost.get(route.host) ?? [], route])
+  const prioritiesByService = new Map<string, Set<number>>()
+  for (const { targets, priority } of rules.routes) {
+    for (const { service } of targets) prioritiesByService.set(service, (prioritiesByService.get(service) ?? new Set()).add(priority))
+  }
   for (const routes of routesByHost.values()) routes.sort((a, b) => b.prefix.length - a.prefix.length)
 
   return {
@@ -57,6 +63,7 @@
     },
     getService: (name) => services.get(name),
     listServices: () => [...services.values()],
+    listPriorities: (service) => [...prioritiesByService.get(service) ?? []],
     organisations: () => rules.organisations,
     findOrganisation: keys.find,
     getOrganisation: (name) => organisationsByName.get(name)
--- /dev/null
+++ b/gateway/_plain_load.ts
@@ -0,0 +1,148 @@
+/**
+ * What this gateway and the others have at the workers of plain services, and what requests there cost.
+ */
+import { createCostEstimates, createLoadView, createUsualDeadline, estimateCompletionMs, PlacementPolicy } from '../core/cost/mod.ts'
+import { MessageKind } from '../wire/mod.ts'
+import type { Candidate, LoadEntry, UsualDeadline } from '../core/cost/mod.ts'
+import type { Worker } from '../core/fleet/mod.ts'
+import type { Timer } from '../timer/mod.ts'
+import type { SidecarClient } from './_sidecar_client.ts'
+import type { ClientRequest } from './_types.ts'
+
+/** Configures the exchange of loads. */
+export interface PlainLoadOptions {
+  sidecars: SidecarClient
+  timer: Timer
+  /** Name of this machine. */
+  name: string
+  policy: PlacementPolicy
+}
+
+/** The workers of a choice with what they still have to do. */
+export interface SeenWorkers {
+  candidates: Candidate[]
+  /** Requests that other gateways have probably sent since their loads were told. */
+  unseenRequests: number
+}
+
+/** Knows the loads and the costs. */
+export interface PlainLoad {
+  /** Tells whether the loads of all gateways are known well enough to choose by. */
+  isKnown (): boolean
+  /** Returns the expected work of a request, in milliseconds of a worker of mean speed. */
+  workMs (request: ClientRequest): number
+  /** Describes workers for a choice; `fixedMs` is the time of each that does not depend on its work. */
+  see (request: ClientRequest, workers: readonly Worker[], fixedMs: (worker: Worker) => number): SeenWorkers
+  /** Counts a request that is sent; the result records its end, with the time that the worker took unless it did not answer. */
+  begin (request: ClientRequest, worker: Worker, roundTripMs: number): (tookMs?: number) => void
+  readonly deadlines: UsualDeadline
+  close (): void
+}
+
+/** Shortest time in milliseconds between two reports; a report is about as old as a request takes. */
+const reportMs = 100
+/** Time in milliseconds after the newest request for which loads are still exchanged. */
+const activeMs = 2_000
+/** Fewest samples of a worker's speed that are told to others; older ones count less. */
+const minToldSamples = 0.5
+/** Number of the newest reports whose answers are expected. */
+const maxOpenReports = 32
+
+/** Names the incarnation of a worker. */
+function nameWorker ({ entry }: Worker): string { return `${entry.id}/${entry.bornMs}` }
+
+/** Returns what a request looks like, the most general name first. */
+function nameCosts (request: ClientRequest): string[] {
+  const { route, method, organisation } = request
+  const kind = `${route.name} ${method}`
+  return organisation === undefined ? [kind] : [kind, `${kind} ${organisation.name}`]
+}
+
+/** Creates the exchange; it sends nothing under another policy. */
+export function createPlainLoad (options: PlainLoadOptions): PlainLoad {
+  const { sidecars, timer, name } = options
+  const costs = createCostEstimates()
+  const view = createLoadView()
+  const deadlines = createUsualDeadline()
+  const incarnation = Date.now()
+  const isOn = options.policy === PlacementPolicy.Completion
+  const sentAtMs = new Map<number, number>()
+  const told = new Set<string>()
+  let seq = 0
+  let lastRequestMs = -Infinity
+
+  function combineSlowness (mine: { slowness: number, samples: number }, others: { slowness: number, samples: number }): number {
+    const samples = mine.samples + others.samples
+    if (samples === 0) return 1
+    return Math.exp((mine.samples * Math.log(mine.slowness) + others.samples * Math.log(Math.max(0.01, others.slowness))) / samples)
+  }
+
+  function seeWorker (worker: Worker, workMs: number, fixedMs: number): { candidate: Candidate, unseenRequests: number } {
+    const nowMs = timer.now()
+    const key = nameWorker(worker)
+    const slots = Math.max(1, worker.entry.slots)
+    const told = view.find(key, 0, nowMs)
+    const slowness = combineSlowness(costs.slowness(key, nowMs), told.others)
+    const { requests, workMs: aheadMs, unseenRequests } = view.find(key, Math.min(slots, told.requests) / (workMs * slowness), nowMs)
+    return { candidate: { fixedMs, slots, slowness, requests, workMs: aheadMs }, unseenRequests }
+  }
+
+  function report (): void {
+    const nowMs = timer.now()
+    if (nowMs - lastRequestMs > activeMs && view.own().length === 0) return
+    const points = sidecars.exchangePoints()
+    if (points.length === 0) return
+    const own = new Map(view.own().map((load) => [load.worker, load]))
+    for (const worker of own.keys()) told.add(worker)
+    const loads: LoadEntry[] = []
+    for (const worker of told) {
+      const speed = costs.slowness(worker, nowMs)
+      const load = own.get(worker)
+      if (load === undefined && speed.samples < minToldSamples) told.delete(worker)
+      else loads.push({ requests: 0, workMs: 0, ...load, worker, ...speed })
+    }
+    seq++
+    sentAtMs.set(seq, nowMs)
+    sentAtMs.delete(seq - maxOpenReports)
+    let hasAsked = false
+    for (const point of points) {
+      const isSent = sidecars.sendToPoint(point, { kind: MessageKind.PlainLoad, name, incarnation, seq, asks: !hasAsked, loads })
+      hasAsked ||= isSent
+    }
+  }
+
+  sidecars.receive(MessageKind.PlainLoadSum, (_address, { seq: answered, ageMs, loads }) => {
+    const atMs = sentAtMs.get(answered)
+    if (atMs !== undefined) view.merge(loads, atMs - ageMs)
+  })
+  const reportTimer = isOn ? timer.every(reportMs, report) : undefined
+
+  return {
+    isKnown: () => isOn && view.isKnown(timer.now()),
+    workMs: (request) => costs.workMs(nameCosts(request)),
+    see (request, workers, fixedMs) {
+      lastRequestMs = timer.now()
+      const workMs = costs.workMs(nameCosts(request))
+      const seen = workers.map((worker) => seeWorker(worker, workMs, fixedMs(worker)))
+      return { candidates: seen.map(({ candidate }) => candidate), unseenRequests: seen.reduce((sum, { unseenRequests }) => sum + unseenRequests, 0) }
+    },
+    begin (request, worker, roundTripMs) {
+      lastRequestMs = timer.now()
+      const key = nameWorker(worker)
+      const keys = nameCosts(request)
+      const workMs = costs.workMs(keys)
+      const { candidate } = seeWorker(worker, workMs, 0)
+      const queueMs = estimateCompletionMs({ ...candidate, slowness: 1 }, 0)
+      view.add(key, workMs)
+      let hasEnded = false
+      return (tookMs) => {
+        if (hasEnded) return
+        hasEnded = true
+        view.remove(key, workMs)
+        if (tookMs !== undefined) costs.record({ keys, worker: key, tookMs: Math.max(1, tookMs - roundTripMs), queueMs }, timer.now())
+      }
+    },
+    deadlines,
+    close () { reportTimer?.cancel() }
+  }
+}
--- a/gateway/_serve_plain.ts
+++ b/gateway/_serve_plain.ts
@@ -5,12 +5,15 @@
 import { RequestKind } from '../core/route/mod.ts'
 import { planRetry } from '../core/retry/mod.ts'
 import { createByteBuffer } from '../core/stream/mod.ts'
+import { Err, Ok } from '../core/results/mod.ts'
 import { Outcome } from '../core/types/mod.ts'
 import { Count } from '../metrics/mod.ts'
 import { checkWorker, recordHeld } from './_check_worker.ts'
 import { getReturnMs, sendToWorker } from './_send_to_worker.ts'
 import { StopReason } from './_types.ts'
 import type { Worker } from '../core/fleet/mod.ts'
+import type { Result } from '../core/results/mod.ts'
+import type { NotPlaced } from './_place_plain.ts'
 import type { WorkerResponse } from './_send_to_worker.ts'
 import type { RequestResult, ClientRequest, GatewayContext } from './_types.ts'
 
@@ -45,6 +48,7 @@
 /** Serves one request and returns its result. */
 export async function servePlain (context: GatewayContext, request: ClientRequest): Promise<RequestResult> {
   const { directory, timer, random } = context
+  context.plainLoad.deadlines.record(request.route.name, request.head.deadlineMs ?? request.route.timeoutMs)
   const idempotent = request.route.kind === RequestKind.Idempotent
   const exclude = new Set<string>()
   let attempt = 0
@@ -52,11 +56,11 @@
   let last: SendResult | undefined
 
   for (;;) {
-    const options = { nowMs: timer.now(), drainMs: context.settings.drainMs, roundTripMs: context.roundTripMs, exclude, failureMs, random }
     const workers = directory.fleet.serving(request.service.name)
     const held = recordHeld(context, request.service.name, workers)
-    const worker = chooseWorker(workers, options)
-    if (worker === undefined) return finishFailed(request, attempt, mayHaveRun, last, { reason: 'no_worker', retryAfterMs, held })
+    const placed = await choose(context, request, workers, exclude)
+    if (placed.err) return finishFailed(request, attempt, mayHaveRun, last, { retryAfterMs, ...placed.val, held })
+    const worker = placed.val
     const refusal = findRefusal(context, request, workers, worker)
     if (refusal !== undefined) return finishFailed(request, attempt, mayHaveRun, last, { ...refusal, held })
     const delayMs = takeSendPlace(worker, timer.now())
@@ -95,6 +99,16 @@
   }
 }
 
+/** Chooses a worker by the loads of all gateways where they are known, else by what this one has measured. */
+async function choose (
+  context: GatewayContext, request: ClientRequest, workers: Worker[], exclude: ReadonlySet<string>
+): Promise<Result<Worker, NotPlaced>> {
+  if (context.plainLoad.isKnown()) return await context.plainPlacement.place(request, exclude, failureMs)
+  const { timer, random, roundTripMs, settings: { drainMs } } = context
+  const worker = chooseWorker(workers, { nowMs: timer.now(), drainMs, roundTripMs, exclude, failureMs, random })
+  return worker === undefined ? Err({ reason: 'no_worker' }) : Ok(worker)
+}
+
 /** Returns why a request is refused at once instead of waiting for the chosen worker; undefined when it is sent or waits for a moment. */
 function findRefusal (context: GatewayContext, request: ClientRequest, workers: Worker[], worker: Worker): PlainFailure | undefined {
   const { timer, random } = context
@@ -161,12 +175,14 @@
     let isStreaming = false
     let isSettled = false
     const held = context.heldBytes.open(beginStreaming)
+    const endLoad = context.plainLoad.begin(request, worker, context.roundTripMs(worker.entry.zone))
 
     function settle (result: SendResult, failed: boolean): void {
       if (isSettled) return
       isSettled = true
       held.close()
       const latencyMs = result.end === SendEnd.Completed ? timer.now() - startedMs : undefined
+      endLoad(latencyMs)
       directory.fleet.recordResult(worker, latencyMs === undefined ? { failed } : { latencyMs, failed })
       resolve(result)
     }
@@ -194,6 +210,7 @@
         // Sending nothing says nothing about the worker.
         if (!isWithheld) return settle({ end: SendEnd.NotRun, hasArrived, reason }, true)
         isSettled = true
+        endLoad()
         held.close()
         resolve({ end: SendEnd.NotRun, hasArrived, reason })
       },
--- a/gateway/start_gateway.ts
+++ b/gateway/start_gateway.ts
@@ -5,12 +5,15 @@
 import { Err, Ok } from '../core/results/mod.ts'
 import { createSharedRetryBudget } from '../core/retry/mod.ts'
 import { createDirectory, listStoreReaders, shareView, syncRecords } from '../directory/mod.ts'
+import { PlacementPolicy } from '../core/cost/mod.ts'
 import { createByteBudget } from '../core/stream/mod.ts'
 import { createExchangePool } from '../exchange/mod.ts'
 import { Count, createPrometheusMetrics } from '../metrics/mod.ts'
 import { readyPath } from '../platform/mod.ts'
 import { parseAddress } from '../wire/mod.ts'
 import { createPromptGuard } from './_prompt_guard.ts'
+import { createPlainLoad } from './_plain_load.ts'
+import { createPlainPlacement } from './_place_plain.ts'
 import { createSidecarClient } from './_sidecar_client.ts'
 import { createClientServer } from './_client_server.ts'
 import type { Server } from 'node:http'
@@ -27,6 +30,8 @@
   timer: Timer
   log: Log
   random: () => number
+  /** How requests of plain services are placed; by latency by default. */
+  placement?: PlacementPolicy
   /** Port at which metrics are served; they are not served when it is absent. */
   metricsPort?: number
   /** Returns the number of log lines that were dropped. */
@@ -97,6 +102,7 @@
       leaving_workers: () => directory.fleet.all().filter((worker) => worker.word.leavingSinceMs !== undefined).length,
       held_workers: () => directory.fleet.all().filter((worker) => worker.word.hold.untilMs() > timer.now()).length,
       held_bytes: () => heldBytes.heldBytes(),
+      requests_waiting: () => context.plainPlacement.waiting(),
       quarantines: () => promptGuard.quarantines(),
       log_lines_dropped: () => options.droppedLines?.() ?? 0
     },
@@ -112,7 +118,11 @@
 
   const heldBytes = createByteBudget({ maxBytes: heldMemoryShare * (settings.memoryBytes ?? defaultMemoryBytes) })
 
+  const plainLoad = createPlainLoad({ sidecars, timer, name: settings.machine, policy: options.placement ?? PlacementPolicy.Latency })
   const context: GatewayContext = {
+    plainLoad,
+    // Made below, since it takes the context.
+    plainPlacement: { place: () => { throw new Error('not placed before the start') }, waiting: () => 0 },
     metrics,
     settings,
     timer,
@@ -154,6 +164,7 @@
     return lastKnownGateways
   }
 
+  context.plainPlacement = createPlainPlacement(context)
   const clientServer = createClientServer(context)
   const peerAddress = settings.peerAddress === undefined ? {} : { address: settings.peerAddress }
   const records = await syncRecords({ directory, timer, log, seeds: settings.seeds, ...peerAddress })
@@ -179,6 +190,7 @@
     readinessServer.close()
     readinessServer.closeAllConnections()
     promptGuard.close()
+    plainLoad.close()
     sidecars.close()
     await records.close()
     await view.close()
--- a/metrics/create_prometheus_metrics.ts
+++ b/metrics/create_prometheus_metrics.ts
@@ -39,6 +39,8 @@
   EngineCrashes = 'engine_crashes_total',
   /** Workers that a choice held back, by service and reason. */
   SendsHeld = 'sends_held_total',
+  /** Requests of plain services that were placed by expected completion, by service and decision. */
+  PlainPlacements = 'plain_placements_total',
   /** Calls to the configuration store, by result. */
   StoreReads = 'store_reads_total',
   /** Connections of clients that closed while a request had no complete response, by the side that closed them. */
@@ -57,6 +59,7 @@
   [Count.StreamsSilent]: ['service'],
   [Count.EngineCrashes]: ['service'],
   [Count.SendsHeld]: ['service', 'reason'],
+  [Count.PlainPlacements]: ['service', 'decision'],
   [Count.StoreReads]: ['result'],
   [Count.Unanswered]: ['closed_by'],
   [Count.RecordsPassedOver]: ['reason']
@@ -72,6 +75,7 @@
   [Count.StreamsSilent]: 'Silences of streams that may resume elsewhere, by service',
   [Count.EngineCrashes]: 'Crashes of engines just after a request had begun, by service',
   [Count.SendsHeld]: 'Workers that the choice for a request held back, by service and reason',
+  [Count.PlainPlacements]: 'Requests of plain services placed by expected completion, by service and decision',
   [Count.StoreReads]: 'Calls to the store by result',
   [Count.Unanswered]: 'Requests whose connection closed before their response was complete, by the side that closed it',
   [Count.RecordsPassedOver]: 'Records of the store without effect, by reason',
--- a/settings/load_policy.ts
+++ b/settings/load_policy.ts
@@ -3,6 +3,7 @@
  */
 import { z } from 'zod'
 import { StagePolicy } from '../core/balance/mod.ts'
+import { PlacementPolicy } from '../core/cost/mod.ts'
 import { PackPolicy } from '../core/packing/mod.ts'
 import { Err, Ok } from '../core/results/mod.ts'
 import type { Result } from '../core/results/mod.ts'
@@ -16,11 +17,12 @@
 const policySchema = z.strictObject({
   stages: z.strictObject({ policy: z.enum(StagePolicy), prefillShare: fraction }),
   packing: z.strictObject({ policy: z.enum(PackPolicy), marginShare: fraction }),
+  placement: z.strictObject({ plain: z.enum(PlacementPolicy) }).default({ plain: PlacementPolicy.Latency }),
   log: z.strictObject({ level: z.enum(['debug', 'info', 'warn', 'error']), maxBytesPerS: z.int().min(1_000) }),
   metrics: z.strictObject({ gatewayPort: z.int().min(1).max(maxPort), sidecarPort: z.int().min(1).max(maxPort) })
 })
 
-/** Policy of the operator: prefill share, memory margin, log and metrics ports of gateways and sidecars. */
+/** Policy of the operator: prefill share, memory margin, placement of plain requests, log and metrics ports of gateways and sidecars. */
 export type PolicySettings = z.output<typeof policySchema>
 
 /**
--- /dev/null
+++ b/sidecar/_plain_load_task.ts
@@ -0,0 +1,29 @@
+/**
+ * The exchange point for what gateways have at the workers of plain services.
+ */
+import { createLoadSums } from '../core/cost/mod.ts'
+import { MessageKind } from '../wire/mod.ts'
+import type { Timer } from '../timer/mod.ts'
+import type { ExchangeHandlers } from './_admission_task.ts'
+
+/** Keeps the newest report of each gateway and answers with the sum over the others. */
+export interface PlainLoadTask {
+  handlers: ExchangeHandlers
+  /** Returns the number of gateways that report. */
+  members (): number
+}
+
+/** Creates the task; it keeps its state in memory only, and a point that starts anew knows all gateways after one report of each. */
+export function createPlainLoadTask (timer: Timer): PlainLoadTask {
+  const sums = createLoadSums()
+  return {
+    handlers: {
+      [MessageKind.PlainLoad]: (connection, { name, incarnation, seq, asks, loads }) => {
+        const nowMs = timer.now()
+        if (!sums.add({ name, incarnation, seq, loads }, nowMs) || !asks) return
+        connection.send({ kind: MessageKind.PlainLoadSum, seq, ageMs: sums.meanAgeMs(name, nowMs), loads: sums.sumOthers(name, nowMs) })
+      }
+    },
+    members: () => sums.members(timer.now())
+  }
+}
--- a/sidecar/start_sidecar.ts
+++ b/sidecar/start_sidecar.ts
@@ -7,6 +7,7 @@
 import { decodeEngineReport, decodeResponseHead, buildReportCall } from '../platform/mod.ts'
 import { formatAddress, listen } from '../wire/mod.ts'
 import { createAdmissionTask } from './_admission_task.ts'
+import { createPlainLoadTask } from './_plain_load_task.ts'
 import { createStageTask } from './_stage_task.ts'
 import type { ChooseStagesOptions } from '../core/balance/mod.ts'
 import type { PackerOptions } from '../core/packing/mod.ts'
@@ -70,8 +71,17 @@
   const readers = (): string[] => listStoreReaders({ fleet: directory.fleet, regions, zone, internalPort })
   const view = await shareView({ directory, timer, log, address: formatAddress(settings.ip, internalPort + viewPortOffset), readers })
   const packing = { ...options.packing, startMs }
+  const plainLoad = createPlainLoadTask(timer)
   const admission = createAdmissionTask({
-    directory, pool, timer, log, packing, random, drainMs: settings.drainMs, isSwitching: () => stages.isSwitching()
+    exchange: { ...plainLoad.handlers },
+    directory,
+    pool,
+    timer,
+    log,
+    packing,
+    random,
+    drainMs: settings.drainMs,
+    isSwitching: () => stages.isSwitching()
   })
   const stages = createStageTask({
     machine: settings.machine,
@@ -96,6 +106,7 @@
       view_revision: () => directory.position().revision,
       room_tokens: () => admission.roomTokens(),
       gateways: () => admission.gateways(),
+      load_reporters: () => plainLoad.members(),
       log_lines_dropped: () => options.droppedLines?.() ?? 0
     },
     onError: (reason) => log.warn({ reason }, 'metrics not served')
--- a/wire/_message_checks.ts
+++ b/wire/_message_checks.ts
@@ -6,6 +6,7 @@
   isAmount, isBytes, isCount, isBoolean, isMap, isName, isString, isStringMap, listOf, nullable, oneOf, optional, shape
 } from './_checks.ts'
 import type { LeavingWorker } from '../core/fleet/mod.ts'
+import type { LoadEntry } from '../core/cost/mod.ts'
 import type { CrashObservation } from '../core/quarantine/mod.ts'
 import type { AttemptRef } from '../core/types/mod.ts'
 import type { StoreChange } from '../core/view/mod.ts'
@@ -28,6 +29,7 @@
   caller: isName, requests: isAmount, tokens: isAmount, concurrency: isAmount, waiting: isAmount
 })
 const isCrash = shape<CrashObservation>({ crash: isName, parts: listOf(isName), ageMs: isAmount })
+const isLoad = shape<LoadEntry>({ worker: isName, requests: isAmount, workMs: isAmount, slowness: isAmount, samples: isAmount })
 const isLeaving = shape<LeavingWorker>({ id: isName, bornMs: isAmount })
 
 /** The check for each field of each kind of message; `kind` itself selects the entry. */
@@ -150,6 +152,8 @@
   [MessageKind.StreamEnded]: { ...attempt, whole: isBoolean },
   [MessageKind.EngineCapacity]: { workerId: isName, roomTokens: isAmount, reads: isBoolean, waiting: isAmount, senders: isCount, heldMs: optional(isAmount) },
   [MessageKind.PromptEvidence]: { crashes: listOf(isCrash), sound: listOf(isName), leaving: optional(listOf(isLeaving)) },
+  [MessageKind.PlainLoad]: { name: isName, incarnation: isCount, seq: isCount, asks: isBoolean, loads: listOf(isLoad) },
+  [MessageKind.PlainLoadSum]: { seq: isCount, ageMs: isAmount, loads: listOf(isLoad) },
   [MessageKind.Status]: {},
   [MessageKind.StatusReply]: { status: isMap },
   [MessageKind.Explain]: { requestId: isName },
--- /dev/null
+++ b/wire/load_messages.ts
@@ -0,0 +1,22 @@
+/**
+ * The messages between gateways and exchange points, by which gateways learn what all of them together have at the workers of plain services.
+ */
+import type { LoadEntry, LoadReportData } from '../core/cost/mod.ts'
+import type { MessageKind } from './message_kind.ts'
+
+/** Reports all that a gateway has at workers of plain services, and what it has measured of their speed. */
+export interface PlainLoad extends LoadReportData {
+  kind: MessageKind.PlainLoad
+  /** True when the gateway wants a `PlainLoadSum` in return. */
+  asks: boolean
+}
+
+/** Answers `PlainLoad` with the sum over the other gateways. */
+export interface PlainLoadSum {
+  kind: MessageKind.PlainLoadSum
+  /** Counter of the report that it answers. */
+  seq: number
+  /** Mean age in milliseconds of the reports behind the sum. */
+  ageMs: number
+  loads: LoadEntry[]
+}
--- a/wire/message_kind.ts
+++ b/wire/message_kind.ts
@@ -30,6 +30,8 @@
   StreamEnded = 'pack_ended',
   EngineCapacity = 'engine_room',
   PromptEvidence = 'prompt_evidence',
+  PlainLoad = 'plain_load',
+  PlainLoadSum = 'plain_load_sum',
   ConfigDigest = 'config_digest',
   ConfigRecords = 'config_records',
   ViewState = 'view_state',
