--- a/cli/run_platform_process.ts
+++ b/cli/run_platform_process.ts
@@ -37,7 +37,7 @@
 
 const starters: { readonly [K in PlatformProcess]: (options: StartOptions) => Promise<Result<RunningProcess, string>> } = {
   [PlatformProcess.Gateway]: ({ policy, ...options }) =>
-    startGateway({ ...options, random: Math.random, placement: policy.placement.plain, metricsPort: policy.metrics.gatewayPort }),
+    startGateway({ ...options, random: Math.random, placement: policy.placement.policy, metricsPort: policy.metrics.gatewayPort }),
   [PlatformProcess.Sidecar]: async ({ policy, ...options }) => Ok(await startSidecar({
     ...options, random: Math.random, stages: policy.stages, packing: policy.packing, metricsPort: policy.metrics.sidecarPort
   }))
--- a/core/fleet/_types.ts
+++ b/core/fleet/_types.ts
@@ -101,6 +101,9 @@
   prefillMsPerToken?: number
   /** The newest prefill times in milliseconds for each prompt token, oldest first. */
   prefillSamples?: readonly number[]
+  /** Shortest of the newest times in milliseconds for each token of prompts that it prefilled between the tokens of its streams, and those. */
+  decodePrefillMsPerToken?: number
+  decodePrefillSamples?: readonly number[]
   /** Smoothed length in tokens of the prompts that this process sent it for prefill. */
   typicalPromptTokens?: number
   /** Smoothed share of requests that failed, from 0 to 1. */
--- a/gateway/_forward_stream.ts
+++ b/gateway/_forward_stream.ts
@@ -4,6 +4,7 @@
 import { createEventScanner } from '../core/stream/mod.ts'
 import { discardBody } from './_discard_body.ts'
 import { observeStream } from './_observe_stream.ts'
+import { recordPrefillAtDecode } from './_prefill.ts'
 import { sendToWorker } from './_send_to_worker.ts'
 import { StopReason } from './_types.ts'
 import { watchSilence } from './_watch_silence.ts'
@@ -150,8 +151,10 @@
     function forward (chunk: Buffer): void {
       const nowMs = timer.now()
       observer.onChunk(nowMs)
-      if (firstMs === undefined) firstMs = Math.round(nowMs - request.startedMs)
-      else stats.pauseMs = Math.max(stats.pauseMs, Math.round(nowMs - lastDataMs))
+      if (firstMs === undefined) {
+        firstMs = Math.round(nowMs - request.startedMs)
+        if (kvSource === undefined && stats.status < minRefusalStatus) recordPrefillAtDecode(request, worker, nowMs - sentMs - context.roundTripMs(worker.entry.zone))
+      } else stats.pauseMs = Math.max(stats.pauseMs, Math.round(nowMs - lastDataMs))
       lastDataMs = nowMs
       stats.bytes += chunk.length
       const hasEvents = stats.status < minRefusalStatus
--- a/gateway/_place_plain.ts
+++ b/gateway/_place_plain.ts
@@ -33,7 +33,7 @@
 
 /** Creates the placement. */
 export function createPlainPlacement (context: GatewayContext): PlainPlacement {
-  const { timer, random, plainLoad } = context
+  const { timer, random, workerLoads } = context
   let waiting = 0
 
   /** Returns the number of more urgent kinds of requests that the service of a request has. */
@@ -54,15 +54,15 @@
       const { service, route, head } = request
       const sinceMs = timer.now()
       const statedMs = head.deadlineMs ?? route.timeoutMs
-      const isReturning = plainLoad.deadlines.isReturning(route.name, statedMs)
+      const isReturning = workerLoads.deadlines.isReturning(route.name, statedMs)
       let isWaiting = false
       try {
         for (;;) {
           const open = listOpen(context.directory.fleet.serving(service.name), exclude)
           const fixedMs = (worker: Worker): number =>
             context.roundTripMs(worker.entry.zone) + getSendDelayMs(worker, timer.now()) + worker.failureShare * failureMs
-          const { candidates, unseenRequests } = plainLoad.see(request, open, fixedMs)
-          const workMs = plainLoad.workMs(request)
+          const { candidates, unseenRequests } = workerLoads.see(request, open, fixedMs)
+          const workMs = workerLoads.workMs(request)
           const choice = chooseByCompletion(candidates, { workMs, unseenRequests, random })
           if (choice === undefined) return Err({ reason: 'no_worker' })
           const worker = open[choice.index] as Worker
--- a/gateway/_prefill.ts
+++ b/gateway/_prefill.ts
@@ -1,10 +1,10 @@
 /**
  * Chooses the engine for the prefill of a prompt, and has it run the prefill.
  */
+import { chooseByCompletion } from '../core/cost/mod.ts'
 import { HoldReason, SendRank, smooth, Stage, stageOf, takeSendPlace } from '../core/fleet/mod.ts'
 import {
-  canPrefillWithinPause, choosePrefillPlace, defaultPrefillMsPerToken, estimateDecodeEngineMs, getPrefillMsPerToken, PrefillPlace,
-  recordPrefill
+  canPrefillWithinPause, choosePrefillPlace, defaultPrefillMsPerToken, estimatePrefillAtMs, PrefillPlace, recordDecodePrefill, recordPrefill
 } from '../core/prefill/mod.ts'
 import { callJson } from '../exchange/mod.ts'
 import { decodeKvCacheHandle, buildFreeKvCacheCall } from '../platform/mod.ts'
@@ -34,15 +34,21 @@
 /** Estimates the time in milliseconds until a prefill engine has finished a prompt, behind those that are queued there. */
 function estimatePrefillMs (context: GatewayContext, request: ClientRequest, worker: Worker): number {
   const perTokenMs = worker.prefillMsPerToken ?? defaultPrefillMsPerToken
-  const queuedTokens = Math.max(
-    worker.ownQueuedPromptTokens, (worker.capacity?.waitingRequests ?? 0) * (worker.typicalPromptTokens ?? request.head.promptTokens)
-  )
+  const queuedTokens = context.workerLoads.isKnown()
+    ? context.workerLoads.prompts(worker, perTokenMs).workMs
+    : Math.max(worker.ownQueuedPromptTokens, (worker.capacity?.waitingRequests ?? 0) * (worker.typicalPromptTokens ?? request.head.promptTokens))
   return (queuedTokens + request.head.promptTokens) * perTokenMs + context.roundTripMs(worker.entry.zone)
 }
 
 /** Estimates the time in milliseconds that the prefill of a request takes at a decode engine. */
-export function estimatePrefillAtDecodeMs (context: GatewayContext, request: ClientRequest): number {
-  return estimateDecodeEngineMs(request.head.promptTokens, getPrefillMsPerToken(context.directory.fleet.serving(request.service.name)))
+export function estimatePrefillAtDecodeMs (context: GatewayContext, request: ClientRequest, worker: Worker): number {
+  return estimatePrefillAtMs(request.head.promptTokens, worker, context.directory.fleet.serving(request.service.name))
+}
+
+/** Records the time in milliseconds that a decode engine took from a request to its first event, when it ran the prefill itself. */
+export function recordPrefillAtDecode (request: ClientRequest, worker: Worker, tookMs: number): void {
+  const { promptTokens } = request.head
+  if (promptTokens >= minMeasuredTokens) recordDecodePrefill(worker, Math.max(0, tookMs) / promptTokens)
 }
 
 /** Returns the prefill engine with the lowest estimated cost; undefined when none can be asked. */
@@ -53,9 +59,23 @@
     .map((worker) => ({ worker, rank: checkWorker(context, worker, request.head.sharedParts).rank }))
   const bestRank = Math.min(SendRank.Leaving, ...ranked.map(({ rank }) => rank))
   const engines = ranked.filter(({ rank }) => rank === bestRank).map(({ worker }) => worker)
+  if (context.workerLoads.isKnown()) return chooseByLoads(context, request, engines)
   return engines.sort((a, b) => estimateCostMs(context, request, a) - estimateCostMs(context, request, b))[0]
 }
 
+/** Returns the prefill engine that is likely to finish the prompt first, by the prompts that all gateways have there. */
+function chooseByLoads (context: GatewayContext, request: ClientRequest, engines: Worker[]): Worker | undefined {
+  let unseenRequests = 0
+  const candidates = engines.map((worker) => {
+    const slowness = worker.prefillMsPerToken ?? defaultPrefillMsPerToken
+    const load = context.workerLoads.prompts(worker, slowness)
+    unseenRequests += load.unseenRequests
+    return { ...load, fixedMs: context.roundTripMs(worker.entry.zone) + worker.failureShare * lossCostMs, slots: 1, slowness }
+  })
+  const choice = chooseByCompletion(candidates, { workMs: request.head.promptTokens, unseenRequests, random: context.random })
+  return choice === undefined ? undefined : engines[choice.index]
+}
+
 /** Estimates the time in milliseconds until a prefill engine has finished the prompt, plus the expected cost of lost responses. */
 function estimateCostMs (context: GatewayContext, request: ClientRequest, worker: Worker): number {
   return estimatePrefillMs(context, request, worker) + worker.failureShare * lossCostMs
@@ -77,6 +97,8 @@
 
 /** Configures a plan. */
 export interface PlanPrefillOptions {
+  /** Decode engine that would run the prefill otherwise. */
+  decodeEngine: Worker
   /** True when the decode engines that have memory for the request run prefills already. */
   areDecodeEnginesBusy: boolean
   /** True when the request cannot reach its target latency any more, because its client has come back or its stream was lost. */
@@ -90,7 +112,7 @@
   // A late request may wait for the whole target from now on.
   const sinceMs = options.isLate ? context.timer.now() : request.startedMs
   const prefillEngineMs = engine === undefined ? undefined : estimateCostMs(context, request, engine)
-  const decodeEngineMs = estimatePrefillAtDecodeMs(context, request)
+  const decodeEngineMs = estimatePrefillAtDecodeMs(context, request, options.decodeEngine)
   const place = choosePrefillPlace({
     ...(prefillEngineMs === undefined ? {} : { prefillEngineMs }),
     decodeEngineMs,
@@ -118,11 +140,13 @@
  * Has the given engine run the prefill; does nothing without an engine. When the response is lost and a prefill at the decode engine
  * would delay its streams too long, a prefill engine runs it once more. When the result has no KV cache, the decode engine runs it.
  */
-export async function prefillWithRetry (context: GatewayContext, request: ClientRequest, engine: Worker | undefined): Promise<PrefillResult> {
+export async function prefillWithRetry (
+  context: GatewayContext, request: ClientRequest, engine: Worker | undefined, decodeEngine: Worker
+): Promise<PrefillResult> {
   if (engine === undefined) return withoutKvCache
   const result = await runPrefill(context, request, engine)
   if (!result.isLost || request.stopReason() !== undefined) return result
-  if (canPrefillWithinPause(estimatePrefillAtDecodeMs(context, request), request.route.longestPauseMs)) return result
+  if (canPrefillWithinPause(estimatePrefillAtDecodeMs(context, request, decodeEngine), request.route.longestPauseMs)) return result
   const secondEngine = findFastestPrefillEngine(context, request)
   if (secondEngine === undefined || !context.retryBudget(request.service.name).take(context.timer.now())) return result
   context.log.warn({ request: request.requestId, reader: engine.entry.id, other: secondEngine.entry.id }, 'prompt read again')
@@ -136,6 +160,7 @@
   const timeoutMs = timeoutFactor * estimatePrefillMs(context, request, worker) + timeoutMarginMs
   takeSendPlace(worker, startedMs)
   worker.ownQueuedPromptTokens += request.head.promptTokens
+  const endLoad = context.workerLoads.beginPrompt(worker, request.head.promptTokens)
   worker.typicalPromptTokens = smooth(worker.typicalPromptTokens, request.head.promptTokens)
   return new Promise((resolve) => {
     const chunks: Buffer[] = []
@@ -152,6 +177,7 @@
       isSettled = true
       timeout.cancel()
       worker.ownQueuedPromptTokens -= request.head.promptTokens
+      endLoad()
       if (handle !== undefined || isLost) context.directory.fleet.recordResult(worker, { failed: isLost })
       resolve(handle === undefined ? { isRefused, isLost } : { kvCache: { worker, handle }, isRefused, isLost })
     }
--- a/gateway/_prepare_attempt.ts
+++ b/gateway/_prepare_attempt.ts
@@ -44,7 +44,7 @@
   // Other requests may have crashed engines while this one waited.
   const mayPrefill = !isQuarantined(context, request) && (!options.takesRetry || takeRetry(context, request))
   const { kvCache, isRefused } = mayPrefill
-    ? await prefillWithRetry(context, request, reservation.prefillEngine)
+    ? await prefillWithRetry(context, request, reservation.prefillEngine, reservation.worker)
     : { kvCache: undefined, isRefused: false }
   const attempt = {
     reservation, ...(kvCache === undefined ? {} : { kvCache }), holdMs: Math.round(reservedAtMs - startedMs), prefillMs: Math.round(timer.now() - reservedAtMs)
--- a/gateway/_reserve_memory.ts
+++ b/gateway/_reserve_memory.ts
@@ -117,8 +117,8 @@
         if (request.stopReason() !== undefined) return logNotReserved(engines)
         if (worker.capacity !== undefined && worker.capacity.freeTokens < request.head.promptTokens) continue
         // Engines that refused because they run a prefill are asked again with a separate prefill engine, once all others have refused.
-        plan = planPrefill(context, request, { areDecodeEnginesBusy: candidates === prefilling, isLate: isBack || exclude.size > 0 })
-        if (plan.place === PrefillPlace.Later) break
+        plan = planPrefill(context, request, { decodeEngine: worker, areDecodeEnginesBusy: candidates === prefilling, isLate: isBack || exclude.size > 0 })
+        if (plan.place === PrefillPlace.Later) continue
         const reservation = await reserveAtEngine(context, request, worker, plan.engine)
         if (reservation.ok) return { ...reservation.val, held }
         refusals[reservation.val] = (refusals[reservation.val] ?? 0) + 1
@@ -148,7 +148,7 @@
   const { promptTokens, maxOutputTokens: maxTokens, likelyOutputTokens } = request.head
   const withoutEstimate = { requestId: request.requestId, promptTokens, maxTokens }
   const packRequest = likelyOutputTokens === undefined ? withoutEstimate : { ...withoutEstimate, likelyTokens: likelyOutputTokens }
-  const readMs = prefillEngine === undefined ? estimatePrefillAtDecodeMs(context, request) : undefined
+  const readMs = prefillEngine === undefined ? estimatePrefillAtDecodeMs(context, request, worker) : undefined
   const response = await context.sidecars.reserve(worker, packRequest, readMs)
   if (response.err) {
     if (response.val === RefusalCode.NoCapacity && worker.capacity) worker.capacity.freeTokens = Math.min(worker.capacity.freeTokens, promptTokens)
--- a/gateway/_serve_plain.ts
+++ b/gateway/_serve_plain.ts
@@ -48,7 +48,7 @@
 /** Serves one request and returns its result. */
 export async function servePlain (context: GatewayContext, request: ClientRequest): Promise<RequestResult> {
   const { directory, timer, random } = context
-  context.plainLoad.deadlines.record(request.route.name, request.head.deadlineMs ?? request.route.timeoutMs)
+  context.workerLoads.deadlines.record(request.route.name, request.head.deadlineMs ?? request.route.timeoutMs)
   const idempotent = request.route.kind === RequestKind.Idempotent
   const exclude = new Set<string>()
   let attempt = 0
@@ -103,7 +103,7 @@
 async function choose (
   context: GatewayContext, request: ClientRequest, workers: Worker[], exclude: ReadonlySet<string>
 ): Promise<Result<Worker, NotPlaced>> {
-  if (context.plainLoad.isKnown()) return await context.plainPlacement.place(request, exclude, failureMs)
+  if (context.workerLoads.isKnown()) return await context.plainPlacement.place(request, exclude, failureMs)
   const { timer, random, roundTripMs, settings: { drainMs } } = context
   const worker = chooseWorker(workers, { nowMs: timer.now(), drainMs, roundTripMs, exclude, failureMs, random })
   return worker === undefined ? Err({ reason: 'no_worker' }) : Ok(worker)
@@ -175,7 +175,7 @@
     let isStreaming = false
     let isSettled = false
     const held = context.heldBytes.open(beginStreaming)
-    const endLoad = context.plainLoad.begin(request, worker, context.roundTripMs(worker.entry.zone))
+    const endLoad = context.workerLoads.begin(request, worker, context.roundTripMs(worker.entry.zone))
 
     function settle (result: SendResult, failed: boolean): void {
       if (isSettled) return
--- a/gateway/_types.ts
+++ b/gateway/_types.ts
@@ -10,7 +10,7 @@
 import type { OrganisationRule, RouteRule, ServiceRule } from '../core/route/mod.ts'
 import type { ByteBudget } from '../core/stream/mod.ts'
 import type { Timer } from '../timer/mod.ts'
-import type { PlainLoad } from './_plain_load.ts'
+import type { WorkerLoads } from './_worker_loads.ts'
 import type { PlainPlacement } from './_place_plain.ts'
 import type { PromptGuard } from './_prompt_guard.ts'
 import type { SidecarClient } from './_sidecar_client.ts'
@@ -28,7 +28,7 @@
   controlPool: ExchangePool
   sidecars: SidecarClient
   promptGuard: PromptGuard
-  plainLoad: PlainLoad
+  workerLoads: WorkerLoads
   plainPlacement: PlainPlacement
   /** Bounds the bytes of responses that are held back until it is known whether they may be passed on. */
   heldBytes: ByteBudget
--- a/gateway/_plain_load.ts
+++ b/gateway/_worker_loads.ts
@@ -1,16 +1,16 @@
 /**
- * What this gateway and the others have at the workers of plain services, and what requests there cost.
+ * What this gateway and the others have at the workers of plain services and at prefill engines, and what plain requests cost.
  */
 import { createCostEstimates, createLoadView, createUsualDeadline, estimateCompletionMs, PlacementPolicy } from '../core/cost/mod.ts'
 import { MessageKind } from '../wire/mod.ts'
-import type { Candidate, LoadEntry, UsualDeadline } from '../core/cost/mod.ts'
+import type { Candidate, LoadEntry, UsualDeadline, WorkerLoad } from '../core/cost/mod.ts'
 import type { Worker } from '../core/fleet/mod.ts'
 import type { Timer } from '../timer/mod.ts'
 import type { SidecarClient } from './_sidecar_client.ts'
 import type { ClientRequest } from './_types.ts'
 
 /** Configures the exchange of loads. */
-export interface PlainLoadOptions {
+export interface WorkerLoadsOptions {
   sidecars: SidecarClient
   timer: Timer
   /** Name of this machine. */
@@ -26,7 +26,7 @@
 }
 
 /** Knows the loads and the costs. */
-export interface PlainLoad {
+export interface WorkerLoads {
   /** Tells whether the loads of all gateways are known well enough to choose by. */
   isKnown (): boolean
   /** Returns the expected work of a request, in milliseconds of a worker of mean speed. */
@@ -35,6 +35,10 @@
   see (request: ClientRequest, workers: readonly Worker[], fixedMs: (worker: Worker) => number): SeenWorkers
   /** Counts a request that is sent; the result records its end, with the time that the worker took unless it did not answer. */
   begin (request: ClientRequest, worker: Worker, roundTripMs: number): (tookMs?: number) => void
+  /** Counts a prompt that is sent to a prefill engine; the result counts its end. */
+  beginPrompt (engine: Worker, tokens: number): () => void
+  /** Returns the prompts that a prefill engine has from all gateways, as far as known: their number, and their tokens as the work. */
+  prompts (engine: Worker, msPerToken: number): WorkerLoad & { unseenRequests: number }
   readonly deadlines: UsualDeadline
   close (): void
 }
@@ -59,7 +63,7 @@
 }
 
 /** Creates the exchange; it sends nothing under another policy. */
-export function createPlainLoad (options: PlainLoadOptions): PlainLoad {
+export function createWorkerLoads (options: WorkerLoadsOptions): WorkerLoads {
   const { sidecars, timer, name } = options
   const costs = createCostEstimates()
   const view = createLoadView()
@@ -106,12 +110,12 @@
     sentAtMs.delete(seq - maxOpenReports)
     let hasAsked = false
     for (const point of points) {
-      const isSent = sidecars.sendToPoint(point, { kind: MessageKind.PlainLoad, name, incarnation, seq, asks: !hasAsked, loads })
+      const isSent = sidecars.sendToPoint(point, { kind: MessageKind.WorkerLoads, name, incarnation, seq, asks: !hasAsked, loads })
       hasAsked ||= isSent
     }
   }
 
-  sidecars.receive(MessageKind.PlainLoadSum, (_address, { seq: answered, ageMs, loads }) => {
+  sidecars.receive(MessageKind.WorkerLoadsSum, (_address, { seq: answered, ageMs, loads }) => {
     const atMs = sentAtMs.get(answered)
     if (atMs !== undefined) view.merge(loads, atMs - ageMs)
   })
@@ -142,6 +146,23 @@
         if (tookMs !== undefined) costs.record({ keys, worker: key, tookMs: Math.max(1, tookMs - roundTripMs), queueMs }, timer.now())
       }
     },
+    beginPrompt (engine, tokens) {
+      lastRequestMs = timer.now()
+      const key = nameWorker(engine)
+      view.add(key, tokens)
+      let hasEnded = false
+      return () => {
+        if (!hasEnded) view.remove(key, tokens)
+        hasEnded = true
+      }
+    },
+    prompts (engine, msPerToken) {
+      const nowMs = timer.now()
+      const key = nameWorker(engine)
+      const { requests, workMs: tokens } = view.find(key, 0, nowMs)
+      const { others, ...load } = view.find(key, requests === 0 ? 0 : requests / Math.max(1, tokens * msPerToken), nowMs)
+      return load
+    },
     deadlines,
     close () { reportTimer?.cancel() }
   }
--- a/gateway/start_gateway.ts
+++ b/gateway/start_gateway.ts
@@ -12,7 +12,7 @@
 import { readyPath } from '../platform/mod.ts'
 import { parseAddress } from '../wire/mod.ts'
 import { createPromptGuard } from './_prompt_guard.ts'
-import { createPlainLoad } from './_plain_load.ts'
+import { createWorkerLoads } from './_worker_loads.ts'
 import { createPlainPlacement } from './_place_plain.ts'
 import { createSidecarClient } from './_sidecar_client.ts'
 import { createClientServer } from './_client_server.ts'
@@ -118,9 +118,9 @@
 
   const heldBytes = createByteBudget({ maxBytes: heldMemoryShare * (settings.memoryBytes ?? defaultMemoryBytes) })
 
-  const plainLoad = createPlainLoad({ sidecars, timer, name: settings.machine, policy: options.placement ?? PlacementPolicy.Latency })
+  const workerLoads = createWorkerLoads({ sidecars, timer, name: settings.machine, policy: options.placement ?? PlacementPolicy.Latency })
   const context: GatewayContext = {
-    plainLoad,
+    workerLoads,
     // Made below, since it takes the context.
     plainPlacement: { place: () => { throw new Error('not placed before the start') }, waiting: () => 0 },
     metrics,
@@ -190,7 +190,7 @@
     readinessServer.close()
     readinessServer.closeAllConnections()
     promptGuard.close()
-    plainLoad.close()
+    workerLoads.close()
     sidecars.close()
     await records.close()
     await view.close()
--- a/settings/load_policy.ts
+++ b/settings/load_policy.ts
@@ -17,7 +17,7 @@
 const policySchema = z.strictObject({
   stages: z.strictObject({ policy: z.enum(StagePolicy), prefillShare: fraction }),
   packing: z.strictObject({ policy: z.enum(PackPolicy), marginShare: fraction }),
-  placement: z.strictObject({ plain: z.enum(PlacementPolicy) }).default({ plain: PlacementPolicy.Latency }),
+  placement: z.strictObject({ policy: z.enum(PlacementPolicy) }).default({ policy: PlacementPolicy.Latency }),
   log: z.strictObject({ level: z.enum(['debug', 'info', 'warn', 'error']), maxBytesPerS: z.int().min(1_000) }),
   metrics: z.strictObject({ gatewayPort: z.int().min(1).max(maxPort), sidecarPort: z.int().min(1).max(maxPort) })
 })
--- a/sidecar/_plain_load_task.ts
+++ b/sidecar/_worker_loads_task.ts
@@ -7,21 +7,21 @@
 import type { ExchangeHandlers } from './_admission_task.ts'
 
 /** Keeps the newest report of each gateway and answers with the sum over the others. */
-export interface PlainLoadTask {
+export interface WorkerLoadsTask {
   handlers: ExchangeHandlers
   /** Returns the number of gateways that report. */
   members (): number
 }
 
 /** Creates the task; it keeps its state in memory only, and a point that starts anew knows all gateways after one report of each. */
-export function createPlainLoadTask (timer: Timer): PlainLoadTask {
+export function createWorkerLoadsTask (timer: Timer): WorkerLoadsTask {
   const sums = createLoadSums()
   return {
     handlers: {
-      [MessageKind.PlainLoad]: (connection, { name, incarnation, seq, asks, loads }) => {
+      [MessageKind.WorkerLoads]: (connection, { name, incarnation, seq, asks, loads }) => {
         const nowMs = timer.now()
         if (!sums.add({ name, incarnation, seq, loads }, nowMs) || !asks) return
-        connection.send({ kind: MessageKind.PlainLoadSum, seq, ageMs: sums.meanAgeMs(name, nowMs), loads: sums.sumOthers(name, nowMs) })
+        connection.send({ kind: MessageKind.WorkerLoadsSum, seq, ageMs: sums.meanAgeMs(name, nowMs), loads: sums.sumOthers(name, nowMs) })
       }
     },
     members: () => sums.members(timer.now())
--- a/sidecar/start_sidecar.ts
+++ b/sidecar/start_sidecar.ts
@@ -7,7 +7,7 @@
 import { decodeEngineReport, decodeResponseHead, buildReportCall } from '../platform/mod.ts'
 import { formatAddress, listen } from '../wire/mod.ts'
 import { createAdmissionTask } from './_admission_task.ts'
-import { createPlainLoadTask } from './_plain_load_task.ts'
+import { createWorkerLoadsTask } from './_worker_loads_task.ts'
 import { createStageTask } from './_stage_task.ts'
 import type { ChooseStagesOptions } from '../core/balance/mod.ts'
 import type { PackerOptions } from '../core/packing/mod.ts'
@@ -71,9 +71,9 @@
   const readers = (): string[] => listStoreReaders({ fleet: directory.fleet, regions, zone, internalPort })
   const view = await shareView({ directory, timer, log, address: formatAddress(settings.ip, internalPort + viewPortOffset), readers })
   const packing = { ...options.packing, startMs }
-  const plainLoad = createPlainLoadTask(timer)
+  const workerLoads = createWorkerLoadsTask(timer)
   const admission = createAdmissionTask({
-    exchange: { ...plainLoad.handlers },
+    exchange: { ...workerLoads.handlers },
     directory,
     pool,
     timer,
@@ -106,7 +106,7 @@
       view_revision: () => directory.position().revision,
       room_tokens: () => admission.roomTokens(),
       gateways: () => admission.gateways(),
-      load_reporters: () => plainLoad.members(),
+      load_reporters: () => workerLoads.members(),
       log_lines_dropped: () => options.droppedLines?.() ?? 0
     },
     onError: (reason) => log.warn({ reason }, 'metrics not served')
--- a/wire/load_messages.ts
+++ b/wire/load_messages.ts
@@ -5,15 +5,15 @@
 import type { MessageKind } from './message_kind.ts'
 
 /** Reports all that a gateway has at workers of plain services, and what it has measured of their speed. */
-export interface PlainLoad extends LoadReportData {
-  kind: MessageKind.PlainLoad
-  /** True when the gateway wants a `PlainLoadSum` in return. */
+export interface WorkerLoads extends LoadReportData {
+  kind: MessageKind.WorkerLoads
+  /** True when the gateway wants a `WorkerLoadsSum` in return. */
   asks: boolean
 }
 
-/** Answers `PlainLoad` with the sum over the other gateways. */
-export interface PlainLoadSum {
-  kind: MessageKind.PlainLoadSum
+/** Answers `WorkerLoads` with the sum over the other gateways. */
+export interface WorkerLoadsSum {
+  kind: MessageKind.WorkerLoadsSum
   /** Counter of the report that it answers. */
   seq: number
   /** Mean age in milliseconds of the reports behind the sum. */
--- a/wire/messages.ts
+++ b/wire/messages.ts
@@ -4,7 +4,7 @@
 import type { MessageKind } from './message_kind.ts'
 import type { AttemptRef, Outcome, Place, RefusalCode, Role, TierClass } from '../core/types/mod.ts'
 import type { StoreChange } from '../core/view/mod.ts'
-import type { PlainLoad, PlainLoadSum } from './load_messages.ts'
+import type { WorkerLoads, WorkerLoadsSum } from './load_messages.ts'
 import type { EngineCapacity, Admit, Admitted, PromptEvidenceMessage, StreamEnded } from './pack_messages.ts'
 import type { ViewChanges, ViewRequest, ViewStateMessage } from './view_messages.ts'
 
@@ -300,7 +300,7 @@
   | Failed | CancelMessage | Cancelled | CallMessage | CallDone | TicketIssue | TicketIssued | TicketVoid | TicketVoided
   | LoadReport | ConfigDigest | ConfigRecords | PeerReport | UsageShare | StatusRequest | StatusReply | Explain
   | ExplainReply | Admit | Admitted | StreamEnded | EngineCapacity | PromptEvidenceMessage
-  | ViewStateMessage | ViewRequest | ViewChanges | PlainLoad | PlainLoadSum
+  | ViewStateMessage | ViewRequest | ViewChanges | WorkerLoads | WorkerLoadsSum
 
 /** The message of one kind. */
 export type MessageOf<K extends MessageKind> = Extract<Message, { kind: K }>
--- a/wire/wire_fuzz_test.ts
+++ b/wire/wire_fuzz_test.ts
@@ -77,16 +77,16 @@
     complete: [true, false],
     changes: [{ key: 'servers/i-1', era: 2, revision: 5, value: null }]
   },
-  [MessageKind.PlainLoad]: {
-    kind: MessageKind.PlainLoad,
+  [MessageKind.WorkerLoads]: {
+    kind: MessageKind.WorkerLoads,
     name: 'edge-1',
     incarnation: 7,
     seq: 3,
     asks: true,
     loads: [{ worker: 'i-1/5', requests: 2, workMs: 160.5, slowness: 1.2, samples: 3.5 }]
   },
-  [MessageKind.PlainLoadSum]: {
-    kind: MessageKind.PlainLoadSum, seq: 3, ageMs: 40.5, loads: [{ worker: 'i-1/5', requests: 20, workMs: 1600, slowness: 0.8, samples: 31 }]
+  [MessageKind.WorkerLoadsSum]: {
+    kind: MessageKind.WorkerLoadsSum, seq: 3, ageMs: 40.5, loads: [{ worker: 'i-1/5', requests: 20, workMs: 1600, slowness: 0.8, samples: 31 }]
   },
   [MessageKind.Resume]: { kind: MessageKind.Resume, ...ref, offset: 4 },
   [MessageKind.Tokens]: { kind: MessageKind.Tokens, ...ref, offset: 4, tokens: [' été'] },
