--- a/core/cost/create_load_view.ts
+++ b/core/cost/create_load_view.ts
@@ -23,6 +23,8 @@
   merge (others: LoadEntry[], atMs: number): void
   /** Tells whether what is known of the others is new enough to choose by. */
   isKnown (nowMs: number): boolean
+  /** Returns the age in milliseconds of what is known of the others. */
+  ageMs (nowMs: number): number
   /** Returns the load of a worker, with `drainPerMs` requests answered in each millisecond since it was told while it has so many. */
   find (worker: string, drainPerMs: number, nowMs: number): SeenLoad
 }
@@ -69,6 +71,7 @@
       others = new Map(told.map((entry) => [entry.worker, entry]))
       toldAtMs = atMs
     },
+    ageMs: (nowMs) => nowMs - toldAtMs,
     isKnown: (nowMs) => nowMs - toldAtMs <= maxAgeMs,
     find (worker, drainPerMs, nowMs) {
       const mine = own.get(worker)
--- a/core/cost/decide_send.ts
+++ b/core/cost/decide_send.ts
@@ -25,10 +25,14 @@
   isReturning: boolean
   /** Number of more urgent kinds of requests that the same workers serve. */
   rank: number
+  /** Age of what is known of the workers' load. */
+  ageMs: number
 }
 
-/** Share of the target that the expected answer may take; the rest is for a worker that turns slow meanwhile. */
-const inTimeShare = 0.82
+/** Age in milliseconds beyond which a load says where to send, and not whether: all processes would stop and start together. */
+const maxAgeMs = 300
+/** Share of the target that the expected answer may take; the rest is the error of the expectation. */
+const inTimeShare = 0.95
 /** Share of the target by which each more urgent kind lowers that, so that it still finds room when the others do not. */
 const rankShare = 0.15
 /** Lowest such share. */
@@ -36,9 +40,9 @@
 /** Share of the target for which a request waits before it is refused; up to it, the wait costs its client next to nothing. */
 const waitShare = 0.12
 /** Share of the target that the queue of a worker may take for a request that is late already: it fills what those in time leave. */
-const lateQueueShare = 0.22
+const lateQueueShare = 0.06
 /** Share of the time left for which such a request waits for that; then it is sent if it can still be answered. */
-const lateWaitShare = 0.45
+const lateWaitShare = 0.6
 
 /**
  * Decides whether a request is sent now, waits, or is refused.
@@ -55,13 +59,14 @@
  * ```ts
  * import { decideSend, SendDecision } from 'briarloom/core/cost'
  *
- * const situation = { levelMs: 100, idleMs: 90, waitedMs: 0, targetMs: 400, leftMs: 4000, isReturning: false, rank: 0 }
+ * const situation = { levelMs: 100, idleMs: 90, waitedMs: 0, targetMs: 400, leftMs: 4000, isReturning: false, rank: 0, ageMs: 100 }
  * console.assert(decideSend(situation) === SendDecision.Send)
  * console.assert(decideSend({ ...situation, levelMs: 900, waitedMs: 60 }) === SendDecision.Refuse)
  * ```
  */
 export function decideSend (situation: SendSituation): SendDecision {
-  const { levelMs, idleMs, waitedMs, targetMs, leftMs, isReturning, rank } = situation
+  const { levelMs, idleMs, waitedMs, targetMs, leftMs, isReturning, rank, ageMs } = situation
+  if (ageMs > maxAgeMs) return SendDecision.Send
   if (isReturning) {
     if (levelMs - idleMs <= lateQueueShare * targetMs) return SendDecision.Send
     if (waitedMs < lateWaitShare * (leftMs + waitedMs)) return SendDecision.Wait
--- a/core/prefill/prefill.feature
+++ b/core/prefill/prefill.feature
@@ -15,6 +15,16 @@
     Then an engine whose prefills take 0.12, 0.03, 0.2 and 0.09 ms for each token is known to take 0.03 ms
     And after 8 more prefills of 0.11 ms it is known to take 0.11 ms
 
+  # Guards against a speed taken from a prompt that the engine had cached: the next ones count as lost after 160 ms.
+  Scenario: A prompt that was cached says nothing of the speed of its engine
+    Then an engine whose prefills take 0.03, 0.0004, 0.03 and 0.034 ms for each token is known to take 0.03 ms
+    And after 8 more prefills of 0.005 ms it is known to take 0.005 ms
+
+  # Guards against decode engines that are taken to be as fast as the fastest prefill engine: a slow one then stops its streams for too long.
+  Scenario: The time of a prefill at a decode engine is that of this engine, else of the slowest one known
+    Then with prefill engines that take 0.014 and 0.032 ms for each token, 5000 tokens take 360 ms at a decode engine that is not known
+    And 140 ms at one that took 0.028 ms for each token of 3 prompts and nothing for one that was cached
+
   # Guards against a queue of prefills that outlasts its burst: prompts join it although they cannot be finished in time.
   Scenario: A burst beyond the capacity for prefill leaves no queue behind
     Then with 1 prefill and 6 decode engines, 9 prompts a second and 18 in a burst from 2 to 7 s, all prompts that are accepted start within 900 ms
--- a/core/prefill/prefill_test.ts
+++ b/core/prefill/prefill_test.ts
@@ -5,7 +5,7 @@
 import { Then } from '@cucumber/cucumber'
 import fc from 'fast-check'
 import { createFleet, Stage, WorkerState } from '../fleet/mod.ts'
-import { canPrefillWithinPause, choosePrefillPlace, estimateDecodeEngineMs, getPrefillMsPerToken, PrefillPlace, recordPrefill } from './mod.ts'
+import { canPrefillWithinPause, choosePrefillPlace, estimateDecodeEngineMs, estimatePrefillAtMs, getPrefillMsPerToken, PrefillPlace, recordDecodePrefill, recordPrefill } from './mod.ts'
 import type { Worker } from '../fleet/mod.ts'
 import type { PrefillRequest } from './mod.ts'
 
@@ -138,3 +138,19 @@
   for (let i = 0; i < count; i++) recordPrefill(this.prefillEngines[1] as Worker, sample)
   assert.equal(getPrefillMsPerToken(this.prefillEngines), expected)
 })
+
+Then('with prefill engines that take {float} and {float} ms for each token, {int} tokens take {int} ms at a decode engine that is not known',
+  function (this: World, fast: number, slow: number, tokens: number, expectedMs: number) {
+    this.prefillEngines = createEngines(fast)
+    recordPrefill(this.prefillEngines[0] as Worker, slow)
+    const [decodeEngine] = createEngines(fast)
+    assert.equal(Math.round(estimatePrefillAtMs(tokens, decodeEngine as Worker, this.prefillEngines)), expectedMs)
+  })
+
+Then('{int} ms at one that took {float} ms for each token of {int} prompts and nothing for one that was cached',
+  function (this: World, expectedMs: number, msPerToken: number, count: number) {
+    const [decodeEngine] = createEngines(1)
+    for (let i = 0; i < count; i++) recordDecodePrefill(decodeEngine as Worker, msPerToken)
+    recordDecodePrefill(decodeEngine as Worker, 0)
+    assert.equal(Math.round(estimatePrefillAtMs(5_000, decodeEngine as Worker, this.prefillEngines)), expectedMs)
+  })
--- a/core/prefill/record_prefill.ts
+++ b/core/prefill/record_prefill.ts
@@ -6,7 +6,7 @@
 /** Number of the newest samples that count. */
 const maxSamples = 8
 /** A sample below this share of the upper median of the newest ones is that of a prompt that the engine had cached. */
-const cachedShare = 0.3
+const cachedShare = 0.12
 
 /** Adds a sample to the newest ones, and returns them with the measurement. */
 function addSample (known: readonly number[] | undefined, msPerToken: number): { samples: readonly number[], shortest: number } {
--- a/gateway/_place_plain.ts
+++ b/gateway/_place_plain.ts
@@ -74,7 +74,8 @@
             targetMs: route.targetLatencyMs,
             leftMs: Math.min(statedMs - (timer.now() - request.startedMs), request.deadlineMs - timer.now()),
             isReturning,
-            rank: findRank(request)
+            rank: findRank(request),
+            ageMs: workerLoads.ageMs()
           }
           let decision = decideSend(situation)
           // What has been sent before is sent again at once or not at all.
--- a/gateway/_worker_loads.ts
+++ b/gateway/_worker_loads.ts
@@ -29,6 +29,8 @@
 export interface WorkerLoads {
   /** Tells whether the loads of all gateways are known well enough to choose by. */
   isKnown (): boolean
+  /** Returns the age in milliseconds of what is known of the others. */
+  ageMs (): number
   /** Returns the expected work of a request, in milliseconds of a worker of mean speed. */
   workMs (request: ClientRequest): number
   /** Describes workers for a choice; `fixedMs` is the time of each that does not depend on its work. */
@@ -122,6 +124,7 @@
   const reportTimer = isOn ? timer.every(reportMs, report) : undefined
 
   return {
+    ageMs: () => view.ageMs(timer.now()),
     isKnown: () => isOn && view.isKnown(timer.now()),
     workMs: (request) => costs.workMs(nameCosts(request)),
     see (request, workers, fixedMs) {
