--- a/bench/main.ts
+++ b/bench/main.ts
@@ -4,6 +4,7 @@
 import sade from 'sade'
 import { comparePolicies } from './_compare_policies.ts'
 import { measureOverhead } from './_overhead.ts'
+import { comparePlacements } from './_placement.ts'
 import { compareTiers } from './_tiers.ts'
 
 interface Flags {
@@ -16,6 +17,7 @@
   only: string
   overhead: boolean
   tiers: boolean
+  placement: boolean
 }
 
 const msPerS = 1000
@@ -26,6 +28,7 @@
   const warmupMs = Number(flags.warmup) * msPerS
   const rounds = Number(flags.rounds)
   const seed = Number(flags.seed)
+  if (flags.placement) return comparePlacements()
   if (flags.overhead) return await measureOverhead(flags.scenario, overheadRequestCount, seed)
   if (flags.tiers) return await compareTiers(flags.scenario, rounds, durationMs, warmupMs, seed)
   const only = flags.only.split(',').filter((name) => name !== '')
@@ -50,6 +53,7 @@
   .option('--only', 'Policies to compare, separated by commas; all by default', '')
   .option('--overhead', 'Measures how much entry and agents delay the first token', false)
   .option('--tiers', 'Compares paid goodput with and without free load', false)
+  .option('--placement', 'Compares placements of requests of plain services in a simulation, and measures the time of a decision', false)
   .action((flags: Flags) => {
     main(flags).then(() => process.exit(0), (err) => {
       console.error(err)
--- a/core/cost/_deciders_test.ts
+++ b/core/cost/_deciders_test.ts
@@ -61,6 +61,7 @@
     const name = `g${gateway}`
     const open: Array<Array<{ workMs: number, queueMs: number }>> = Array.from({ length: load.workers }, () => [])
     let seq = 0
+    let chosenQueueMs = 0
 
     function see (worker: number, workMs: number, nowMs: number): { candidate: Candidate, unseenRequests: number } {
       const mine = costs.slowness(`${worker}`, nowMs)
@@ -92,15 +93,17 @@
           leftMs: request.deadlineMs - nowMs,
           isReturning: deadlines.isReturning('stamp', statedMs),
           rank: 0,
+          isIdle: (candidates[choice.index]?.requests ?? 0) + unseenRequests / load.workers < load.slots,
           ageMs: view.ageMs(nowMs)
         }
         const decision = decideSend(situation)
+        chosenQueueMs = choice.queueMs
         if (decision === SendDecision.Send) return { send: choice.index }
         return decision === SendDecision.Wait ? { waitMs: retryMs } : { refuseMs: getReturnDelayMs(situation, random()) }
       },
-      onSent (worker, nowMs) {
+      onSent (worker) {
         const workMs = costs.workMs(kind)
-        const queueMs = estimateCompletionMs({ ...see(worker, workMs, nowMs).candidate, fixedMs: 0, slowness: 1 }, 0)
+        const queueMs = chosenQueueMs
         view.add(`${worker}`, workMs)
         open[worker]?.push({ workMs, queueMs })
       },
--- a/core/cost/choose_by_completion.ts
+++ b/core/cost/choose_by_completion.ts
@@ -22,10 +22,12 @@
   completionMs: number
   /** The same after the requests that other processes are likely to have sent since. */
   levelMs: number
+  /** Time in milliseconds in which a worker of mean speed would work off what is then ahead of the request. */
+  queueMs: number
 }
 
-/** Number of halvings in the search for the level; its error is then below a millisecond for queues of up to a minute. */
-const maxHalvings = 16
+/** Difference in milliseconds below which two expected times are equal. */
+const equalMs = 2
 
 /**
  * Chooses the worker that is likely to answer first.
@@ -50,41 +52,69 @@
  * ```
  */
 export function chooseByCompletion (candidates: readonly Candidate[], options: ChooseByCompletionOptions): CompletionChoice | undefined {
-  if (candidates.length === 0) return undefined
+  const count = candidates.length
+  if (count === 0) return undefined
   const { workMs, unseenRequests, random } = options
-  const completions = candidates.map((candidate) => estimateCompletionMs(candidate, workMs))
-  const neededRoom = 1 + unseenRequests
-  let low = Math.min(...completions)
-  let high = low + 1
-  while (sumRoom(candidates, completions, workMs, high) < neededRoom) high = low + 2 * (high - low)
-  for (let i = 0; i < maxHalvings && high - low > 0.5; i++) {
-    const middle = (low + high) / 2
-    if (sumRoom(candidates, completions, workMs, middle) < neededRoom) low = middle
-    else high = middle
-  }
-  let drawn = random() * sumRoom(candidates, completions, workMs, high)
-  let index = completions.indexOf(Math.min(...completions))
-  for (const [i, candidate] of candidates.entries()) {
-    const room = findRoom(candidate, completions[i] as number, workMs, high)
-    if (room <= 0) continue
+  const completions = new Float64Array(count)
+  for (let i = 0; i < count; i++) completions[i] = estimateCompletionMs(candidates[i] as Candidate, workMs)
+  const order = Uint32Array.from(completions, (_, i) => i).sort((a, b) => (completions[a] as number) - (completions[b] as number))
+  const levelMs = Math.max(findLevel(candidates, completions, order, workMs, 1 + unseenRequests), (completions[order[0] as number] as number) + equalMs)
+  let drawn = random() * sumRoom(candidates, completions, order, workMs, levelMs)
+  let index = order[0] as number
+  for (const i of order) {
+    const room = findRoom(candidates[i] as Candidate, completions[i] as number, workMs, levelMs)
+    if (room <= 0) break
     index = i
     drawn -= room
     if (drawn < 0) break
   }
-  return { index, completionMs: completions[index] as number, levelMs: Math.max(high, completions[index] as number) }
+  const completionMs = completions[index] as number
+  const { fixedMs, slowness } = candidates[index] as Candidate
+  const queueMs = Math.max(0, (Math.max(levelMs, completionMs) - fixedMs) / slowness - workMs)
+  return { index, completionMs, levelMs: Math.max(levelMs, completionMs), queueMs }
 }
 
-/** Returns how many requests a worker can take until the next one would be answered later than `levelMs`. */
-function findRoom (candidate: Candidate, completionMs: number, workMs: number, levelMs: number): number {
-  if (completionMs > levelMs) return 0
-  const { slots, slowness, requests, workMs: aheadMs } = candidate
-  const meanWorkMs = Math.max(1, requests > 0 ? aheadMs / requests : workMs)
-  const freeSlots = Math.max(0, slots - 1 - requests)
-  return freeSlots + 1 + (levelMs - completionMs) * slots / (slowness * meanWorkMs)
+/** Returns the completion in milliseconds up to which all workers together have room for so many requests; they are given by increasing completion. */
+function findLevel (candidates: readonly Candidate[], completions: Float64Array, order: Uint32Array, workMs: number, neededRoom: number): number {
+  // The room of the workers so far at a level is `fixedRoom + perMs * level`.
+  let fixedRoom = 0
+  let perMs = 0
+  let leastMs = 0
+  for (let k = 0; k < order.length; k++) {
+    const i = order[k] as number
+    const completionMs = completions[i] as number
+    if (k > 0 && fixedRoom + perMs * completionMs >= neededRoom) break
+    const candidate = candidates[i] as Candidate
+    const ratePerMs = getRate(candidate, workMs)
+    fixedRoom += countFree(candidate) - ratePerMs * completionMs
+    perMs += ratePerMs
+    leastMs = completionMs
+  }
+  // The last of these workers may have more free slots than are needed.
+  return Math.max(leastMs, (neededRoom - fixedRoom) / perMs)
 }
 
-function sumRoom (candidates: readonly Candidate[], completions: readonly number[], workMs: number, levelMs: number): number {
+function sumRoom (candidates: readonly Candidate[], completions: Float64Array, order: Uint32Array, workMs: number, levelMs: number): number {
   let sum = 0
-  for (let i = 0; i < candidates.length; i++) sum += findRoom(candidates[i] as Candidate, completions[i] as number, workMs, levelMs)
+  for (const i of order) {
+    const room = findRoom(candidates[i] as Candidate, completions[i] as number, workMs, levelMs)
+    if (room <= 0) break
+    sum += room
+  }
   return sum
 }
+
+/** Returns how many requests a worker can take until the next one would be answered later than `levelMs`. */
+function findRoom (candidate: Candidate, completionMs: number, workMs: number, levelMs: number): number {
+  return completionMs > levelMs ? 0 : countFree(candidate) + (levelMs - completionMs) * getRate(candidate, workMs)
+}
+
+/** Returns the number of requests that a worker can take without delaying the next one. */
+function countFree ({ slots, requests }: Candidate): number {
+  return 1 + Math.max(0, slots - 1 - requests)
+}
+
+/** Returns the requests that a worker with a full queue answers in a millisecond. */
+function getRate ({ slots, slowness, requests, workMs: aheadMs }: Candidate, workMs: number): number {
+  return slots / (slowness * Math.max(1, requests > 0 ? aheadMs / requests : workMs))
+}
--- a/core/cost/cost_test.ts
+++ b/core/cost/cost_test.ts
@@ -150,6 +150,7 @@
 Then('a load view is known for {int} ms after it was told, and an older word does not replace it', function (ms: number) {
   const view = createLoadView()
   assert.equal(view.isKnown(0), false)
+  assert.deepEqual(view.find('w', 0, 0), { requests: 0, workMs: 0, unseenRequests: 0, others: { slowness: 1, samples: 0 } })
   view.merge([{ worker: 'w', requests: 4, workMs: 320, slowness: 1, samples: 0 }], 100)
   view.merge([{ worker: 'w', requests: 40, workMs: 3200, slowness: 1, samples: 0 }], 50)
   assert.equal(view.find('w', 0, 100).requests, 4)
@@ -165,8 +166,9 @@
 
 Then('a request with {int} ms to the answer, {int} ms waited, returning {word} and rank {int} leads to {word}',
   function (levelMs: number, waitedMs: number, returning: string, rank: number, decision: string) {
-    const situation: SendSituation = { levelMs, idleMs: 90, waitedMs, targetMs: 400, leftMs: 2_000, isReturning: returning === 'true', rank, ageMs: 100 }
+    const situation: SendSituation = { levelMs, idleMs: 90, waitedMs, targetMs: 400, leftMs: 2_000, isReturning: returning === 'true', rank, ageMs: 100, isIdle: false }
     assert.equal(decideSend(situation), decision)
+    assert.equal(decideSend({ ...situation, isIdle: true, isReturning: false }), 'send')
     // What is old says nothing about whether there is room.
     assert.equal(decideSend({ ...situation, ageMs: 400 }), 'send')
   })
--- a/core/cost/create_cost_estimates.ts
+++ b/core/cost/create_cost_estimates.ts
@@ -29,6 +29,8 @@
 export interface CostEstimatesOptions {
   /** Highest number of kinds of requests, and of workers; 512 by default. */
   maxKeys?: number
+  /** Time in milliseconds after which half of what is known of a worker's speed is forgotten; 3,000 by default. */
+  halfMs?: number
 }
 
 /** Work in milliseconds of a request of which nothing is known. */
@@ -44,10 +46,16 @@
 /** Bounds of the slowness, so that a worker whose answers came late is still asked at times. */
 const maxSlowness = 8
 /** Time in milliseconds after which half of what is known of a worker's speed is forgotten, so that one that has recovered is asked again. */
-const slownessHalfMs = 3_000
+const defaultHalfMs = 3_000
+
+/** Time in milliseconds for which a slowness is told again without a new sample. */
+const tellAgainMs = 20
+/** What is told of a worker of which nothing is known. */
+const unknown = { slowness: 1, samples: 0 }
 
 interface Work { logMs: number, samples: number }
-interface Slowness { log: number, samples: number, atMs: number }
+/** `log` is the logarithm of the slowness at `atMs`. */
+interface Slowness { log: number, samples: number, atMs: number, toldMs: number, told: { slowness: number, samples: number } }
 
 /**
  * Creates empty estimates. Each answer is compared with the expectation in its logarithm, which bounds what a single slow one changes,
@@ -66,7 +74,7 @@
  * ```
  */
 export function createCostEstimates (options: CostEstimatesOptions = {}): CostEstimates {
-  const { maxKeys = 512 } = options
+  const { maxKeys = 512, halfMs = defaultHalfMs } = options
   const works = new Map<string, Work>()
   const workers = new Map<string, Slowness>()
 
@@ -91,7 +99,7 @@
 
   /** Lets old knowledge fade toward the mean speed. */
   function age (known: Slowness, nowMs: number): void {
-    const share = 0.5 ** (Math.max(0, nowMs - known.atMs) / slownessHalfMs)
+    const share = 0.5 ** (Math.max(0, nowMs - known.atMs) / halfMs)
     known.log *= share
     known.samples *= share
     known.atMs = nowMs
@@ -101,12 +109,16 @@
     workMs,
     slowness (worker, nowMs) {
       const known = workers.get(worker)
-      if (known === undefined) return { slowness: 1, samples: 0 }
+      if (known === undefined) return unknown
+      // A value is told again for a moment, since each choice asks for those of all workers.
+      if (nowMs - known.toldMs < tellAgainMs) return known.told
       age(known, nowMs)
-      return { slowness: Math.exp(known.log), samples: known.samples }
+      known.toldMs = nowMs
+      known.told = { slowness: Math.exp(known.log), samples: known.samples }
+      return known.told
     },
     record ({ keys, worker, tookMs, queueMs }, nowMs) {
-      const known = touch(workers, worker, (): Slowness => ({ log: 0, samples: 0, atMs: nowMs }))
+      const known = touch(workers, worker, (): Slowness => ({ log: 0, samples: 0, atMs: nowMs, toldMs: -Infinity, told: unknown }))
       age(known, nowMs)
       const usualMs = workMs(keys)
       const deviation = Math.log(Math.max(1, tookMs) / (usualMs + queueMs)) - known.log
@@ -122,6 +134,7 @@
       known.log += slownessGain * Math.max(-Math.log(maxDeviation), Math.min(Math.log(maxDeviation), deviation))
       known.log = Math.max(-Math.log(maxSlowness), Math.min(Math.log(maxSlowness), known.log))
       known.samples++
+      known.toldMs = -Infinity
     },
     size: () => works.size + workers.size
   }
--- a/core/cost/create_load_view.ts
+++ b/core/cost/create_load_view.ts
@@ -77,7 +77,7 @@
       const mine = own.get(worker)
       const told = nowMs - toldAtMs <= maxAgeMs ? others.get(worker) : undefined
       const requests = told?.requests ?? 0
-      const answered = Math.min(requests, drainPerMs * Math.max(0, nowMs - toldAtMs))
+      const answered = requests === 0 ? 0 : Math.min(requests, drainPerMs * Math.max(0, nowMs - toldAtMs))
       const leftShare = requests === 0 ? 0 : 1 - answered / requests
       return {
         requests: (mine?.requests ?? 0) + requests * leftShare,
--- a/core/cost/decide_send.ts
+++ b/core/cost/decide_send.ts
@@ -16,6 +16,8 @@
   levelMs: number
   /** The same if that worker had nothing to do. */
   idleMs: number
+  /** True when that worker has a free slot, as far as is known. */
+  isIdle: boolean
   /** Time for which the request has waited here. */
   waitedMs: number
   targetMs: number
@@ -31,8 +33,8 @@
 
 /** Age in milliseconds beyond which a load says where to send, and not whether: all processes would stop and start together. */
 const maxAgeMs = 300
-/** Share of the target that the expected answer may take; the rest is the error of the expectation. */
-const inTimeShare = 0.95
+/** Share of the target that the expected answer may take; it is a median, and a quarter of the answers take half as long again. */
+const inTimeShare = 0.7
 /** Share of the target by which each more urgent kind lowers that, so that it still finds room when the others do not. */
 const rankShare = 0.15
 /** Lowest such share. */
@@ -59,13 +61,13 @@
  * ```ts
  * import { decideSend, SendDecision } from 'briarloom/core/cost'
  *
- * const situation = { levelMs: 100, idleMs: 90, waitedMs: 0, targetMs: 400, leftMs: 4000, isReturning: false, rank: 0, ageMs: 100 }
+ * const situation = { levelMs: 100, idleMs: 90, waitedMs: 0, targetMs: 400, leftMs: 4000, isIdle: false, isReturning: false, rank: 0, ageMs: 100 }
  * console.assert(decideSend(situation) === SendDecision.Send)
  * console.assert(decideSend({ ...situation, levelMs: 900, waitedMs: 60 }) === SendDecision.Refuse)
  * ```
  */
 export function decideSend (situation: SendSituation): SendDecision {
-  const { levelMs, idleMs, waitedMs, targetMs, leftMs, isReturning, rank, ageMs } = situation
+  const { levelMs, idleMs, waitedMs, targetMs, leftMs, isReturning, rank, ageMs, isIdle } = situation
   if (ageMs > maxAgeMs) return SendDecision.Send
   if (isReturning) {
     if (levelMs - idleMs <= lateQueueShare * targetMs) return SendDecision.Send
@@ -73,8 +75,8 @@
     return levelMs < leftMs ? SendDecision.Send : SendDecision.Refuse
   }
   const share = Math.max(minInTimeShare, inTimeShare - rankShare * rank)
-  // A worker that is idle gets the request however slow it is: no other will be faster.
-  if (levelMs + waitedMs <= share * targetMs || levelMs - idleMs < 1) return SendDecision.Send
+  // A free slot is used however slow its worker is: no other will be faster.
+  if (isIdle || levelMs + waitedMs <= share * targetMs) return SendDecision.Send
   return waitedMs < waitShare * targetMs ? SendDecision.Wait : SendDecision.Refuse
 }
 
--- a/gateway/_forward_stream.ts
+++ b/gateway/_forward_stream.ts
@@ -4,7 +4,7 @@
 import { createEventScanner } from '../core/stream/mod.ts'
 import { discardBody } from './_discard_body.ts'
 import { observeStream } from './_observe_stream.ts'
-import { recordPrefillAtDecode } from './_prefill.ts'
+import { recordPrefillAtDecode } from './_prefill_times.ts'
 import { sendToWorker } from './_send_to_worker.ts'
 import { StopReason } from './_types.ts'
 import { watchSilence } from './_watch_silence.ts'
@@ -153,7 +153,7 @@
       observer.onChunk(nowMs)
       if (firstMs === undefined) {
         firstMs = Math.round(nowMs - request.startedMs)
-        if (kvSource === undefined && stats.status < minRefusalStatus) recordPrefillAtDecode(request, worker, nowMs - sentMs - context.roundTripMs(worker.entry.zone))
+        if (kvSource === undefined && stats.status < minRefusalStatus) recordPrefillAtDecode(context, request, worker, nowMs - sentMs)
       } else stats.pauseMs = Math.max(stats.pauseMs, Math.round(nowMs - lastDataMs))
       lastDataMs = nowMs
       stats.bytes += chunk.length
--- a/gateway/_place_plain.ts
+++ b/gateway/_place_plain.ts
@@ -11,6 +11,15 @@
 import type { Result } from '../core/results/mod.ts'
 import type { ClientRequest, GatewayContext } from './_types.ts'
 
+/** Where a request goes. */
+export interface Placed {
+  worker: Worker
+  /** Expected time in milliseconds until the answer; absent when only latencies are known. */
+  expectedMs?: number
+  /** Time in milliseconds in which a worker of mean speed would work off what is ahead of it. */
+  queueMs?: number
+}
+
 /** Why a request is not placed. */
 export interface NotPlaced {
   reason: string
@@ -26,7 +35,7 @@
 /** Places one request after the other. */
 export interface PlainPlacement {
   /** Returns the worker for a request, once one is likely to answer usefully, or why there is none. */
-  place (request: ClientRequest, exclude: ReadonlySet<string>, failureMs: number): Promise<Result<Worker, NotPlaced>>
+  place (request: ClientRequest, exclude: ReadonlySet<string>, failureMs: number): Promise<Result<Placed, NotPlaced>>
   /** Returns the number of requests that wait. */
   waiting (): number
 }
@@ -66,10 +75,13 @@
           const choice = chooseByCompletion(candidates, { workMs, unseenRequests, random })
           if (choice === undefined) return Err({ reason: 'no_worker' })
           const worker = open[choice.index] as Worker
+          // The cost of a failure counts in the choice, and is no time until the answer.
+          const lossMs = worker.failureShare * failureMs
           const idle = { ...candidates[choice.index] as (typeof candidates)[number], requests: 0, workMs: 0 }
           const situation: SendSituation = {
-            levelMs: choice.levelMs,
-            idleMs: estimateCompletionMs(idle, workMs),
+            levelMs: choice.levelMs - lossMs,
+            idleMs: estimateCompletionMs(idle, workMs) - lossMs,
+            isIdle: idle.slots > (candidates[choice.index]?.requests ?? 0) + unseenRequests / candidates.length,
             waitedMs: timer.now() - request.startedMs,
             targetMs: route.targetLatencyMs,
             leftMs: Math.min(statedMs - (timer.now() - request.startedMs), request.deadlineMs - timer.now()),
@@ -83,7 +95,7 @@
           if (decision === SendDecision.Refuse && exclude.size > 0 && situation.levelMs < situation.leftMs) decision = SendDecision.Send
           if (decision !== SendDecision.Wait) {
             context.metrics.count(Count.PlainPlacements, { service: service.name, decision: isWaiting ? `${decision}_after_wait` : decision })
-            if (decision === SendDecision.Send) return Ok(worker)
+            if (decision === SendDecision.Send) return Ok({ worker, expectedMs: Math.round(situation.levelMs), queueMs: choice.queueMs })
             const leftMs = statedMs - (timer.now() - request.startedMs)
             const retryAfterMs = getReturnDelayMs({ levelMs: situation.levelMs, leftMs }, random())
             const { levelMs, idleMs } = situation
--- a/gateway/_prefill.ts
+++ b/gateway/_prefill.ts
@@ -4,11 +4,12 @@
 import { chooseByCompletion } from '../core/cost/mod.ts'
 import { HoldReason, SendRank, smooth, Stage, stageOf, takeSendPlace } from '../core/fleet/mod.ts'
 import {
-  canPrefillWithinPause, choosePrefillPlace, defaultPrefillMsPerToken, estimatePrefillAtMs, PrefillPlace, recordDecodePrefill, recordPrefill
+  canPrefillWithinPause, choosePrefillPlace, defaultPrefillMsPerToken, PrefillPlace, recordPrefill
 } from '../core/prefill/mod.ts'
 import { callJson } from '../exchange/mod.ts'
 import { decodeKvCacheHandle, buildFreeKvCacheCall } from '../platform/mod.ts'
 import { checkWorker, recordCallAnswer } from './_check_worker.ts'
+import { estimateLeftMs, estimatePrefillAtDecodeMs, estimatePrefillMs, minMeasuredTokens } from './_prefill_times.ts'
 import { sendToWorker } from './_send_to_worker.ts'
 import type { Worker } from '../core/fleet/mod.ts'
 import type { ClientRequest, GatewayContext } from './_types.ts'
@@ -17,8 +18,6 @@
 const freeTimeoutMs = 400
 /** Time in milliseconds for which an engine that refused a prefill is not asked for another; the store reports a changed stage within it. */
 const refusalPauseMs = 2_000
-/** Prompts below this length in tokens measure the path to the engine more than its speed. */
-const minMeasuredTokens = 1_000
 /** Time in milliseconds from the end of the prefill to the first event: the transfer of the KV cache, and the tokens of one event. */
 const firstEventMs = 80
 /** Largest response to a prefill in bytes; it names a handle and some numbers. */
@@ -26,31 +25,13 @@
 /** A prefill counts as lost after this many times the expected time, plus a margin in milliseconds. */
 const timeoutFactor = 2
 const timeoutMarginMs = 150
+/** Number of times that the wait is extended while the engine works on other prompts. */
+const maxExtensions = 2
 /** Cost in milliseconds of a lost response in the choice of an engine; about the time until the loss is detected. */
 const lossCostMs = 400
 /** A client whose deadline is shorter than this share of the route's timeout has come back after a refusal. */
 const returningDeadlineShare = 0.97
 
-/** Estimates the time in milliseconds until a prefill engine has finished a prompt, behind those that are queued there. */
-function estimatePrefillMs (context: GatewayContext, request: ClientRequest, worker: Worker): number {
-  const perTokenMs = worker.prefillMsPerToken ?? defaultPrefillMsPerToken
-  const queuedTokens = context.workerLoads.isKnown()
-    ? context.workerLoads.prompts(worker, perTokenMs).workMs
-    : Math.max(worker.ownQueuedPromptTokens, (worker.capacity?.waitingRequests ?? 0) * (worker.typicalPromptTokens ?? request.head.promptTokens))
-  return (queuedTokens + request.head.promptTokens) * perTokenMs + context.roundTripMs(worker.entry.zone)
-}
-
-/** Estimates the time in milliseconds that the prefill of a request takes at a decode engine. */
-export function estimatePrefillAtDecodeMs (context: GatewayContext, request: ClientRequest, worker: Worker): number {
-  return estimatePrefillAtMs(request.head.promptTokens, worker, context.directory.fleet.serving(request.service.name))
-}
-
-/** Records the time in milliseconds that a decode engine took from a request to its first event, when it ran the prefill itself. */
-export function recordPrefillAtDecode (request: ClientRequest, worker: Worker, tookMs: number): void {
-  const { promptTokens } = request.head
-  if (promptTokens >= minMeasuredTokens) recordDecodePrefill(worker, Math.max(0, tookMs) / promptTokens)
-}
-
 /** Returns the prefill engine with the lowest estimated cost; undefined when none can be asked. */
 function findFastestPrefillEngine (context: GatewayContext, request: ClientRequest): Worker | undefined {
   const nowMs = context.timer.now()
@@ -167,10 +148,18 @@
     let bytes = 0
     let status = 0
     let isSettled = false
-    const timeout = context.timer.after(timeoutMs, () => {
+    let extensions = 0
+    let timeout = context.timer.after(timeoutMs, onTimeout)
+
+    function onTimeout (): void {
+      const moreMs = extensions++ < maxExtensions ? estimateLeftMs(context, request, worker) : 0
+      if (moreMs > 0) {
+        timeout = context.timer.after(moreMs, onTimeout)
+        return
+      }
       exchange.abort()
-      settleLost(`no response within ${Math.round(timeoutMs)} ms`)
-    })
+      settleLost(`no response within ${Math.round(context.timer.now() - startedMs)} ms`)
+    }
 
     function settle (handle: string | undefined, { isRefused = false, isLost = false } = {}): void {
       if (isSettled) return
--- a/gateway/_serve_plain.ts
+++ b/gateway/_serve_plain.ts
@@ -13,7 +13,7 @@
 import { StopReason } from './_types.ts'
 import type { Worker } from '../core/fleet/mod.ts'
 import type { Result } from '../core/results/mod.ts'
-import type { NotPlaced } from './_place_plain.ts'
+import type { NotPlaced, Placed } from './_place_plain.ts'
 import type { WorkerResponse } from './_send_to_worker.ts'
 import type { RequestResult, ClientRequest, GatewayContext } from './_types.ts'
 
@@ -60,7 +60,7 @@
     const held = recordHeld(context, request.service.name, workers)
     const placed = await choose(context, request, workers, exclude)
     if (placed.err) return finishFailed(request, attempt, mayHaveRun, last, { retryAfterMs, ...placed.val, held })
-    const worker = placed.val
+    const { worker, queueMs, expectedMs } = placed.val
     const refusal = findRefusal(context, request, workers, worker)
     if (refusal !== undefined) return finishFailed(request, attempt, mayHaveRun, last, { ...refusal, held })
     const delayMs = takeSendPlace(worker, timer.now())
@@ -70,7 +70,7 @@
       if (reason !== undefined) return finishFailed(request, attempt, mayHaveRun, last, { reason, retryAfterMs, held })
     }
     attempt++
-    const result = await sendOnce(context, request, worker)
+    const result = await sendOnce(context, request, worker, queueMs)
     if (result.end === SendEnd.Stopped) return finishStopped(request, attempt, mayHaveRun || result.hasArrived, worker)
     mayHaveRun ||= result.end !== SendEnd.NotRun
     // A response that has begun cannot be replaced by that of another worker.
@@ -78,7 +78,7 @@
       return finishFailed(request, attempt, mayHaveRun, last, { reason: 'response_broken', retryAfterMs, detail: result.reason, held })
     }
     const hasFailed = result.response !== undefined && result.response.head.status >= minFailureStatus
-    if (result.end === SendEnd.Completed && !(hasFailed && idempotent)) return { ...deliver(request, attempt, result, worker), held }
+    if (result.end === SendEnd.Completed && !(hasFailed && idempotent)) return { ...deliver(request, attempt, result, worker), held, expectedMs }
     last = result.response === undefined ? last : result
     exclude.add(worker.entry.id)
     const fields = {
@@ -102,11 +102,11 @@
 /** Chooses a worker by the loads of all gateways where they are known, else by what this one has measured. */
 async function choose (
   context: GatewayContext, request: ClientRequest, workers: Worker[], exclude: ReadonlySet<string>
-): Promise<Result<Worker, NotPlaced>> {
+): Promise<Result<Placed, NotPlaced>> {
   if (context.workerLoads.isKnown()) return await context.plainPlacement.place(request, exclude, failureMs)
   const { timer, random, roundTripMs, settings: { drainMs } } = context
   const worker = chooseWorker(workers, { nowMs: timer.now(), drainMs, roundTripMs, exclude, failureMs, random })
-  return worker === undefined ? Err({ reason: 'no_worker' }) : Ok(worker)
+  return worker === undefined ? Err({ reason: 'no_worker' }) : Ok({ worker })
 }
 
 /** Returns why a request is refused at once instead of waiting for the chosen worker; undefined when it is sent or waits for a moment. */
@@ -166,7 +166,7 @@
 }
 
 /** Sends a request to a worker, and forwards a response that is too long for the buffer. */
-function sendOnce (context: GatewayContext, request: ClientRequest, worker: Worker): Promise<SendResult> {
+function sendOnce (context: GatewayContext, request: ClientRequest, worker: Worker, queueMs?: number): Promise<SendResult> {
   const { timer, directory } = context
   const startedMs = timer.now()
   return new Promise((resolve) => {
@@ -175,7 +175,7 @@
     let isStreaming = false
     let isSettled = false
     const held = context.heldBytes.open(beginStreaming)
-    const endLoad = context.workerLoads.begin(request, worker, context.roundTripMs(worker.entry.zone))
+    const endLoad = context.workerLoads.begin(request, worker, { roundTripMs: context.roundTripMs(worker.entry.zone), queueMs })
 
     function settle (result: SendResult, failed: boolean): void {
       if (isSettled) return
--- a/gateway/_types.ts
+++ b/gateway/_types.ts
@@ -91,6 +91,8 @@
   /** Workers that the choice held back, with the reasons, as in `i-1:leaving`. */
   held?: string | undefined
   bytes?: number
+  /** Expected time in milliseconds until the answer, when the choice was made by it. */
+  expectedMs?: number | undefined
   /** Times in milliseconds; absent when they do not apply. */
   firstMs?: number
   pauseMs?: number
--- a/gateway/_worker_loads.ts
+++ b/gateway/_worker_loads.ts
@@ -36,11 +36,15 @@
   /** Describes workers for a choice; `fixedMs` is the time of each that does not depend on its work. */
   see (request: ClientRequest, workers: readonly Worker[], fixedMs: (worker: Worker) => number): SeenWorkers
   /** Counts a request that is sent; the result records its end, with the time that the worker took unless it did not answer. */
-  begin (request: ClientRequest, worker: Worker, roundTripMs: number): (tookMs?: number) => void
+  begin (request: ClientRequest, worker: Worker, options: { roundTripMs: number, queueMs?: number | undefined }): (tookMs?: number) => void
   /** Counts a prompt that is sent to a prefill engine; the result counts its end. */
   beginPrompt (engine: Worker, tokens: number): () => void
   /** Returns the prompts that a prefill engine has from all gateways, as far as known: their number, and their tokens as the work. */
   prompts (engine: Worker, msPerToken: number): WorkerLoad & { unseenRequests: number }
+  /** Records the time in milliseconds for each token of a prompt that a decode engine prefilled between the tokens of its streams. */
+  recordRead (engine: Worker, msPerToken: number): void
+  /** Returns that time as all gateways have measured it; undefined when none has lately. */
+  readMsPerToken (engine: Worker): number | undefined
   readonly deadlines: UsualDeadline
   close (): void
 }
@@ -51,12 +55,20 @@
 const activeMs = 2_000
 /** Fewest samples of a worker's speed that are told to others; older ones count less. */
 const minToldSamples = 0.5
+/** Time in milliseconds after which half of what is known of the speed of a decode engine is forgotten; prompts there are rare. */
+const readHalfMs = 30_000
+/** Tokens whose time is one unit of that speed. */
+const readTokens = 1_000
+const readKinds = ['prompt']
 /** Number of the newest reports whose answers are expected. */
 const maxOpenReports = 32
 
 /** Names the incarnation of a worker. */
 function nameWorker ({ entry }: Worker): string { return `${entry.id}/${entry.bornMs}` }
 
+/** Names the speed of an engine in prefills between the tokens of its streams. */
+function nameRead (engine: Worker): string { return `${nameWorker(engine)} read` }
+
 /** Returns what a request looks like, the most general name first. */
 function nameCosts (request: ClientRequest): string[] {
   const { route, method, organisation } = request
@@ -68,6 +80,7 @@
 export function createWorkerLoads (options: WorkerLoadsOptions): WorkerLoads {
   const { sidecars, timer, name } = options
   const costs = createCostEstimates()
+  const reads = createCostEstimates({ halfMs: readHalfMs })
   const view = createLoadView()
   const deadlines = createUsualDeadline()
   const incarnation = Date.now()
@@ -102,7 +115,7 @@
     for (const worker of own.keys()) told.add(worker)
     const loads: LoadEntry[] = []
     for (const worker of told) {
-      const speed = costs.slowness(worker, nowMs)
+      const speed = (worker.endsWith(' read') ? reads : costs).slowness(worker, nowMs)
       const load = own.get(worker)
       if (load === undefined && speed.samples < minToldSamples) told.delete(worker)
       else loads.push({ requests: 0, workMs: 0, ...load, worker, ...speed })
@@ -133,13 +146,13 @@
       const seen = workers.map((worker) => seeWorker(worker, workMs, fixedMs(worker)))
       return { candidates: seen.map(({ candidate }) => candidate), unseenRequests: seen.reduce((sum, { unseenRequests }) => sum + unseenRequests, 0) }
     },
-    begin (request, worker, roundTripMs) {
+    begin (request, worker, { roundTripMs, queueMs: expectedQueueMs }) {
       lastRequestMs = timer.now()
       const key = nameWorker(worker)
       const keys = nameCosts(request)
       const workMs = costs.workMs(keys)
       const { candidate } = seeWorker(worker, workMs, 0)
-      const queueMs = estimateCompletionMs({ ...candidate, slowness: 1 }, 0)
+      const queueMs = expectedQueueMs ?? estimateCompletionMs({ ...candidate, slowness: 1 }, 0)
       view.add(key, workMs)
       let hasEnded = false
       return (tookMs) => {
@@ -166,6 +179,17 @@
       const { others, ...load } = view.find(key, requests === 0 ? 0 : requests / Math.max(1, tokens * msPerToken), nowMs)
       return load
     },
+    recordRead (engine, msPerToken) {
+      reads.record({ keys: readKinds, worker: nameRead(engine), tookMs: msPerToken * readTokens, queueMs: 0 }, timer.now())
+      told.add(nameRead(engine))
+    },
+    readMsPerToken (engine) {
+      const nowMs = timer.now()
+      const mine = reads.slowness(nameRead(engine), nowMs)
+      const { others } = view.find(nameRead(engine), 0, nowMs)
+      if (mine.samples + others.samples < minToldSamples) return undefined
+      return reads.workMs(readKinds) / readTokens * combineSlowness(mine, others)
+    },
     deadlines,
     close () { reportTimer?.cancel() }
   }
