--- a/gateway/_prefill.ts
+++ b/gateway/_prefill.ts
@@ -51,7 +51,8 @@
     const slowness = worker.prefillMsPerToken ?? defaultPrefillMsPerToken
     const load = context.workerLoads.prompts(worker, slowness)
     unseenRequests += load.unseenRequests
-    return { ...load, fixedMs: context.roundTripMs(worker.entry.zone) + worker.failureShare * lossCostMs, slots: 1, slowness }
+    const fixedMs = context.roundTripMs(worker.entry.zone) + worker.failureShare * lossCostMs
+    return { fixedMs, slots: 1, slowness, requests: load.requests, workMs: load.workMs }
   })
   const choice = chooseByCompletion(candidates, { workMs: request.head.promptTokens, unseenRequests, random: context.random })
   return choice === undefined ? undefined : engines[choice.index]
--- a/gateway/_worker_loads.ts
+++ b/gateway/_worker_loads.ts
@@ -176,8 +176,7 @@
       const nowMs = timer.now()
       const key = nameWorker(engine)
       const { requests, workMs: tokens } = view.find(key, 0, nowMs)
-      const { others, ...load } = view.find(key, requests === 0 ? 0 : requests / Math.max(1, tokens * msPerToken), nowMs)
-      return load
+      return view.find(key, requests === 0 ? 0 : requests / Math.max(1, tokens * msPerToken), nowMs)
     },
     recordRead (engine, msPerToken) {
       reads.record({ keys: readKinds, worker: nameRead(engine), tookMs: msPerToken * readTokens, queueMs: 0 }, timer.now())
