--- a/gateway/_worker_loads.ts
+++ b/gateway/_worker_loads.ts
@@ -16,6 +16,8 @@
   /** Name of this machine. */
   name: string
   policy: PlacementPolicy
+  /** Number of this run of the process; a later run has a higher one. */
+  incarnation: number
 }
 
 /** The workers of a choice with what they still have to do. */
@@ -63,6 +65,11 @@
 /** Number of the newest reports whose answers are expected. */
 const maxOpenReports = 32
 
+/** Number of reports that a point may leave unanswered until another one is asked, the highest number that counts, and how much a report to another one takes off. */
+const allowedSilence = 2
+const maxSilence = 5
+const silenceFade = 0.1
+
 /** Names the incarnation of a worker. */
 function nameWorker ({ entry }: Worker): string { return `${entry.id}/${entry.bornMs}` }
 
@@ -78,15 +85,16 @@
 
 /** Creates the exchange; it sends nothing under another policy. */
 export function createWorkerLoads (options: WorkerLoadsOptions): WorkerLoads {
-  const { sidecars, timer, name } = options
+  const { sidecars, timer, name, incarnation } = options
   const costs = createCostEstimates()
   const reads = createCostEstimates({ halfMs: readHalfMs })
   const view = createLoadView()
   const deadlines = createUsualDeadline()
-  const incarnation = Date.now()
   const isOn = options.policy === PlacementPolicy.Completion
   const sentAtMs = new Map<number, number>()
   const told = new Set<string>()
+  /** Number of reports in a row that each point was asked to answer and has not answered yet. */
+  const silences = new Map<string, number>()
   let seq = 0
   let lastRequestMs = -Infinity
 
@@ -109,7 +117,7 @@
   function report (): void {
     const nowMs = timer.now()
     if (nowMs - lastRequestMs > activeMs && view.own().length === 0) return
-    const points = sidecars.exchangePoints()
+    const points = sidecars.exchangePoints().filter((point) => sidecars.connectionNumber(point) !== undefined)
     if (points.length === 0) return
     const own = new Map(view.own().map((load) => [load.worker, load]))
     for (const worker of own.keys()) told.add(worker)
@@ -123,14 +131,24 @@
     seq++
     sentAtMs.set(seq, nowMs)
     sentAtMs.delete(seq - maxOpenReports)
-    let hasAsked = false
+    const asked = chooseAsked(points)
     for (const point of points) {
-      const isSent = sidecars.sendToPoint(point, { kind: MessageKind.WorkerLoads, name, incarnation, seq, asks: !hasAsked, loads })
-      hasAsked ||= isSent
+      sidecars.sendToPoint(point, { kind: MessageKind.WorkerLoads, name, incarnation, seq, asks: point === asked, loads })
+      const unanswered = silences.get(point) ?? 0
+      if (point === asked) silences.set(point, Math.min(maxSilence, unanswered + 1))
+      else silences.set(point, Math.max(0, unanswered - silenceFade))
     }
+    for (const point of silences.keys()) if (!points.includes(point)) silences.delete(point)
+  }
+
+  /** Returns the first point that has answered lately; one that is connected and silent is asked again after a while. */
+  function chooseAsked (points: readonly string[]): string {
+    const leastSilence = Math.min(...points.map((point) => Math.floor(silences.get(point) ?? 0)))
+    return points.find((point) => Math.floor(silences.get(point) ?? 0) <= Math.max(leastSilence, allowedSilence)) as string
   }
 
-  sidecars.receive(MessageKind.WorkerLoadsSum, (_address, { seq: answered, ageMs, loads }) => {
+  sidecars.receive(MessageKind.WorkerLoadsSum, (point, { seq: answered, ageMs, loads }) => {
+    silences.set(point, 0)
     const atMs = sentAtMs.get(answered)
     if (atMs !== undefined) view.merge(loads, atMs - ageMs)
   })
--- a/gateway/start_gateway.ts
+++ b/gateway/start_gateway.ts
@@ -118,7 +118,7 @@
 
   const heldBytes = createByteBudget({ maxBytes: heldMemoryShare * (settings.memoryBytes ?? defaultMemoryBytes) })
 
-  const workerLoads = createWorkerLoads({ sidecars, timer, name: settings.machine, policy: options.placement ?? PlacementPolicy.Latency })
+  const workerLoads = createWorkerLoads({ sidecars, timer, name: settings.machine, policy: options.placement ?? PlacementPolicy.Latency, incarnation: Date.now() })
   const context: GatewayContext = {
     workerLoads,
     // Made below, since it takes the context.
