--- a/core/cost/_deciders_test.ts
+++ b/core/cost/_deciders_test.ts
@@ -91,7 +91,7 @@
           waitedMs: nowMs - request.startedMs,
           targetMs: load.aimMs,
           leftMs: request.deadlineMs - nowMs,
-          isReturning: deadlines.isReturning('stamp', statedMs),
+          usedMs: deadlines.usedMs('stamp', statedMs),
           rank: 0,
           isIdle: (candidates[choice.index]?.requests ?? 0) + unseenRequests / load.workers < load.slots,
           ageMs: view.ageMs(nowMs)
--- a/core/cost/cost.feature
+++ b/core/cost/cost.feature
@@ -21,6 +21,10 @@
     When the slow worker answers nothing for 12 s
     Then the cost estimate of its speed is within 10 percent of the mean
 
+  # Guards against engines that are measured behind other prompts, and against a speed that is kept for ever.
+  Scenario: The speed of an engine follows its shorter samples and is forgotten
+    Then speed samples of 30, 90, 31, 200, 32 and 30 ms for a unit tell a speed of 25 to 45 ms, of which nothing is known 200 s later
+
   Scenario: Cost estimates are bounded whatever clients ask
     Then after 5000 kinds of requests at 5000 workers the cost estimates keep at most 1024 values
 
@@ -37,17 +41,19 @@
     Then a load view is known for 1000 ms after it was told, and an older word does not replace it
 
   Scenario Outline: Requests that can't be served in time make way for those that can
-    Then a request with <level> ms to the answer, <waited> ms waited, returning <returning> and rank <rank> leads to <decision>
+    Then a request with <level> ms to the answer, <waited> ms waited, <used> ms used before and rank <rank> leads to <decision>
 
     Examples:
-      | level | waited | returning | rank | decision |
-      | 270   | 0      | false     | 0    | send     |
-      | 290   | 0      | false     | 0    | wait     |
-      | 290   | 50     | false     | 0    | refuse   |
-      | 270   | 0      | false     | 1    | wait     |
-      | 300   | 0      | true      | 0    | wait     |
-      | 110   | 0      | true      | 0    | send     |
-      | 300   | 3100   | true      | 0    | send     |
+      | level | waited | used | rank | decision |
+      | 270   | 0      | 0    | 0    | send     |
+      | 290   | 0      | 0    | 0    | wait     |
+      | 290   | 50     | 0    | 0    | refuse   |
+      | 270   | 0      | 0    | 1    | wait     |
+      | 300   | 0      | 1300 | 0    | wait     |
+      | 110   | 0      | 1300 | 0    | send     |
+      | 300   | 3100   | 1300 | 0    | send     |
+      | 100   | 0      | 170  | 0    | send     |
+      | 290   | 50     | 170  | 0    | wait     |
 
   # Guards against gateways that all stop and all start by the same old report.
   Scenario: With reports that are half a second late, gateways still serve as many in time as by latency
@@ -57,5 +63,5 @@
     Then 200 cost return delays with 500 ms to the answer and 3900 ms left lie between 500 and 1300 ms, and spread over all tenths of that
 
   # Guards against a client that states a long time and so makes all others look like ones that come back.
-  Scenario: A client is taken to come back by the deadlines that are usual
-    Then with usual deadlines of 4000 ms, one of 2700 ms is that of a client that has come back, though one in five states 900000 ms
+  Scenario: A client is taken to have come back by the deadlines that are usual
+    Then with usual deadlines of 4000 ms, one of 2700 ms is that of a client that has used up the rest, though one in five states 900000 ms
--- a/core/cost/cost_test.ts
+++ b/core/cost/cost_test.ts
@@ -3,7 +3,7 @@
  */
 import assert from 'node:assert/strict'
 import { Given, Then, When } from '@cucumber/cucumber'
-import { chooseByCompletion, createCostEstimates, createLoadSums, createLoadView, createUsualDeadline, decideSend, getReturnDelayMs } from './mod.ts'
+import { chooseByCompletion, createCostEstimates, createLoadSums, createLoadView, createSpeedEstimates, createUsualDeadline, decideSend, getReturnDelayMs } from './mod.ts'
 import { decideByCompletion, decideByLatency, simulatedLoads } from './_deciders_test.ts'
 import { createRandom, simulateService } from './_simulated_service_test.ts'
 import type { CreateDecider } from './_deciders_test.ts'
@@ -177,11 +177,11 @@
   assert.equal(view.own().length, 0)
 })
 
-Then('a request with {int} ms to the answer, {int} ms waited, returning {word} and rank {int} leads to {word}',
-  function (levelMs: number, waitedMs: number, returning: string, rank: number, decision: string) {
-    const situation: SendSituation = { levelMs, idleMs: 90, waitedMs, targetMs: 400, leftMs: 2_000, isReturning: returning === 'true', rank, ageMs: 100, isIdle: false }
+Then('a request with {int} ms to the answer, {int} ms waited, {int} ms used before and rank {int} leads to {word}',
+  function (levelMs: number, waitedMs: number, usedMs: number, rank: number, decision: string) {
+    const situation: SendSituation = { levelMs, idleMs: 90, waitedMs, targetMs: 400, leftMs: 2_000, usedMs, rank, ageMs: 100, isIdle: false }
     assert.equal(decideSend(situation), decision)
-    assert.equal(decideSend({ ...situation, isIdle: true, isReturning: false }), 'send')
+    assert.equal(decideSend({ ...situation, isIdle: true }), 'send')
     // What is old says nothing about whether there is room.
     assert.equal(decideSend({ ...situation, ageMs: 400 }), 'send')
   })
@@ -194,9 +194,18 @@
     assert.equal(new Set(delays.map((ms) => Math.floor((ms - least) / (most - least + 1) * 10))).size, 10)
   })
 
-Then('with usual deadlines of {int} ms, one of {int} ms is that of a client that has come back, though one in five states {int} ms',
+Then('with usual deadlines of {int} ms, one of {int} ms is that of a client that has used up the rest, though one in five states {int} ms',
   function (usualMs: number, backMs: number, longMs: number) {
     const deadlines = createUsualDeadline()
     for (let i = 0; i < 40; i++) deadlines.record('stamp', i % 5 === 0 ? longMs : usualMs)
-    assert.ok(deadlines.isReturning('stamp', backMs) && !deadlines.isReturning('stamp', usualMs - 10))
+    assert.ok(deadlines.usedMs('stamp', backMs) === usualMs - backMs && deadlines.usedMs('stamp', usualMs - 10) === 0)
+  })
+
+Then('speed samples of {int}, {int}, {int}, {int}, {int} and {int} ms for a unit tell a speed of {int} to {int} ms, of which nothing is known {int} s later',
+  function (a: number, b: number, c: number, d: number, e: number, f: number, least: number, most: number, laterS: number) {
+    const speeds = createSpeedEstimates()
+    for (const [i, ms] of [a, b, c, d, e, f].entries()) speeds.record('w', ms, i)
+    const { msPerUnit } = speeds.get('w', 5) ?? { msPerUnit: NaN }
+    assert.ok(msPerUnit >= least && msPerUnit <= most, `${msPerUnit} ms`)
+    assert.equal(speeds.get('w', 5 + laterS * 1_000), undefined)
   })
--- a/core/cost/create_cost_estimates.ts
+++ b/core/cost/create_cost_estimates.ts
@@ -29,8 +29,6 @@
 export interface CostEstimatesOptions {
   /** Highest number of kinds of requests, and of workers; 512 by default. */
   maxKeys?: number
-  /** Time in milliseconds after which half of what is known of a worker's speed is forgotten; 3,000 by default. */
-  halfMs?: number
 }
 
 /** Work in milliseconds of a request of which nothing is known. */
@@ -46,7 +44,7 @@
 /** Bounds of the slowness, so that a worker whose answers came late is still asked at times. */
 const maxSlowness = 8
 /** Time in milliseconds after which half of what is known of a worker's speed is forgotten, so that one that has recovered is asked again. */
-const defaultHalfMs = 3_000
+const slownessHalfMs = 3_000
 
 /** Time in milliseconds for which a slowness is told again without a new sample. */
 const tellAgainMs = 20
@@ -74,7 +72,7 @@
  * ```
  */
 export function createCostEstimates (options: CostEstimatesOptions = {}): CostEstimates {
-  const { maxKeys = 512, halfMs = defaultHalfMs } = options
+  const { maxKeys = 512 } = options
   const works = new Map<string, Work>()
   const workers = new Map<string, Slowness>()
 
@@ -99,7 +97,7 @@
 
   /** Lets old knowledge fade toward the mean speed. */
   function age (known: Slowness, nowMs: number): void {
-    const share = 0.5 ** (Math.max(0, nowMs - known.atMs) / halfMs)
+    const share = 0.5 ** (Math.max(0, nowMs - known.atMs) / slownessHalfMs)
     known.log *= share
     known.samples *= share
     known.atMs = nowMs
--- a/core/cost/create_load_sums.ts
+++ b/core/cost/create_load_sums.ts
@@ -34,6 +34,9 @@
   maxMembers?: number
 }
 
+/** Lowest slowness that counts. */
+const minSlowness = 0.001
+
 interface Member { report: LoadReportData, atMs: number }
 
 /**
@@ -81,7 +84,7 @@
           sum.requests += requests
           sum.workMs += workMs
           sum.samples += samples
-          sum.logs += samples * Math.log(Math.max(0.01, slowness))
+          sum.logs += samples * Math.log(Math.max(minSlowness, slowness))
           sums.set(worker, sum)
         }
       }
--- a/core/cost/create_usual_deadline.ts
+++ b/core/cost/create_usual_deadline.ts
@@ -6,15 +6,15 @@
 export interface UsualDeadline {
   /** Records the deadline in milliseconds that a client stated. */
   record (kind: string, deadlineMs: number): void
-  /** Tells whether a deadline is so much shorter than usual that its client has come back after a refusal. */
-  isReturning (kind: string, deadlineMs: number): boolean
+  /** Returns the time in milliseconds that a client has used up before this request: its deadline is so much shorter than usual; 0 for a first request. */
+  usedMs (kind: string, deadlineMs: number): number
 }
 
 /** Number of the newest deadlines of a kind, their rank that counts as usual, and the number of kinds. */
 const maxValues = 32
 const usualRank = 0.75
 const maxKinds = 512
-/** A deadline below this share of the usual one is that of a client that has come back. */
+/** A deadline below this share of the usual one is that of a client that has sent the request before. */
 const returningShare = 0.93
 
 /**
@@ -29,7 +29,7 @@
  *
  * const deadlines = createUsualDeadline()
  * for (let i = 0; i < 8; i++) deadlines.record('stamp', 4000)
- * console.assert(deadlines.isReturning('stamp', 2500) && !deadlines.isReturning('stamp', 4000))
+ * console.assert(deadlines.usedMs('stamp', 2500) === 1500 && deadlines.usedMs('stamp', 4000) === 0)
  * ```
  */
 export function createUsualDeadline (): UsualDeadline {
@@ -45,6 +45,9 @@
       const sorted = [...known.values].sort((a, b) => a - b)
       known.usualMs = sorted[Math.floor(usualRank * (sorted.length - 1))] ?? deadlineMs
     },
-    isReturning: (kind, deadlineMs) => deadlineMs < returningShare * (kinds.get(kind)?.usualMs ?? 0)
+    usedMs (kind, deadlineMs) {
+      const usualMs = kinds.get(kind)?.usualMs ?? 0
+      return deadlineMs < returningShare * usualMs ? usualMs - deadlineMs : 0
+    }
   }
 }
--- a/core/cost/decide_send.ts
+++ b/core/cost/decide_send.ts
@@ -23,8 +23,8 @@
   targetMs: number
   /** Time that its client has left. */
   leftMs: number
-  /** True when its client has come back after a refusal, so that the target is missed already. */
-  isReturning: boolean
+  /** Time that its client used up before it sent this request: it has come back after a refusal or a failure; 0 for a first request. */
+  usedMs: number
   /** Number of more urgent kinds of requests that the same workers serve. */
   rank: number
   /** Age of what is known of the workers' load. */
@@ -61,23 +61,22 @@
  * ```ts
  * import { decideSend, SendDecision } from 'briarloom/core/cost'
  *
- * const situation = { levelMs: 100, idleMs: 90, waitedMs: 0, targetMs: 400, leftMs: 4000, isIdle: false, isReturning: false, rank: 0, ageMs: 100 }
+ * const situation = { levelMs: 100, idleMs: 90, waitedMs: 0, targetMs: 400, leftMs: 4000, isIdle: false, usedMs: 0, rank: 0, ageMs: 100 }
  * console.assert(decideSend(situation) === SendDecision.Send)
  * console.assert(decideSend({ ...situation, levelMs: 900, waitedMs: 60 }) === SendDecision.Refuse)
  * ```
  */
 export function decideSend (situation: SendSituation): SendDecision {
-  const { levelMs, idleMs, waitedMs, targetMs, leftMs, isReturning, rank, ageMs, isIdle } = situation
+  const { levelMs, idleMs, waitedMs, targetMs, leftMs, usedMs, rank, ageMs, isIdle } = situation
   if (ageMs > maxAgeMs) return SendDecision.Send
-  if (isReturning) {
-    if (levelMs - idleMs <= lateQueueShare * targetMs) return SendDecision.Send
-    if (waitedMs < lateWaitShare * (leftMs + waitedMs)) return SendDecision.Wait
-    return levelMs < leftMs ? SendDecision.Send : SendDecision.Refuse
-  }
+  const lastsMs = usedMs + waitedMs
   const share = Math.max(minInTimeShare, inTimeShare - rankShare * rank)
   // A free slot is used however slow its worker is: no other will be faster.
-  if (isIdle || levelMs + waitedMs <= share * targetMs) return SendDecision.Send
-  return waitedMs < waitShare * targetMs ? SendDecision.Wait : SendDecision.Refuse
+  if (isIdle || lastsMs + levelMs <= share * targetMs) return SendDecision.Send
+  if (usedMs === 0 && waitedMs + idleMs <= targetMs) return waitedMs < waitShare * targetMs ? SendDecision.Wait : SendDecision.Refuse
+  if (levelMs - idleMs <= lateQueueShare * targetMs) return SendDecision.Send
+  if (waitedMs < lateWaitShare * (leftMs + waitedMs)) return SendDecision.Wait
+  return levelMs < leftMs ? SendDecision.Send : SendDecision.Refuse
 }
 
 /** Longest wait that clients are asked for, as a share of the time that they have left; they honour no longer one. */
--- a/core/prefill/choose_prefill_place.ts
+++ b/core/prefill/choose_prefill_place.ts
@@ -24,6 +24,8 @@
   longestPauseMs: number
   /** True when the decode engines that have memory run prefills already. */
   areDecodeEnginesBusy: boolean
+  /** False when nobody has measured lately how long the decode engine takes; `decodeEngineMs` is then an upper bound. True by default. */
+  isMeasured?: boolean
 }
 
 /** Share of the target latency that a prefill may take before a decode engine is considered for it. */
@@ -50,8 +52,11 @@
  * ```
  */
 export function choosePrefillPlace (request: PrefillRequest): PrefillPlace {
-  const { prefillEngineMs, decodeEngineMs, leftMs, targetLatencyMs, longestPauseMs, areDecodeEnginesBusy } = request
+  const { prefillEngineMs, decodeEngineMs, leftMs, targetLatencyMs, longestPauseMs, areDecodeEnginesBusy, isMeasured = true } = request
   if (prefillEngineMs === undefined) return areDecodeEnginesBusy ? PrefillPlace.Later : PrefillPlace.DecodeEngine
+  // A short prompt measures the engine, so that it is known in the next burst whether it can help.
+  const isHarmless = decodeEngineMs <= prefillLatencyShare * Math.min(leftMs, targetLatencyMs) && canPrefillWithinPause(decodeEngineMs, longestPauseMs)
+  if (!isMeasured && !areDecodeEnginesBusy && isHarmless) return PrefillPlace.DecodeEngine
   if (prefillEngineMs <= Math.min(leftMs, prefillLatencyShare * targetLatencyMs)) return PrefillPlace.PrefillEngine
   const isDecodeEngineBetter = decodeEngineMs < prefillEngineMs && canPrefillWithinPause(decodeEngineMs, longestPauseMs)
   if (isDecodeEngineBetter && !areDecodeEnginesBusy) return PrefillPlace.DecodeEngine
--- a/gateway/_place_plain.ts
+++ b/gateway/_place_plain.ts
@@ -63,7 +63,7 @@
       const { service, route, head } = request
       const sinceMs = timer.now()
       const statedMs = head.deadlineMs ?? route.timeoutMs
-      const isReturning = workerLoads.deadlines.isReturning(route.name, statedMs)
+      const usedMs = workerLoads.deadlines.usedMs(route.name, statedMs)
       let isWaiting = false
       try {
         for (;;) {
@@ -85,7 +85,7 @@
             waitedMs: timer.now() - request.startedMs,
             targetMs: route.targetLatencyMs,
             leftMs: Math.min(statedMs - (timer.now() - request.startedMs), request.deadlineMs - timer.now()),
-            isReturning,
+            usedMs,
             rank: findRank(request),
             ageMs: workerLoads.ageMs()
           }
@@ -101,7 +101,7 @@
             const { levelMs, idleMs } = situation
             const fields = { request: request.requestId, levelMs: Math.round(levelMs), idleMs: Math.round(idleMs), workMs: Math.round(workMs) }
             const loads = open.map(({ entry }, i) => `${entry.id}:${Math.round(candidates[i]?.requests ?? 0)}x${(candidates[i]?.slowness ?? 1).toFixed(2)}`)
-            context.log.warn({ ...fields, isReturning, retryAfterMs, waitedMs: Math.round(timer.now() - sinceMs), loads: loads.join(' ') }, 'not placed')
+            context.log.warn({ ...fields, usedMs, retryAfterMs, waitedMs: Math.round(timer.now() - sinceMs), loads: loads.join(' ') }, 'not placed')
             return Err({ reason: 'no_room_in_time', retryAfterMs })
           }
           if (!isWaiting) waiting++
--- a/gateway/_prefill.ts
+++ b/gateway/_prefill.ts
@@ -1,10 +1,9 @@
 /**
  * Chooses the engine for the prefill of a prompt, and has it run the prefill.
  */
-import { chooseByCompletion } from '../core/cost/mod.ts'
 import { HoldReason, SendRank, smooth, Stage, stageOf, takeSendPlace } from '../core/fleet/mod.ts'
 import {
-  canPrefillWithinPause, choosePrefillPlace, defaultPrefillMsPerToken, PrefillPlace, recordPrefill
+  canPrefillWithinPause, choosePrefillPlace, PrefillPlace, recordPrefill
 } from '../core/prefill/mod.ts'
 import { callJson } from '../exchange/mod.ts'
 import { decodeKvCacheHandle, buildFreeKvCacheCall } from '../platform/mod.ts'
@@ -40,24 +39,9 @@
     .map((worker) => ({ worker, rank: checkWorker(context, worker, request.head.sharedParts).rank }))
   const bestRank = Math.min(SendRank.Leaving, ...ranked.map(({ rank }) => rank))
   const engines = ranked.filter(({ rank }) => rank === bestRank).map(({ worker }) => worker)
-  if (context.workerLoads.isKnown()) return chooseByLoads(context, request, engines)
   return engines.sort((a, b) => estimateCostMs(context, request, a) - estimateCostMs(context, request, b))[0]
 }
 
-/** Returns the prefill engine that is likely to finish the prompt first, by the prompts that all gateways have there. */
-function chooseByLoads (context: GatewayContext, request: ClientRequest, engines: Worker[]): Worker | undefined {
-  let unseenRequests = 0
-  const candidates = engines.map((worker) => {
-    const slowness = worker.prefillMsPerToken ?? defaultPrefillMsPerToken
-    const load = context.workerLoads.prompts(worker, slowness)
-    unseenRequests += load.unseenRequests
-    const fixedMs = context.roundTripMs(worker.entry.zone) + worker.failureShare * lossCostMs
-    return { fixedMs, slots: 1, slowness, requests: load.requests, workMs: load.workMs }
-  })
-  const choice = chooseByCompletion(candidates, { workMs: request.head.promptTokens, unseenRequests, random: context.random })
-  return choice === undefined ? undefined : engines[choice.index]
-}
-
 /** Estimates the time in milliseconds until a prefill engine has finished the prompt, plus the expected cost of lost responses. */
 function estimateCostMs (context: GatewayContext, request: ClientRequest, worker: Worker): number {
   return estimatePrefillMs(context, request, worker) + worker.failureShare * lossCostMs
@@ -101,7 +85,8 @@
     leftMs: sinceMs + targetLatencyMs - context.timer.now() - firstEventMs,
     targetLatencyMs,
     longestPauseMs,
-    areDecodeEnginesBusy: options.areDecodeEnginesBusy
+    areDecodeEnginesBusy: options.areDecodeEnginesBusy,
+    isMeasured: !context.workerLoads.isKnown() || context.workerLoads.readMsPerToken(options.decodeEngine) !== undefined
   })
   return { place, engine: place === PrefillPlace.PrefillEngine ? engine : undefined, prefillEngineMs, decodeEngineMs }
 }
@@ -142,7 +127,6 @@
   const timeoutMs = timeoutFactor * estimatePrefillMs(context, request, worker) + timeoutMarginMs
   takeSendPlace(worker, startedMs)
   worker.ownQueuedPromptTokens += request.head.promptTokens
-  const endLoad = context.workerLoads.beginPrompt(worker, request.head.promptTokens)
   worker.typicalPromptTokens = smooth(worker.typicalPromptTokens, request.head.promptTokens)
   return new Promise((resolve) => {
     const chunks: Buffer[] = []
@@ -167,7 +151,6 @@
       isSettled = true
       timeout.cancel()
       worker.ownQueuedPromptTokens -= request.head.promptTokens
-      endLoad()
       if (handle !== undefined || isLost) context.directory.fleet.recordResult(worker, { failed: isLost })
       resolve(handle === undefined ? { isRefused, isLost } : { kvCache: { worker, handle }, isRefused, isLost })
     }
--- a/gateway/_prefill_times.ts
+++ b/gateway/_prefill_times.ts
@@ -13,9 +13,9 @@
 /** Estimates the time in milliseconds until a prefill engine has finished a prompt, behind those that are queued there. */
 export function estimatePrefillMs (context: GatewayContext, request: ClientRequest, worker: Worker): number {
   const perTokenMs = worker.prefillMsPerToken ?? defaultPrefillMsPerToken
-  const queuedTokens = context.workerLoads.isKnown()
-    ? context.workerLoads.prompts(worker, perTokenMs).workMs
-    : Math.max(worker.ownQueuedPromptTokens, (worker.capacity?.waitingRequests ?? 0) * (worker.typicalPromptTokens ?? request.head.promptTokens))
+  const queuedTokens = Math.max(
+    worker.ownQueuedPromptTokens, (worker.capacity?.waitingRequests ?? 0) * (worker.typicalPromptTokens ?? request.head.promptTokens)
+  )
   return (queuedTokens + request.head.promptTokens) * perTokenMs + context.roundTripMs(worker.entry.zone)
 }
 
--- a/gateway/_worker_loads.ts
+++ b/gateway/_worker_loads.ts
@@ -1,9 +1,9 @@
 /**
- * What this gateway and the others have at the workers of plain services and at prefill engines, and what plain requests cost.
+ * What this gateway and the others have at the workers of plain services, what requests there cost, and how fast decode engines read prompts.
  */
-import { createCostEstimates, createLoadView, createUsualDeadline, estimateCompletionMs, PlacementPolicy } from '../core/cost/mod.ts'
+import { createCostEstimates, createLoadView, createSpeedEstimates, createUsualDeadline, estimateCompletionMs, PlacementPolicy } from '../core/cost/mod.ts'
 import { MessageKind } from '../wire/mod.ts'
-import type { Candidate, LoadEntry, UsualDeadline, WorkerLoad } from '../core/cost/mod.ts'
+import type { Candidate, LoadEntry, UsualDeadline } from '../core/cost/mod.ts'
 import type { Worker } from '../core/fleet/mod.ts'
 import type { Timer } from '../timer/mod.ts'
 import type { SidecarClient } from './_sidecar_client.ts'
@@ -39,10 +39,6 @@
   see (request: ClientRequest, workers: readonly Worker[], fixedMs: (worker: Worker) => number): SeenWorkers
   /** Counts a request that is sent; the result records its end, with the time that the worker took unless it did not answer. */
   begin (request: ClientRequest, worker: Worker, options: { roundTripMs: number, queueMs?: number | undefined }): (tookMs?: number) => void
-  /** Counts a prompt that is sent to a prefill engine; the result counts its end. */
-  beginPrompt (engine: Worker, tokens: number): () => void
-  /** Returns the prompts that a prefill engine has from all gateways, as far as known: their number, and their tokens as the work. */
-  prompts (engine: Worker, msPerToken: number): WorkerLoad & { unseenRequests: number }
   /** Records the time in milliseconds for each token of a prompt that a decode engine prefilled between the tokens of its streams. */
   recordRead (engine: Worker, msPerToken: number): void
   /** Returns that time as all gateways have measured it; undefined when none has lately. */
@@ -57,11 +53,8 @@
 const activeMs = 2_000
 /** Fewest samples of a worker's speed that are told to others; older ones count less. */
 const minToldSamples = 0.5
-/** Time in milliseconds after which half of what is known of the speed of a decode engine is forgotten; prompts there are rare. */
-const readHalfMs = 30_000
-/** Tokens whose time is one unit of that speed. */
-const readTokens = 1_000
-const readKinds = ['prompt']
+/** Lowest slowness that is taken from others; that of prompts is a time in milliseconds for each token. */
+const minSlowness = 0.001
 /** Number of the newest reports whose answers are expected. */
 const maxOpenReports = 32
 
@@ -87,7 +80,7 @@
 export function createWorkerLoads (options: WorkerLoadsOptions): WorkerLoads {
   const { sidecars, timer, name, incarnation } = options
   const costs = createCostEstimates()
-  const reads = createCostEstimates({ halfMs: readHalfMs })
+  const reads = createSpeedEstimates()
   const view = createLoadView()
   const deadlines = createUsualDeadline()
   const isOn = options.policy === PlacementPolicy.Completion
@@ -101,7 +94,7 @@
   function combineSlowness (mine: { slowness: number, samples: number }, others: { slowness: number, samples: number }): number {
     const samples = mine.samples + others.samples
     if (samples === 0) return 1
-    return Math.exp((mine.samples * Math.log(mine.slowness) + others.samples * Math.log(Math.max(0.01, others.slowness))) / samples)
+    return Math.exp((mine.samples * Math.log(mine.slowness) + others.samples * Math.log(Math.max(minSlowness, others.slowness))) / samples)
   }
 
   function seeWorker (worker: Worker, workMs: number, fixedMs: number): { candidate: Candidate, unseenRequests: number } {
@@ -123,11 +116,15 @@
     for (const worker of own.keys()) told.add(worker)
     const loads: LoadEntry[] = []
     for (const worker of told) {
-      const speed = (worker.endsWith(' read') ? reads : costs).slowness(worker, nowMs)
+      const speed = costs.slowness(worker, nowMs)
       const load = own.get(worker)
       if (load === undefined && speed.samples < minToldSamples) told.delete(worker)
       else loads.push({ requests: 0, workMs: 0, ...load, worker, ...speed })
     }
+    for (const worker of reads.workers()) {
+      const speed = reads.get(worker, nowMs)
+      if (speed !== undefined) loads.push({ worker, requests: 0, workMs: 0, slowness: speed.msPerUnit, samples: speed.samples })
+    }
     seq++
     sentAtMs.set(seq, nowMs)
     sentAtMs.delete(seq - maxOpenReports)
@@ -180,32 +177,13 @@
         if (tookMs !== undefined) costs.record({ keys, worker: key, tookMs: Math.max(1, tookMs - roundTripMs), queueMs }, timer.now())
       }
     },
-    beginPrompt (engine, tokens) {
-      lastRequestMs = timer.now()
-      const key = nameWorker(engine)
-      view.add(key, tokens)
-      let hasEnded = false
-      return () => {
-        if (!hasEnded) view.remove(key, tokens)
-        hasEnded = true
-      }
-    },
-    prompts (engine, msPerToken) {
-      const nowMs = timer.now()
-      const key = nameWorker(engine)
-      const { requests, workMs: tokens } = view.find(key, 0, nowMs)
-      return view.find(key, requests === 0 ? 0 : requests / Math.max(1, tokens * msPerToken), nowMs)
-    },
-    recordRead (engine, msPerToken) {
-      reads.record({ keys: readKinds, worker: nameRead(engine), tookMs: msPerToken * readTokens, queueMs: 0 }, timer.now())
-      told.add(nameRead(engine))
-    },
+    recordRead (engine, msPerToken) { reads.record(nameRead(engine), msPerToken, timer.now()) },
     readMsPerToken (engine) {
-      const nowMs = timer.now()
-      const mine = reads.slowness(nameRead(engine), nowMs)
-      const { others } = view.find(nameRead(engine), 0, nowMs)
-      if (mine.samples + others.samples < minToldSamples) return undefined
-      return reads.workMs(readKinds) / readTokens * combineSlowness(mine, others)
+      const key = nameRead(engine)
+      const mine = reads.get(key, timer.now())
+      const { others } = view.find(key, 0, timer.now())
+      const samples = (mine?.samples ?? 0) + others.samples
+      return samples < minToldSamples ? undefined : combineSlowness({ slowness: mine?.msPerUnit ?? 1, samples: mine?.samples ?? 0 }, others)
     },
     deadlines,
     close () { reportTimer?.cancel() }
