--- a/core/cost/_types.ts
+++ b/core/cost/_types.ts
@@ -10,6 +10,14 @@
   Completion = 'completion'
 }
 
+/** Names what a report of loads is about; the values travel in messages. */
+export enum LoadTopic {
+  /** Requests at workers of plain services, and how slow these are. */
+  Plain = 'plain',
+  /** Time in milliseconds that decode engines take for each token of a prompt, as the slowness. */
+  Reads = 'reads'
+}
+
 /** What a worker still has to do. */
 export interface WorkerLoad {
   /** Requests that it has not answered yet. */
--- a/core/cost/mod.ts
+++ b/core/cost/mod.ts
@@ -1,7 +1,7 @@
 /**
  * Cost: what requests are likely to cost, what workers still have to do, and where a request of a plain service goes by both.
  */
-export { PlacementPolicy } from './_types.ts'
+export { LoadTopic, PlacementPolicy } from './_types.ts'
 export { chooseByCompletion } from './choose_by_completion.ts'
 export { createCostEstimates } from './create_cost_estimates.ts'
 export { createLoadSums } from './create_load_sums.ts'
--- a/gateway/_place_plain.ts
+++ b/gateway/_place_plain.ts
@@ -28,7 +28,7 @@
 }
 
 /** Time in milliseconds after which a request that waits is placed again. */
-const retryMs = 15
+const retryMs = 25
 /** Largest number of requests that wait here at a time; one beyond it is sent or refused at once. */
 const maxWaiting = 400
 
--- a/gateway/_worker_loads.ts
+++ b/gateway/_worker_loads.ts
@@ -1,7 +1,7 @@
 /**
  * What this gateway and the others have at the workers of plain services, what requests there cost, and how fast decode engines read prompts.
  */
-import { createCostEstimates, createLoadView, createSpeedEstimates, createUsualDeadline, estimateCompletionMs, PlacementPolicy } from '../core/cost/mod.ts'
+import { createCostEstimates, createLoadView, createSpeedEstimates, createUsualDeadline, estimateCompletionMs, LoadTopic, PlacementPolicy } from '../core/cost/mod.ts'
 import { MessageKind } from '../wire/mod.ts'
 import type { Candidate, LoadEntry, UsualDeadline } from '../core/cost/mod.ts'
 import type { Worker } from '../core/fleet/mod.ts'
@@ -48,7 +48,11 @@
 }
 
 /** Shortest time in milliseconds between two reports; a report is about as old as a request takes. */
-const reportMs = 100
+const reportMs = 150
+/** Time in milliseconds between two reports on how fast decode engines read prompts. */
+const readsReportMs = 1_000
+/** Number of exchange points that are used: one, and one that takes over from it. */
+const maxPoints = 2
 /** Time in milliseconds after the newest request for which loads are still exchanged. */
 const activeMs = 2_000
 /** Fewest samples of a worker's speed that are told to others; older ones count less. */
@@ -90,6 +94,8 @@
   const silences = new Map<string, number>()
   let seq = 0
   let lastRequestMs = -Infinity
+  let hasPrompts = false
+  let toldReads = new Map<string, LoadEntry>()
 
   function combineSlowness (mine: { slowness: number, samples: number }, others: { slowness: number, samples: number }): number {
     const samples = mine.samples + others.samples
@@ -107,11 +113,7 @@
     return { candidate: { fixedMs, slots, slowness, requests, workMs: aheadMs }, unseenRequests }
   }
 
-  function report (): void {
-    const nowMs = timer.now()
-    if (nowMs - lastRequestMs > activeMs && view.own().length === 0) return
-    const points = sidecars.exchangePoints().filter((point) => sidecars.connectionNumber(point) !== undefined)
-    if (points.length === 0) return
+  function listPlain (nowMs: number): LoadEntry[] {
     const own = new Map(view.own().map((load) => [load.worker, load]))
     for (const worker of own.keys()) told.add(worker)
     const loads: LoadEntry[] = []
@@ -121,16 +123,28 @@
       if (load === undefined && speed.samples < minToldSamples) told.delete(worker)
       else loads.push({ requests: 0, workMs: 0, ...load, worker, ...speed })
     }
-    for (const worker of reads.workers()) {
+    return loads
+  }
+
+  function listReads (nowMs: number): LoadEntry[] {
+    return reads.workers().flatMap((worker) => {
       const speed = reads.get(worker, nowMs)
-      if (speed !== undefined) loads.push({ worker, requests: 0, workMs: 0, slowness: speed.msPerUnit, samples: speed.samples })
-    }
+      return speed === undefined ? [] : [{ worker, requests: 0, workMs: 0, slowness: speed.msPerUnit, samples: speed.samples }]
+    })
+  }
+
+  function report (topic: LoadTopic, list: (nowMs: number) => LoadEntry[]): void {
+    const nowMs = timer.now()
+    if (nowMs - lastRequestMs > activeMs && view.own().length === 0) return
+    const points = sidecars.exchangePoints().filter((point) => sidecars.connectionNumber(point) !== undefined).slice(0, maxPoints)
+    if (points.length === 0) return
+    const loads = list(nowMs)
     seq++
     sentAtMs.set(seq, nowMs)
     sentAtMs.delete(seq - maxOpenReports)
     const asked = chooseAsked(points)
     for (const point of points) {
-      sidecars.sendToPoint(point, { kind: MessageKind.WorkerLoads, name, incarnation, seq, asks: point === asked, loads })
+      sidecars.sendToPoint(point, { kind: MessageKind.WorkerLoads, topic, name, incarnation, seq, asks: point === asked, loads })
       const unanswered = silences.get(point) ?? 0
       if (point === asked) silences.set(point, Math.min(maxSilence, unanswered + 1))
       else silences.set(point, Math.max(0, unanswered - silenceFade))
@@ -144,12 +158,19 @@
     return points.find((point) => Math.floor(silences.get(point) ?? 0) <= Math.max(leastSilence, allowedSilence)) as string
   }
 
-  sidecars.receive(MessageKind.WorkerLoadsSum, (point, { seq: answered, ageMs, loads }) => {
+  sidecars.receive(MessageKind.WorkerLoadsSum, (point, { topic, seq: answered, ageMs, loads }) => {
     silences.set(point, 0)
     const atMs = sentAtMs.get(answered)
-    if (atMs !== undefined) view.merge(loads, atMs - ageMs)
+    if (atMs === undefined) return
+    if (topic === LoadTopic.Plain) view.merge(loads, atMs - ageMs)
+    else toldReads = new Map(loads.map((entry) => [entry.worker, entry]))
   })
-  const reportTimer = isOn ? timer.every(reportMs, report) : undefined
+  const timers = isOn
+    ? [
+        timer.every(reportMs, () => report(LoadTopic.Plain, listPlain)),
+        timer.every(readsReportMs, () => { if (hasPrompts) report(LoadTopic.Reads, listReads) })
+      ]
+    : []
 
   return {
     ageMs: () => view.ageMs(timer.now()),
@@ -179,13 +200,15 @@
     },
     recordRead (engine, msPerToken) { reads.record(nameRead(engine), msPerToken, timer.now()) },
     readMsPerToken (engine) {
+      lastRequestMs = timer.now()
+      hasPrompts = true
       const key = nameRead(engine)
       const mine = reads.get(key, timer.now())
-      const { others } = view.find(key, 0, timer.now())
+      const others = toldReads.get(key) ?? { slowness: 1, samples: 0 }
       const samples = (mine?.samples ?? 0) + others.samples
       return samples < minToldSamples ? undefined : combineSlowness({ slowness: mine?.msPerUnit ?? 1, samples: mine?.samples ?? 0 }, others)
     },
     deadlines,
-    close () { reportTimer?.cancel() }
+    close () { for (const periodic of timers) periodic.cancel() }
   }
 }
--- a/gateway/worker_loads_test.ts
+++ b/gateway/worker_loads_test.ts
@@ -8,12 +8,16 @@
 import { createWorkerLoadsTask } from '../sidecar/_worker_loads_task.ts'
 import { createManualTimer } from '../timer/mod.ts'
 import { MessageKind } from '../wire/mod.ts'
+import { createPlainPlacement } from './_place_plain.ts'
+import { StopReason } from './_types.ts'
 import { createWorkerLoads } from './_worker_loads.ts'
 import type { Worker } from '../core/fleet/mod.ts'
+import type { Result } from '../core/results/mod.ts'
 import type { ManualTimer } from '../timer/mod.ts'
 import type { Connection, MessageOf } from '../wire/mod.ts'
 import type { SidecarClient } from './_sidecar_client.ts'
-import type { ClientRequest } from './_types.ts'
+import type { PlainPlacement, Placed, NotPlaced } from './_place_plain.ts'
+import type { ClientRequest, GatewayContext } from './_types.ts'
 import type { WorkerLoads } from './_worker_loads.ts'
 
 enum Fault { Dead = 'dead', Frozen = 'frozen', Renewed = 'renewed' }
@@ -22,7 +26,7 @@
 
 interface LoadGateway { loads: WorkerLoads, open: Array<(tookMs?: number) => void>, isAlive: boolean }
 
-interface World { loadTimer: ManualTimer, points: Point[], gateways: Map<string, LoadGateway>, reports: number }
+interface World { loadTimer: ManualTimer, points: Point[], gateways: Map<string, LoadGateway>, reports: number, placement: PlainPlacement, placed: Promise<Result<Placed, NotPlaced>>, stopped?: StopReason }
 
 /** Time in milliseconds that a message takes. */
 const tripMs = 20
@@ -127,3 +131,64 @@
 })
 
 Then('the load gateways have sent {int} reports', function (this: World, count: number) { assert.equal(this.reports, count) })
+
+When('the load gateway {string} places a request with a target of {int} ms and a deadline of {int} ms',
+  function (this: World, name: string, targetLatencyMs: number, deadlineMs: number) {
+    const { loadTimer: timer } = this
+    const context = {
+      timer,
+      random: () => 0.5,
+      workerLoads: getGateway(this, name).loads,
+      directory: { fleet, routeTable: () => undefined },
+      settings: { drainMs: 2_500 },
+      metrics: { count () {} },
+      log: { warn () {} },
+      roundTripMs: () => 1
+    } as unknown as GatewayContext
+    const startedMs = timer.now()
+    const placing = {
+      ...request,
+      service: { name: 's' },
+      route: { name: 'stamp', targetLatencyMs, timeoutMs: deadlineMs },
+      head: { deadlineMs },
+      priority: 0,
+      startedMs,
+      deadlineMs: startedMs + deadlineMs,
+      stopReason: () => this.stopped
+    } as unknown as ClientRequest
+    this.placement = createPlainPlacement(context)
+    this.placed = this.placement.place(placing, new Set(), 400)
+  })
+
+When('its client leaves', function (this: World) { this.stopped = StopReason.ClientDisconnected })
+
+/** Lets time pass in steps, so that what waits for the timer goes on between them, and returns where the request went. */
+async function settle (world: World, ms: number): Promise<Result<Placed, NotPlaced>> {
+  for (let passedMs = 0; passedMs < ms; passedMs += 5) {
+    world.loadTimer.advance(5)
+    await Promise.resolve()
+    await Promise.resolve()
+  }
+  return await Promise.race([world.placed, Promise.reject(new Error(`not placed within ${ms} ms`))])
+}
+
+Then('within {int} ms it is refused with a time to come back of at most {int} ms', async function (this: World, ms: number, most: number) {
+  const placed = await settle(this, ms)
+  assert.ok(placed.err)
+  assert.equal(placed.val.reason, 'no_room_in_time')
+  assert.ok((placed.val.retryAfterMs ?? Infinity) <= most, `${placed.val.retryAfterMs} ms`)
+})
+
+Then('within {int} ms it is sent to {string}', async function (this: World, ms: number, id: string) {
+  const placed = await settle(this, ms)
+  assert.ok(placed.ok)
+  assert.equal(placed.val.worker.entry.id, id)
+})
+
+Then('within {int} ms it ends with {string}', async function (this: World, ms: number, reason: string) {
+  const placed = await settle(this, ms)
+  assert.ok(placed.err)
+  assert.equal(placed.val.reason, reason)
+})
+
+Then('no request waits at the load gateway', function (this: World) { assert.equal(this.placement.waiting(), 0) })
--- a/sidecar/_worker_loads_task.ts
+++ b/sidecar/_worker_loads_task.ts
@@ -1,7 +1,7 @@
 /**
  * The exchange point for what gateways have at the workers of plain services.
  */
-import { createLoadSums } from '../core/cost/mod.ts'
+import { createLoadSums, LoadTopic } from '../core/cost/mod.ts'
 import { MessageKind } from '../wire/mod.ts'
 import type { Timer } from '../timer/mod.ts'
 import type { ExchangeHandlers } from './_admission_task.ts'
@@ -13,17 +13,22 @@
   members (): number
 }
 
+/** Age in milliseconds up to which a report about reads counts. */
+const maxReadsAgeMs = 4_000
+
 /** Creates the task; it keeps its state in memory only, and a point that starts anew knows all gateways after one report of each. */
 export function createWorkerLoadsTask (timer: Timer): WorkerLoadsTask {
-  const sums = createLoadSums()
+  // Reads are reported each second, a report that is lost among them.
+  const sumsByTopic = { [LoadTopic.Plain]: createLoadSums(), [LoadTopic.Reads]: createLoadSums({ maxAgeMs: maxReadsAgeMs }) }
   return {
     handlers: {
-      [MessageKind.WorkerLoads]: (connection, { name, incarnation, seq, asks, loads }) => {
+      [MessageKind.WorkerLoads]: (connection, { topic, name, incarnation, seq, asks, loads }) => {
+        const sums = sumsByTopic[topic]
         const nowMs = timer.now()
         if (!sums.add({ name, incarnation, seq, loads }, nowMs) || !asks) return
-        connection.send({ kind: MessageKind.WorkerLoadsSum, seq, ageMs: sums.meanAgeMs(name, nowMs), loads: sums.sumOthers(name, nowMs) })
+        connection.send({ kind: MessageKind.WorkerLoadsSum, topic, seq, ageMs: sums.meanAgeMs(name, nowMs), loads: sums.sumOthers(name, nowMs) })
       }
     },
-    members: () => sums.members(timer.now())
+    members: () => sumsByTopic[LoadTopic.Plain].members(timer.now())
   }
 }
--- a/wire/_message_checks.ts
+++ b/wire/_message_checks.ts
@@ -6,6 +6,7 @@
   isAmount, isBytes, isCount, isBoolean, isMap, isName, isString, isStringMap, listOf, nullable, oneOf, optional, shape
 } from './_checks.ts'
 import type { LeavingWorker } from '../core/fleet/mod.ts'
+import { LoadTopic } from '../core/cost/mod.ts'
 import type { LoadEntry } from '../core/cost/mod.ts'
 import type { CrashObservation } from '../core/quarantine/mod.ts'
 import type { AttemptRef } from '../core/types/mod.ts'
@@ -152,8 +153,8 @@
   [MessageKind.StreamEnded]: { ...attempt, whole: isBoolean },
   [MessageKind.EngineCapacity]: { workerId: isName, roomTokens: isAmount, reads: isBoolean, waiting: isAmount, senders: isCount, heldMs: optional(isAmount) },
   [MessageKind.PromptEvidence]: { crashes: listOf(isCrash), sound: listOf(isName), leaving: optional(listOf(isLeaving)) },
-  [MessageKind.WorkerLoads]: { name: isName, incarnation: isCount, seq: isCount, asks: isBoolean, loads: listOf(isLoad) },
-  [MessageKind.WorkerLoadsSum]: { seq: isCount, ageMs: isAmount, loads: listOf(isLoad) },
+  [MessageKind.WorkerLoads]: { topic: oneOf(Object.values(LoadTopic)), name: isName, incarnation: isCount, seq: isCount, asks: isBoolean, loads: listOf(isLoad) },
+  [MessageKind.WorkerLoadsSum]: { topic: oneOf(Object.values(LoadTopic)), seq: isCount, ageMs: isAmount, loads: listOf(isLoad) },
   [MessageKind.Status]: {},
   [MessageKind.StatusReply]: { status: isMap },
   [MessageKind.Explain]: { requestId: isName },
--- a/wire/wire_fuzz_test.ts
+++ b/wire/wire_fuzz_test.ts
@@ -2,6 +2,7 @@
  * Steps that feed invalid and random input to the frame decoder, the message validator and the listener.
  */
 import assert from 'node:assert/strict'
+import { LoadTopic } from '../core/cost/mod.ts'
 import { connect as connectTcp } from 'node:net'
 import type { Socket } from 'node:net'
 import { Then, When } from '@cucumber/cucumber'
@@ -79,6 +80,7 @@
   },
   [MessageKind.WorkerLoads]: {
     kind: MessageKind.WorkerLoads,
+    topic: LoadTopic.Plain,
     name: 'edge-1',
     incarnation: 7,
     seq: 3,
@@ -86,7 +88,7 @@
     loads: [{ worker: 'i-1/5', requests: 2, workMs: 160.5, slowness: 1.2, samples: 3.5 }]
   },
   [MessageKind.WorkerLoadsSum]: {
-    kind: MessageKind.WorkerLoadsSum, seq: 3, ageMs: 40.5, loads: [{ worker: 'i-1/5', requests: 20, workMs: 1600, slowness: 0.8, samples: 31 }]
+    kind: MessageKind.WorkerLoadsSum, topic: LoadTopic.Reads, seq: 3, ageMs: 40.5, loads: [{ worker: 'i-1/5', requests: 20, workMs: 1600, slowness: 0.8, samples: 31 }]
   },
   [MessageKind.Resume]: { kind: MessageKind.Resume, ...ref, offset: 4 },
   [MessageKind.Tokens]: { kind: MessageKind.Tokens, ...ref, offset: 4, tokens: [' été'] },
