--- a/core/cost/cost.feature
+++ b/core/cost/cost.feature
@@ -53,6 +53,7 @@
       | 110   | 0      | 1300 | 0    | send     |
       | 300   | 3100   | 1300 | 0    | send     |
       | 100   | 0      | 170  | 0    | send     |
+      | 220   | 0      | 170  | 0    | send     |
       | 290   | 50     | 170  | 0    | wait     |
 
   # Guards against gateways that all stop and all start by the same old report.
--- a/core/cost/decide_send.ts
+++ b/core/cost/decide_send.ts
@@ -35,6 +35,8 @@
 const maxAgeMs = 300
 /** Share of the target that the expected answer may take; it is a median, and a quarter of the answers take half as long again. */
 const inTimeShare = 0.7
+/** The same for one that has come back, which is not refused again. */
+const backShare = 1
 /** Share of the target by which each more urgent kind lowers that, so that it still finds room when the others do not. */
 const rankShare = 0.15
 /** Lowest such share. */
@@ -44,7 +46,7 @@
 /** Share of the target that the queue of a worker may take for a request that is late already: it fills what those in time leave. */
 const lateQueueShare = 0.06
 /** Share of the time left for which such a request waits for that; then it is sent if it can still be answered. */
-const lateWaitShare = 0.6
+const lateWaitShare = 0.4
 
 /**
  * Decides whether a request is sent now, waits, or is refused.
@@ -73,6 +75,8 @@
   const share = Math.max(minInTimeShare, inTimeShare - rankShare * rank)
   // A free slot is used however slow its worker is: no other will be faster.
   if (isIdle || lastsMs + levelMs <= share * targetMs) return SendDecision.Send
+  // Who comes back soon after a failure may still be in time.
+  if (usedMs > 0 && lastsMs + levelMs <= backShare * targetMs) return SendDecision.Send
   if (usedMs === 0 && waitedMs + idleMs <= targetMs) return waitedMs < waitShare * targetMs ? SendDecision.Wait : SendDecision.Refuse
   if (levelMs - idleMs <= lateQueueShare * targetMs) return SendDecision.Send
   if (waitedMs < lateWaitShare * (leftMs + waitedMs)) return SendDecision.Wait
