--- a/core/cost/decide_send.ts
+++ b/core/cost/decide_send.ts
@@ -46,7 +46,7 @@
 /** Share of the target that the queue of a worker may take for a request that is late already: it fills what those in time leave. */
 const lateQueueShare = 0.06
 /** Share of the time left for which such a request waits for that; then it is sent if it can still be answered. */
-const lateWaitShare = 0.4
+const lateWaitShare = 0.6
 
 /**
  * Decides whether a request is sent now, waits, or is refused.
