--- a/gateway/unexpected_errors_test.ts
+++ b/gateway/unexpected_errors_test.ts
@@ -15,6 +15,7 @@
 import { buildConfiguration } from '../testing/fleuve/mod.ts'
 import { createSystemTimer } from '../timer/mod.ts'
 import { createClientServer } from './_client_server.ts'
+import { createLoadsAlone } from './_loads_alone_test.ts'
 import type { AddressInfo } from 'node:net'
 import type { ExchangeHandlers } from '../exchange/mod.ts'
 import type { Timer } from '../timer/mod.ts'
@@ -94,6 +95,7 @@
     retryBudget: () => budget,
     promptGuard: { find: () => undefined },
     roundTripMs: () => 1,
+    workerLoads: createLoadsAlone(this.clientTimer),
     heldBytes: { open: () => ({ set () {}, close () {} }) },
     settings: { drainMs: 2_500 },
     ...context
--- a/gateway/withdrawn_key_test.ts
+++ b/gateway/withdrawn_key_test.ts
@@ -15,6 +15,7 @@
 import { buildConfiguration } from '../testing/fleuve/mod.ts'
 import { createSystemTimer } from '../timer/mod.ts'
 import { createClientServer } from './_client_server.ts'
+import { createLoadsAlone } from './_loads_alone_test.ts'
 import type { AddressInfo } from 'node:net'
 import type { RouteTable } from '../core/route/mod.ts'
 import type { ExchangeHandlers, ExchangeRequest } from '../exchange/mod.ts'
@@ -108,6 +109,7 @@
       controlPool: { send: () => ({ abort () {}, pause () {}, resume () {} }) },
       roundTripMs: () => 1,
       gatewayCount: () => 1,
+      workerLoads: createLoadsAlone(this.keyTimer),
       heldBytes: { open: () => ({ set () {}, close () {} }) },
       settings: { drainMs: 2_500, hasOrganisations: true }
     } as unknown as GatewayContext)
