--- a/gateway/_place_plain.ts
+++ b/gateway/_place_plain.ts
@@ -18,6 +18,9 @@
   expectedMs?: number
   /** Time in milliseconds in which a worker of mean speed would work off what is ahead of it. */
   queueMs?: number
+  /** Time in milliseconds for which the request waited here, and that its client had used up before. */
+  waitedMs?: number
+  usedMs?: number
 }
 
 /** Why a request is not placed. */
@@ -95,7 +98,7 @@
           if (decision === SendDecision.Refuse && exclude.size > 0 && situation.levelMs < situation.leftMs) decision = SendDecision.Send
           if (decision !== SendDecision.Wait) {
             context.metrics.count(Count.PlainPlacements, { service: service.name, decision: isWaiting ? `${decision}_after_wait` : decision })
-            if (decision === SendDecision.Send) return Ok({ worker, expectedMs: Math.round(situation.levelMs), queueMs: choice.queueMs })
+            if (decision === SendDecision.Send) return Ok({ worker, expectedMs: Math.round(situation.levelMs), queueMs: choice.queueMs, waitedMs: Math.round(timer.now() - sinceMs), usedMs })
             const leftMs = statedMs - (timer.now() - request.startedMs)
             const retryAfterMs = getReturnDelayMs({ levelMs: situation.levelMs, leftMs }, random())
             const { levelMs, idleMs } = situation
--- a/gateway/_serve_plain.ts
+++ b/gateway/_serve_plain.ts
@@ -61,7 +61,7 @@
     const held = recordHeld(context, request.service.name, workers)
     const placed = await choose(context, request, workers, exclude)
     if (placed.err) return finishFailed(request, attempt, mayHaveRun, last, { retryAfterMs, ...placed.val, held })
-    const { worker, queueMs, expectedMs } = placed.val
+    const { worker, queueMs, ...expectation } = placed.val
     // The key may have been withdrawn while the request waited.
     const callerReply = findCallerReply(request)
     if (callerReply !== undefined) return finishFailed(request, attempt, mayHaveRun, last, { ...callerReply })
@@ -82,7 +82,7 @@
       return finishFailed(request, attempt, mayHaveRun, last, { reason: 'response_broken', retryAfterMs, detail: result.reason, held })
     }
     const hasFailed = result.response !== undefined && result.response.head.status >= minFailureStatus
-    if (result.end === SendEnd.Completed && !(hasFailed && idempotent)) return { ...deliver(request, attempt, result, worker), held, expectedMs }
+    if (result.end === SendEnd.Completed && !(hasFailed && idempotent)) return { ...deliver(request, attempt, result, worker), held, ...expectation }
     last = result.response === undefined ? last : result
     exclude.add(worker.entry.id)
     const fields = {
--- a/gateway/_types.ts
+++ b/gateway/_types.ts
@@ -96,6 +96,9 @@
   bytes?: number
   /** Expected time in milliseconds until the answer, when the choice was made by it. */
   expectedMs?: number | undefined
+  /** Time in milliseconds for which the request waited for room at a worker, and that its client had used up before. */
+  waitedMs?: number | undefined
+  usedMs?: number | undefined
   /** Times in milliseconds; absent when they do not apply. */
   firstMs?: number
   pauseMs?: number
