--- a/core/cost/cost.feature
+++ b/core/cost/cost.feature
@@ -61,8 +61,9 @@
     Then in the cost simulation "bursts" with reports delayed by 250 ms each way, at least 97 of 100 callers served in time by latency are still served in time
 
   Scenario: Those who are refused return over the time in which they wait at all
-    Then 200 cost return delays with 500 ms to the answer and 3900 ms left lie between 500 and 1300 ms, and spread over all tenths of that
+    Then 200 cost return delays with 500 ms to the answer and 3900 ms left lie between 702 and 1300 ms, and spread over all tenths of that
 
   # Guards against a client that states a long time and so makes all others look like ones that come back.
   Scenario: A client is taken to have come back by the deadlines that are usual
     Then with usual deadlines of 4000 ms, one of 2700 ms is that of a client that has used up the rest, though one in five states 900000 ms
+    And with usual deadlines between 3760 and 4240 ms, none of them is that of a client that has used up time
--- a/core/cost/cost_test.ts
+++ b/core/cost/cost_test.ts
@@ -209,3 +209,11 @@
     assert.ok(msPerUnit >= least && msPerUnit <= most, `${msPerUnit} ms`)
     assert.equal(speeds.get('w', 5 + laterS * 1_000), undefined)
   })
+
+Then('with usual deadlines between {int} and {int} ms, none of them is that of a client that has used up time', function (least: number, most: number) {
+  const deadlines = createUsualDeadline()
+  const random = createRandom(9)
+  const stated = Array.from({ length: 300 }, () => least + (most - least) * random())
+  for (const ms of stated) deadlines.record('stamp', ms)
+  assert.deepEqual(stated.filter((ms) => deadlines.usedMs('stamp', ms) > 0), [])
+})
--- a/core/cost/create_usual_deadline.ts
+++ b/core/cost/create_usual_deadline.ts
@@ -14,8 +14,8 @@
 const maxValues = 32
 const usualRank = 0.75
 const maxKinds = 512
-/** A deadline below this share of the usual one is that of a client that has sent the request before. */
-const returningShare = 0.93
+/** A deadline below this share of the usual one is that of a client that has sent the request before; those of first requests differ by a tenth. */
+const returningShare = 0.85
 
 /**
  * Creates an empty record. Three quarters of the newest deadlines bound what is usual, so that neither many who come back nor a few who
--- a/core/cost/decide_send.ts
+++ b/core/cost/decide_send.ts
@@ -46,7 +46,7 @@
 /** Share of the target that the queue of a worker may take for a request that is late already: it fills what those in time leave. */
 const lateQueueShare = 0.06
 /** Share of the time left for which such a request waits for that; then it is sent if it can still be answered. */
-const lateWaitShare = 0.6
+const lateWaitShare = 0.5
 
 /**
  * Decides whether a request is sent now, waits, or is refused.
@@ -85,6 +85,8 @@
 
 /** Longest wait that clients are asked for, as a share of the time that they have left; they honour no longer one. */
 const maxReturnShare = 1 / 3
+/** Shortest wait, as such a share: after it, the deadline shows that the client has come back. */
+const minReturnShare = 0.18
 
 /**
  * Returns the time after which a refused client may come back: when the work that the best worker has now will be done at the earliest, and
@@ -98,11 +100,11 @@
  * ```ts
  * import { getReturnDelayMs } from 'briarloom/core/cost'
  *
- * console.assert(getReturnDelayMs({ levelMs: 500, leftMs: 3900 }, 0) === 500)
+ * console.assert(getReturnDelayMs({ levelMs: 800, leftMs: 3900 }, 0) === 800)
  * ```
  */
 export function getReturnDelayMs ({ levelMs, leftMs }: Pick<SendSituation, 'levelMs' | 'leftMs'>, random: number): number {
   const latestMs = Math.max(0, leftMs) * maxReturnShare
-  const earliestMs = Math.min(levelMs, latestMs / 2)
+  const earliestMs = Math.min(Math.max(levelMs, minReturnShare * leftMs), latestMs)
   return Math.round(earliestMs + (latestMs - earliestMs) * random)
 }
