--- a/gateway/_prefill.ts
+++ b/gateway/_prefill.ts
@@ -3,12 +3,12 @@
  */
 import { HoldReason, SendRank, smooth, Stage, stageOf, takeSendPlace } from '../core/fleet/mod.ts'
 import {
-  canPrefillWithinPause, choosePrefillPlace, defaultPrefillMsPerToken, estimateDecodeEngineMs, getPrefillMsPerToken, PrefillPlace,
-  recordPrefill
+  canPrefillWithinPause, choosePrefillPlace, PrefillPlace, recordPrefill
 } from '../core/prefill/mod.ts'
 import { callJson } from '../exchange/mod.ts'
 import { decodeKvCacheHandle, buildFreeKvCacheCall } from '../platform/mod.ts'
 import { checkWorker, recordCallAnswer } from './_check_worker.ts'
+import { estimateLeftMs, estimatePrefillAtDecodeMs, estimatePrefillMs, minMeasuredTokens } from './_prefill_times.ts'
 import { sendToWorker } from './_send_to_worker.ts'
 import type { Worker } from '../core/fleet/mod.ts'
 import type { ClientRequest, GatewayContext } from './_types.ts'
@@ -17,8 +17,6 @@
 const freeTimeoutMs = 400
 /** Time in milliseconds for which an engine that refused a prefill is not asked for another; the store reports a changed stage within it. */
 const refusalPauseMs = 2_000
-/** Prompts below this length in tokens measure the path to the engine more than its speed. */
-const minMeasuredTokens = 1_000
 /** Time in milliseconds from the end of the prefill to the first event: the transfer of the KV cache, and the tokens of one event. */
 const firstEventMs = 80
 /** Largest response to a prefill in bytes; it names a handle and some numbers. */
@@ -26,25 +24,13 @@
 /** A prefill counts as lost after this many times the expected time, plus a margin in milliseconds. */
 const timeoutFactor = 2
 const timeoutMarginMs = 150
+/** Number of times that the wait is extended while the engine works on other prompts. */
+const maxExtensions = 2
 /** Cost in milliseconds of a lost response in the choice of an engine; about the time until the loss is detected. */
 const lossCostMs = 400
 /** A client whose deadline is shorter than this share of the route's timeout has come back after a refusal. */
 const returningDeadlineShare = 0.97
 
-/** Estimates the time in milliseconds until a prefill engine has finished a prompt, behind those that are queued there. */
-function estimatePrefillMs (context: GatewayContext, request: ClientRequest, worker: Worker): number {
-  const perTokenMs = worker.prefillMsPerToken ?? defaultPrefillMsPerToken
-  const queuedTokens = Math.max(
-    worker.ownQueuedPromptTokens, (worker.capacity?.waitingRequests ?? 0) * (worker.typicalPromptTokens ?? request.head.promptTokens)
-  )
-  return (queuedTokens + request.head.promptTokens) * perTokenMs + context.roundTripMs(worker.entry.zone)
-}
-
-/** Estimates the time in milliseconds that the prefill of a request takes at a decode engine. */
-export function estimatePrefillAtDecodeMs (context: GatewayContext, request: ClientRequest): number {
-  return estimateDecodeEngineMs(request.head.promptTokens, getPrefillMsPerToken(context.directory.fleet.serving(request.service.name)))
-}
-
 /** Returns the prefill engine with the lowest estimated cost; undefined when none can be asked. */
 function findFastestPrefillEngine (context: GatewayContext, request: ClientRequest): Worker | undefined {
   const nowMs = context.timer.now()
@@ -77,6 +63,8 @@
 
 /** Configures a plan. */
 export interface PlanPrefillOptions {
+  /** Decode engine that would run the prefill otherwise. */
+  decodeEngine: Worker
   /** True when the decode engines that have memory for the request run prefills already. */
   areDecodeEnginesBusy: boolean
   /** True when the request cannot reach its target latency any more, because its client has come back or its stream was lost. */
@@ -90,14 +78,15 @@
   // A late request may wait for the whole target from now on.
   const sinceMs = options.isLate ? context.timer.now() : request.startedMs
   const prefillEngineMs = engine === undefined ? undefined : estimateCostMs(context, request, engine)
-  const decodeEngineMs = estimatePrefillAtDecodeMs(context, request)
+  const decodeEngineMs = estimatePrefillAtDecodeMs(context, request, options.decodeEngine)
   const place = choosePrefillPlace({
     ...(prefillEngineMs === undefined ? {} : { prefillEngineMs }),
     decodeEngineMs,
     leftMs: sinceMs + targetLatencyMs - context.timer.now() - firstEventMs,
     targetLatencyMs,
     longestPauseMs,
-    areDecodeEnginesBusy: options.areDecodeEnginesBusy
+    areDecodeEnginesBusy: options.areDecodeEnginesBusy,
+    isMeasured: !context.workerLoads.isKnown() || context.workerLoads.readMsPerToken(options.decodeEngine) !== undefined
   })
   return { place, engine: place === PrefillPlace.PrefillEngine ? engine : undefined, prefillEngineMs, decodeEngineMs }
 }
@@ -118,11 +107,13 @@
  * Has the given engine run the prefill; does nothing without an engine. When the response is lost and a prefill at the decode engine
  * would delay its streams too long, a prefill engine runs it once more. When the result has no KV cache, the decode engine runs it.
  */
-export async function prefillWithRetry (context: GatewayContext, request: ClientRequest, engine: Worker | undefined): Promise<PrefillResult> {
+export async function prefillWithRetry (
+  context: GatewayContext, request: ClientRequest, engine: Worker | undefined, decodeEngine: Worker
+): Promise<PrefillResult> {
   if (engine === undefined) return withoutKvCache
   const result = await runPrefill(context, request, engine)
   if (!result.isLost || request.stopReason() !== undefined) return result
-  if (canPrefillWithinPause(estimatePrefillAtDecodeMs(context, request), request.route.longestPauseMs)) return result
+  if (canPrefillWithinPause(estimatePrefillAtDecodeMs(context, request, decodeEngine), request.route.longestPauseMs)) return result
   const secondEngine = findFastestPrefillEngine(context, request)
   if (secondEngine === undefined || !context.retryBudget(request.service.name).take(context.timer.now())) return result
   context.log.warn({ request: request.requestId, reader: engine.entry.id, other: secondEngine.entry.id }, 'prompt read again')
@@ -142,10 +133,18 @@
     let bytes = 0
     let status = 0
     let isSettled = false
-    const timeout = context.timer.after(timeoutMs, () => {
+    let extensions = 0
+    let timeout = context.timer.after(timeoutMs, onTimeout)
+
+    function onTimeout (): void {
+      const moreMs = extensions++ < maxExtensions ? estimateLeftMs(context, request, worker) : 0
+      if (moreMs > 0) {
+        timeout = context.timer.after(moreMs, onTimeout)
+        return
+      }
       exchange.abort()
-      settleLost(`no response within ${Math.round(timeoutMs)} ms`)
-    })
+      settleLost(`no response within ${Math.round(context.timer.now() - startedMs)} ms`)
+    }
 
     function settle (handle: string | undefined, { isRefused = false, isLost = false } = {}): void {
       if (isSettled) return
--- a/gateway/_serve_plain.ts
+++ b/gateway/_serve_plain.ts
@@ -5,6 +5,7 @@
 import { RequestKind } from '../core/route/mod.ts'
 import { planRetry } from '../core/retry/mod.ts'
 import { createByteBuffer } from '../core/stream/mod.ts'
+import { Err, Ok } from '../core/results/mod.ts'
 import { Outcome } from '../core/types/mod.ts'
 import { Count } from '../metrics/mod.ts'
 import { checkWorker, recordHeld } from './_check_worker.ts'
@@ -12,6 +13,8 @@
 import { getReturnMs, sendToWorker } from './_send_to_worker.ts'
 import { StopReason } from './_types.ts'
 import type { Worker } from '../core/fleet/mod.ts'
+import type { Result } from '../core/results/mod.ts'
+import type { NotPlaced, Placed } from './_place_plain.ts'
 import type { WorkerResponse } from './_send_to_worker.ts'
 import type { RequestResult, ClientRequest, GatewayContext } from './_types.ts'
 
@@ -46,6 +49,7 @@
 /** Serves one request and returns its result. */
 export async function servePlain (context: GatewayContext, request: ClientRequest): Promise<RequestResult> {
   const { directory, timer, random } = context
+  context.workerLoads.deadlines.record(request.route.name, request.head.deadlineMs ?? request.route.timeoutMs)
   const idempotent = request.route.kind === RequestKind.Idempotent
   const exclude = new Set<string>()
   let attempt = 0
@@ -53,14 +57,14 @@
   let last: SendResult | undefined
 
   for (;;) {
+    const workers = directory.fleet.serving(request.service.name)
+    const held = recordHeld(context, request.service.name, workers)
+    const placed = await choose(context, request, workers, exclude)
+    if (placed.err) return finishFailed(request, attempt, mayHaveRun, last, { retryAfterMs, ...placed.val, held })
+    const { worker, queueMs, ...expectation } = placed.val
     // The key may have been withdrawn while the request waited.
     const callerReply = findCallerReply(request)
     if (callerReply !== undefined) return finishFailed(request, attempt, mayHaveRun, last, { ...callerReply })
-    const options = { nowMs: timer.now(), drainMs: context.settings.drainMs, roundTripMs: context.roundTripMs, exclude, failureMs, random }
-    const workers = directory.fleet.serving(request.service.name)
-    const held = recordHeld(context, request.service.name, workers)
-    const worker = chooseWorker(workers, options)
-    if (worker === undefined) return finishFailed(request, attempt, mayHaveRun, last, { reason: 'no_worker', retryAfterMs, held })
     const refusal = findRefusal(context, request, workers, worker)
     if (refusal !== undefined) return finishFailed(request, attempt, mayHaveRun, last, { ...refusal, held })
     const delayMs = takeSendPlace(worker, timer.now())
@@ -70,7 +74,7 @@
       if (reason !== undefined) return finishFailed(request, attempt, mayHaveRun, last, { reason, retryAfterMs, held })
     }
     attempt++
-    const result = await sendOnce(context, request, worker)
+    const result = await sendOnce(context, request, worker, queueMs)
     if (result.end === SendEnd.Stopped) return finishStopped(request, attempt, mayHaveRun || result.hasArrived, worker)
     mayHaveRun ||= result.end !== SendEnd.NotRun
     // A response that has begun cannot be replaced by that of another worker.
@@ -78,7 +82,7 @@
       return finishFailed(request, attempt, mayHaveRun, last, { reason: 'response_broken', retryAfterMs, detail: result.reason, held })
     }
     const hasFailed = result.response !== undefined && result.response.head.status >= minFailureStatus
-    if (result.end === SendEnd.Completed && !(hasFailed && idempotent)) return { ...deliver(request, attempt, result, worker), held }
+    if (result.end === SendEnd.Completed && !(hasFailed && idempotent)) return { ...deliver(request, attempt, result, worker), held, ...expectation }
     last = result.response === undefined ? last : result
     exclude.add(worker.entry.id)
     const fields = {
@@ -99,6 +103,16 @@
   }
 }
 
+/** Chooses a worker by the loads of all gateways where they are known, else by what this one has measured. */
+async function choose (
+  context: GatewayContext, request: ClientRequest, workers: Worker[], exclude: ReadonlySet<string>
+): Promise<Result<Placed, NotPlaced>> {
+  if (context.workerLoads.isKnown()) return await context.plainPlacement.place(request, exclude, failureMs)
+  const { timer, random, roundTripMs, settings: { drainMs } } = context
+  const worker = chooseWorker(workers, { nowMs: timer.now(), drainMs, roundTripMs, exclude, failureMs, random })
+  return worker === undefined ? Err({ reason: 'no_worker' }) : Ok({ worker })
+}
+
 /** Returns why a request is refused at once instead of waiting for the chosen worker; undefined when it is sent or waits for a moment. */
 function findRefusal (context: GatewayContext, request: ClientRequest, workers: Worker[], worker: Worker): PlainFailure | undefined {
   const { timer, random } = context
@@ -158,7 +172,7 @@
 }
 
 /** Sends a request to a worker, and forwards a response that is too long for the buffer. */
-function sendOnce (context: GatewayContext, request: ClientRequest, worker: Worker): Promise<SendResult> {
+function sendOnce (context: GatewayContext, request: ClientRequest, worker: Worker, queueMs?: number): Promise<SendResult> {
   const { timer, directory } = context
   const startedMs = timer.now()
   return new Promise((resolve) => {
@@ -167,12 +181,14 @@
     let isStreaming = false
     let isSettled = false
     const held = context.heldBytes.open(beginStreaming)
+    const endLoad = context.workerLoads.begin(request, worker, { roundTripMs: context.roundTripMs(worker.entry.zone), queueMs })
 
     function settle (result: SendResult, failed: boolean): void {
       if (isSettled) return
       isSettled = true
       held.close()
       const latencyMs = result.end === SendEnd.Completed ? timer.now() - startedMs : undefined
+      endLoad(latencyMs)
       directory.fleet.recordResult(worker, latencyMs === undefined ? { failed } : { latencyMs, failed })
       resolve(result)
     }
@@ -200,6 +216,7 @@
         // Sending nothing says nothing about the worker.
         if (!isWithheld) return settle({ end: SendEnd.NotRun, hasArrived, reason }, true)
         isSettled = true
+        endLoad()
         held.close()
         resolve({ end: SendEnd.NotRun, hasArrived, reason })
       },
--- a/gateway/_types.ts
+++ b/gateway/_types.ts
@@ -12,6 +12,8 @@
 import type { ByteBudget } from '../core/stream/mod.ts'
 import type { Timer } from '../timer/mod.ts'
 import type { Allowances, SpentAllowance } from './_allowance.ts'
+import type { WorkerLoads } from './_worker_loads.ts'
+import type { PlainPlacement } from './_place_plain.ts'
 import type { PromptGuard } from './_prompt_guard.ts'
 import type { SidecarClient } from './_sidecar_client.ts'
 import type { Reply } from './_reply.ts'
@@ -29,6 +31,8 @@
   sidecars: SidecarClient
   promptGuard: PromptGuard
   allowances: Allowances
+  workerLoads: WorkerLoads
+  plainPlacement: PlainPlacement
   /** Bounds the bytes of responses that are held back until it is known whether they may be passed on. */
   heldBytes: ByteBudget
   metrics: PrometheusMetrics
@@ -94,6 +98,11 @@
   /** Workers that the choice held back, with the reasons, as in `i-1:leaving`. */
   held?: string | undefined
   bytes?: number
+  /** Expected time in milliseconds until the answer, when the choice was made by it. */
+  expectedMs?: number | undefined
+  /** Time in milliseconds for which the request waited for room at a worker, and that its client had used up before. */
+  waitedMs?: number | undefined
+  usedMs?: number | undefined
   /** Times in milliseconds; absent when they do not apply. */
   firstMs?: number
   pauseMs?: number
--- a/gateway/start_gateway.ts
+++ b/gateway/start_gateway.ts
@@ -3,8 +3,8 @@
  */
 import { divideProcess } from '../core/bounds/mod.ts'
 import { Err, Ok } from '../core/results/mod.ts'
-import { createSharedRetryBudget } from '../core/retry/mod.ts'
 import { createDirectory, listStoreReaders, shareView, syncRecords } from '../directory/mod.ts'
+import { PlacementPolicy } from '../core/cost/mod.ts'
 import { createByteBudget } from '../core/stream/mod.ts'
 import { createExchangePool } from '../exchange/mod.ts'
 import { boundConnections } from '../http/mod.ts'
@@ -13,11 +13,13 @@
 import { createAllowances } from './_allowance.ts'
 import { createReadyServer } from './_ready_server.ts'
 import { createPromptGuard } from './_prompt_guard.ts'
+import { createWorkerLoads } from './_worker_loads.ts'
+import { createPlainPlacement } from './_place_plain.ts'
+import { createRetryBudgets } from './_retry_budgets.ts'
 import { createSidecarClient } from './_sidecar_client.ts'
 import { createClientServer } from './_client_server.ts'
 import type { Server } from 'node:http'
 import type { Result } from '../core/results/mod.ts'
-import type { SharedRetryBudget } from '../core/retry/mod.ts'
 import type { BoundedConnections } from '../http/mod.ts'
 import type { Log } from '../log/mod.ts'
 import type { NodeSettings } from '../platform/mod.ts'
@@ -30,6 +32,8 @@
   timer: Timer
   log: Log
   random: () => number
+  /** How requests of plain services are placed; by latency by default. */
+  placement?: PlacementPolicy
   /** Port at which metrics are served; they are not served when it is absent. */
   metricsPort?: number
   /** Returns the number of log lines that were dropped. */
@@ -77,8 +81,6 @@
 export async function startGateway (options: GatewayOptions): Promise<Result<Gateway, string>> {
   const { settings, timer, log, random } = options
   const bounds = divideProcess(settings)
-  const budgets = new Map<string, SharedRetryBudget>()
-  const startedAtMs = timer.now()
   let lastKnownGateways = assumedGateways
   let isStopping = false
   const directory = createDirectory({
@@ -105,6 +107,7 @@
       allowance_level_age_ms: () => allowances.levelAgeMs(),
       held_bytes_max: () => heldBytes.maxBytes,
       client_connections: () => clients?.count() ?? 0,
+      requests_waiting: () => context.plainPlacement.waiting(),
       quarantines: () => promptGuard.quarantines(),
       log_lines_dropped: () => options.droppedLines?.() ?? 0
     },
@@ -134,7 +137,11 @@
 
   const heldBytes = createByteBudget({ maxBytes: bounds.heldBytes })
 
+  const workerLoads = createWorkerLoads({ sidecars, timer, name: settings.machine, policy: options.placement ?? PlacementPolicy.Latency, incarnation: timer.wallClockMs() })
   const context: GatewayContext = {
+    workerLoads,
+    // Made below, since it takes the context.
+    plainPlacement: { place: () => { throw new Error('not placed before the start') }, waiting: () => 0 },
     metrics,
     settings,
     timer,
@@ -148,22 +155,7 @@
     heldBytes,
     random,
     gatewayCount: gateways,
-    retryBudget (service) {
-      const found = budgets.get(service)
-      if (found !== undefined) return found
-      const { retryRatio: ratio, retrySlack: slack, retryWindowMs: windowMs } = settings
-      const budget = createSharedRetryBudget({ ratio, slack, windowMs, memberCount: gateways, startedAtMs })
-      const countedBudget: SharedRetryBudget = {
-        ...budget,
-        take (nowMs) {
-          const granted = budget.take(nowMs)
-          if (!granted) metrics.count(Count.RetriesDenied, { service })
-          return granted
-        }
-      }
-      budgets.set(service, countedBudget)
-      return countedBudget
-    },
+    retryBudget: createRetryBudgets({ settings, metrics, memberCount: gateways, startedAtMs: timer.now() }),
     roundTripMs (zone) {
       if (zone === settings.zone) return zoneRoundTripMs
       return settings.regions[zone] === settings.regions[settings.zone] ? regionRoundTripMs : crossRegionRoundTripMs
@@ -177,6 +169,7 @@
     return lastKnownGateways
   }
 
+  context.plainPlacement = createPlainPlacement(context)
   const clientServer = createClientServer(context)
   const clients = bound(clientServer.server, 'front', bounds.clients)
   const peerAddress = settings.peerAddress === undefined ? {} : { address: settings.peerAddress }
@@ -202,6 +195,7 @@
     readinessServer.closeAllConnections()
     promptGuard.close()
     allowances.close()
+    workerLoads.close()
     sidecars.close()
     await records.close()
     await view.close()
--- a/sidecar/start_sidecar.ts
+++ b/sidecar/start_sidecar.ts
@@ -11,6 +11,7 @@
 import { formatAddress, listen } from '../wire/mod.ts'
 import { createAllowanceTask } from './_allowance_task.ts'
 import { createAdmissionTask } from './_admission_task.ts'
+import { createWorkerLoadsTask } from './_worker_loads_task.ts'
 import { createStageTask } from './_stage_task.ts'
 import type { ChooseStagesOptions } from '../core/balance/mod.ts'
 import type { PackerOptions } from '../core/packing/mod.ts'
@@ -79,8 +80,17 @@
   const view = await shareView({ directory, timer, log, address: formatAddress(settings.ip, internalPort + viewPortOffset), readers, bounds: peerBounds })
   const packing = { ...options.packing, startMs }
   const allowances = createAllowanceTask({ directory, timer, tolerance: getAllowanceTolerance(settings) })
+  const workerLoads = createWorkerLoadsTask(timer)
   const admission = createAdmissionTask({
-    directory, pool, timer, log, packing, random, drainMs: settings.drainMs, isSwitching: () => stages.isSwitching(), exchange: allowances.handlers
+    directory,
+    pool,
+    timer,
+    log,
+    packing,
+    random,
+    drainMs: settings.drainMs,
+    isSwitching: () => stages.isSwitching(),
+    exchange: { ...allowances.handlers, ...workerLoads.handlers }
   })
   const stages = createStageTask({
     machine: settings.machine,
@@ -106,6 +116,7 @@
       room_tokens: () => admission.roomTokens(),
       gateways: () => admission.gateways(),
       allowance_gateways: () => allowances.gateways(),
+      load_reporters: () => workerLoads.members(),
       log_lines_dropped: () => options.droppedLines?.() ?? 0
     },
     onServer (server) {
