Stop other connections while one with very many pieces is read

Cause: 600 clients with chunks of one byte, each with 64 KiB ready, were all read in one turn of the event loop (27 ms each), and Node accepts one connection a turn, so new ones waited for all of these; those that had been refused were then read on without turns. Change: after 2,000 pieces read without a turn, in one turn of the event loop, all other connections stop, and go on eight at a time, the newest first; turns are left out while connections are accepted; what comes behind a last response is discarded in turns.

--- a/entry/_http_server.ts
+++ b/entry/_http_server.ts
@@ -103,8 +103,9 @@
   })
   const { timer, log, budget, slowFromBytes, maxConnections } = options
   const bodies = createBodyReader({ timer, budget, slowFromBytes })
+  bodies.watch(server)
   boundConnections(server, { timer, maxConnections })
-  const connections = manageConnections(server, { timer, log, idleTimeoutMs: keepAliveTimeoutMs })
+  const connections = manageConnections(server, { timer, log, idleTimeoutMs: keepAliveTimeoutMs, discard: bodies.discard })
   server.on('request', (req, res) => {
     const requestId = options.nextRequestId()
     res.on('error', () => {})
--- a/gateway/_client_server.ts
+++ b/gateway/_client_server.ts
@@ -78,7 +78,8 @@
     slowFromBytes: divideProcess(context.settings).slowFromBytes,
     onCut: () => context.metrics.count(Count.ConnectionsClosed, { address: 'front', reason: 'body_after_refusal' })
   })
-  const connections = manageConnections(server, { timer, log, idleTimeoutMs: server.keepAliveTimeout })
+  bodies.watch(server)
+  const connections = manageConnections(server, { timer, log, idleTimeoutMs: server.keepAliveTimeout, discard: bodies.discard })
 
   function onRequest (req: IncomingMessage, res: ServerResponse): void {
     const head = decodeRequestHead(req.rawHeaders)
--- a/http/_types.ts
+++ b/http/_types.ts
@@ -38,6 +38,8 @@
   log: Log
   /** Idle time in milliseconds after which a connection is closed; `setIdleTimeout` changes it. */
   idleTimeoutMs: number
+  /** Discards the body of a request that is not served; it is read as fast as it comes by default. */
+  discard?: (req: IncomingMessage) => void
 }
 
 /** Receives what becomes of a request. */
--- a/http/create_body_reader.ts
+++ b/http/create_body_reader.ts
@@ -3,7 +3,7 @@
  */
 import { createByteBuffer, createPiecePool } from '../core/stream/mod.ts'
 import { createReadTurns } from './_read_turns.ts'
-import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { ByteAccount, ByteBudget } from '../core/stream/mod.ts'
 import type { Subscription, Timer } from '../timer/mod.ts'
 
@@ -33,6 +33,8 @@
 
 /** Reads bodies of requests. */
 export interface BodyReader {
+  /** Lets the connections of a server stop for others whose bodies come in very many pieces. */
+  watch (server: Server): void
   /** Reads the body of a request. */
   read (req: IncomingMessage, res: ServerResponse, options: ReadBodyOptions): void
   /** Reads on, within bounds, and discards the rest of a body, so that its client reads the response before the connection closes. */
@@ -95,15 +97,18 @@
     let pieces = 0
     let piecesOfTurn = 0
     let isWaiting = false
+    let hasHadTurn = false
     req.on('data', (piece: Buffer) => {
       bytes += piece.length
       pieces++
       piecesOfTurn++
       onPiece(piece)
+      if (pieces > freePieces && !hasHadTurn) turns.notePiece()
       if (isWaiting || req.complete || req.socket.destroyed || (bytes <= freeBytes && pieces <= freePieces)) return
       isWaiting = true
       turns.wait(req.socket, () => piecesOfTurn, () => {
         isWaiting = false
+        hasHadTurn = true
         piecesOfTurn = 0
       })
     })
@@ -121,6 +126,7 @@
   }
 
   return {
+    watch (server) { server.on('connection', turns.accept) },
     read (req, res, { maxBytes, rank = 0, onBody, onFault }) {
       const buffer = createByteBuffer({ pieces })
       let account: ByteAccount | undefined
--- a/http/manage_connections.ts
+++ b/http/manage_connections.ts
@@ -63,7 +63,7 @@
  * ```
  */
 export function manageConnections (server: Server, options: ManageConnectionsOptions): ConnectionManager {
-  const { timer, log } = options
+  const { timer, log, discard = (req) => req.resume() } = options
   const states = new WeakMap<Socket, ConnectionState>()
   const sockets = new Set<Socket>()
   let { idleTimeoutMs } = options
@@ -194,7 +194,7 @@
       }
       if (state.isLast) {
         log.info({ request: requestId }, 'not served: it came behind the last response of its connection')
-        req.resume()
+        discard(req)
         return
       }
       state.requests++
