Refuse requests that count more than a window of their allowance, and admit those that count nothing

A request that stated 1e308,1e308 tokens got 500 (the counter of units throws at Infinity); one of 1e200,0 was served and ended the accounting of its organisation at that gateway, as the sum lost all smaller costs. With plain_tokens 0 each plain request was refused (typical cost 0/0). Costs are whole numbers up to 2^40 now.

--- a/core/limits/_allowance_terms.ts
+++ b/core/limits/_allowance_terms.ts
@@ -46,6 +46,14 @@
   return limit.burst + depthShare * getTolerance(limit, tolerance)
 }
 
+/**
+ * Returns the most units that a request may count: what the limit and its tolerance allow in a window. One unit is always allowed, as a
+ * limit of requests may be less than one in a window.
+ */
+export function getLargestCost (limit: AllowanceLimit, tolerance: AllowanceTolerance): number {
+  return Math.max(1, limit.perS * tolerance.windowMs / msPerS + limit.burst + getTolerance(limit, tolerance))
+}
+
 /** Returns what one of `gateways` that are all isolated may spend, so that together they stay within what is set aside. */
 export function getIsolatedLimit (limit: AllowanceLimit, tolerance: AllowanceTolerance, gateways: number): AllowanceLimit {
   const part = isolatedShare * getTolerance(limit, tolerance) / Math.max(1, gateways) / 2
--- a/core/limits/_allowance_types.ts
+++ b/core/limits/_allowance_types.ts
@@ -55,6 +55,8 @@
   Spent = 'allowance_spent',
   /** This gateway has spent its part, and its exchange points do not know of that yet. */
   Unreported = 'allowance_unreported',
+  /** The request counts more than any window of the allowance may have. */
+  TooLarge = 'allowance_too_large',
   /** This gateway hears too few exchange points and has spent what is set aside for that. */
   Isolated = 'allowance_isolated'
 }
--- a/core/limits/create_allowance_spender.ts
+++ b/core/limits/create_allowance_spender.ts
@@ -5,7 +5,7 @@
 import { MessageKind } from '../../wire/mod.ts'
 import { createBucket } from './_bucket.ts'
 import { createPointView } from './_point_view.ts'
-import { getCapacity, getIsolatedLimit, getReportMs } from './_allowance_terms.ts'
+import { getCapacity, getIsolatedLimit, getLargestCost, getReportMs } from './_allowance_terms.ts'
 import { AllowanceRefusal } from './_allowance_types.ts'
 import type { Result } from '../results/mod.ts'
 import type { Bucket } from './_bucket.ts'
@@ -46,7 +46,7 @@
  * than the level before the points know of it, each admits a typical request with a chance, so that about the level is spent, and smaller
  * ones with a higher one, so that a few large requests don't crowd out many small ones. Before a point knows of it, the gateway spends at
  * most one request, a quarter of the level, or 1.5 times the level by its share of the demand. A gateway that hears no majority of the points
- * spends what is set aside.
+ * spends what is set aside. A request that counts nothing is always admitted, one that counts more than a whole window may have never.
  *
  * With `T = over * (perS * window + burst) + slack`, any window of length `W` has at most
  * - `perS * W + burst + 0.45 * T`: the refill and the depth of the bucket;
@@ -129,7 +129,12 @@
 
   return {
     spend (request, nowMs) {
-      const { organisation, limit, cost } = request
+      const { organisation, limit, cost, maxRetryAfterMs } = request
+      if (cost <= 0) return Ok(undefined)
+      // It can never be admitted, and sums that had it would lose all smaller ones.
+      if (!(cost <= getLargestCost(limit, tolerance))) {
+        return Err({ reason: AllowanceRefusal.TooLarge, retryAfterMs: spread(maxRetryAfterMs, maxRetryAfterMs, maxRetryAfterMs) })
+      }
       const account = getAccount(organisation)
       account.offered += cost
       for (const view of views.values()) view.markChanged(organisation)
--- a/gateway/_allowance.ts
+++ b/gateway/_allowance.ts
@@ -60,11 +60,14 @@
 const honouredShare = 1 / 3
 const free: SpentAllowance = { giveBack () {} }
 
-/** Returns the units of an allowance that a request counts. */
+/** Largest cost in units that is told apart: more than any request has, and exact in a sum of many. */
+const maxCost = 2 ** 40
+
+/** Returns the units of an allowance that a request counts: a whole number, whatever the client states. */
 function getCost (rule: AllowanceRule, { promptTokens, maxOutputTokens }: RequestHead): number {
   if (rule.unit === AllowanceUnit.Requests) return 1
   const tokens = promptTokens + maxOutputTokens
-  return tokens > 0 ? tokens : rule.plainTokens
+  return Math.min(maxCost, Math.ceil(tokens > 0 ? tokens : rule.plainTokens))
 }
 
 /** Creates the allowances of a gateway, and begins to report to the exchange points once an allowance is in force. */
--- a/gateway/allowance.feature
+++ b/gateway/allowance.feature
@@ -48,3 +48,16 @@
     When an allowance caller of "north" sends 60 requests within 1 s to the gateways "a"
     And an allowance caller of "north" announces a body that it does not send to the gateway "a"
     Then it is answered with 429 within 150 ms
+
+  # Guards against sums that no exchange point accepts: it would close the connection, which also reserves memory.
+  Scenario Outline: A request that states <counts> tokens is refused and harms no other
+    Given allowance gateways "a" with a sidecar, and 100 tokens a second with a burst of 100 for "north"
+    When an allowance caller of "north" sends a request of "<counts>" tokens to the gateway "a"
+    Then it is answered with 429, and the exchange points stay heard
+    When an allowance caller of "north" sends 10 requests within 1 s to the gateways "a"
+    Then none of them was answered with 429
+
+    Examples:
+      | counts      |
+      | 1e308,1e308 |
+      | 1e200,0     |
--- a/gateway/allowance_test.ts
+++ b/gateway/allowance_test.ts
@@ -62,13 +62,14 @@
   return site
 }
 
-Given('allowance gateways {string} with a sidecar, and {int} requests a second with a burst of {int} for {string}',
-  async function (this: World, names: string, perS: number, burst: number, organisation: string) {
+Given('allowance gateways {string} with a sidecar, and {int} {word} a second with a burst of {int} for {string}',
+  async function (this: World, names: string, perS: number, unit: string, burst: number, organisation: string) {
     this.allowanceSites = new Map()
+    const allowance = { per_s: perS, burst, ...(unit === 'tokens' && { unit: 'token_stream', plain_tokens: 1 }) }
     this.allowanceConfiguration = {
       tenants: [
-        { name: organisation, api_keys: [`key-${organisation}`], per_s: perS, burst },
-        { name: 'south', api_keys: ['key-south'], per_s: perS, burst }
+        { name: organisation, api_keys: [`key-${organisation}`], ...allowance },
+        { name: 'south', api_keys: ['key-south'], ...allowance }
       ]
     }
     for (const name of names.split(', ')) await startGatewaySite(this, name)
@@ -82,8 +83,9 @@
     }
   })
 
-async function sendOne (site: Site, organisation: string): Promise<Answer> {
-  const headers = { Authorization: `Token key-${organisation}`, 'X-Request-Deadline-Ms': String(deadlineMs) }
+async function sendOne (site: Site, organisation: string, counts?: string): Promise<Answer> {
+  const headers: { [name: string]: string } = { Authorization: `Token key-${organisation}`, 'X-Request-Deadline-Ms': String(deadlineMs) }
+  if (counts !== undefined) headers['X-Token-Counts'] = counts
   const { status, headers: got } = await send(site, 'GET /safe/x', { headers })
   return { status, retryAfterS: Number(got['retry-after'] ?? NaN) }
 }
@@ -145,6 +147,19 @@
   }
 })
 
+When('an allowance caller of {string} sends a request of {string} tokens to the gateway {string}',
+  async function (this: World, organisation: string, counts: string, name: string) {
+    const site = this.allowanceSites.get(name)
+    assert.ok(site)
+    this.allowanceAnswers = [await sendOne(site, organisation, counts)]
+  })
+
+Then('it is answered with {int}, and the exchange points stay heard', async function (this: World, status: number) {
+  assert.deepEqual(this.allowanceAnswers.map((answer) => answer.status), [status])
+  await sleep(1500)
+  for (const site of this.allowanceSites.values()) assert.ok(!/sidecar lost|handler failed/.test(site.readLog()), 'a connection was lost')
+})
+
 When('an allowance caller of {string} announces a body that it does not send to the gateway {string}',
   async function (this: World, organisation: string, name: string) {
     const [host, port] = (this.allowanceSites.get(name)?.settings.clientAddress as string).split(':')
