Report to the exchange points often enough at any number of gateways; partitions and resets in the histories of allowances

At 900 gateways or more the time between reports passed the second for which levels are used, and all were isolated; an answer that counted nonsense stopped the reports for good. The feature fails at 1200 gateways on the code before.

--- a/core/limits/_allowance_terms.ts
+++ b/core/limits/_allowance_terms.ts
@@ -18,10 +18,12 @@
 /** Shortest time in milliseconds between two reports of a gateway to a point, and its part for each gateway, which bounds what a point gets. */
 const shortestReportMs = 100
 const reportMsPerGateway = 1
+/** Longest such time in milliseconds: levels are used for little longer, so that more gateways than that allows would all be isolated. */
+const longestReportMs = 0.6 * freshMs
 
 /** Returns the time in milliseconds between two reports of one of `gateways` to a point. */
 export function getReportMs (gateways: number): number {
-  return Math.max(shortestReportMs, reportMsPerGateway * gateways)
+  return Math.min(longestReportMs, Math.max(shortestReportMs, reportMsPerGateway * gateways))
 }
 
 /** Tolerance of allowances as settings name it. */
--- a/core/limits/allowance_test.ts
+++ b/core/limits/allowance_test.ts
@@ -143,6 +143,15 @@
   freezePoint: ({ points, freeze }, pick) => freeze(pickOne(points, pick)),
   killPoint: ({ points, killPoint }, pick) => killPoint(pickOne(points, pick)),
   killPoints: ({ points, killPoint }) => points.forEach(killPoint),
+  startPoints: ({ points, startPoint }) => points.forEach(startPoint),
+  startPoint: ({ points, startPoint }, pick) => startPoint(pickOne(points, pick)),
+  restartAll: ({ gateways, restart }) => gateways.forEach((gateway) => restart(gateway)),
+  resetConnections: ({ points }) => { for (const point of points) point.connectionEpoch++ },
+  partition: ({ gateways, points }, pick) => {
+    const sides = 2 + pick % 2
+    for (const [i, host] of [...points, ...gateways].entries()) host.side = Math.floor((i * (1 + pick % 7)) / 2) % sides
+  },
+  thaw: ({ gateways, points, thaw }) => { for (const host of [...gateways, ...points]) thaw(host) },
   mutePoint: ({ points }, pick) => { pickOne(points, pick).isMute = true },
   split: ({ gateways, points }, pick) => {
     for (const [i, host] of [...gateways, ...points].entries()) host.side = (i + pick) % 2
--- a/core/limits/create_allowance_spender.ts
+++ b/core/limits/create_allowance_spender.ts
@@ -52,7 +52,7 @@
  * - `perS * W + burst + 0.45 * T`: the refill and the depth of the bucket;
  * - `0.3 * T`: all isolated gateways together, of which a gateway that has just started and knows no number of gateways takes 1/128;
  * - what gateways spend before the points know of it: at most what they are asked for between a report and the next answer, 0.1 s (1 ms for
- *   each gateway, if that is more) and a round trip as a rule and one second at most;
+ *   each gateway, if that is more, up to 0.6 s) and a round trip as a rule and one second at most;
  * - `burst`, once, when all points that gateways hear have started anew.
  *
  * @param options the name of the sender, the tolerance, a source of randomness and the time of the start in milliseconds
--- a/core/limits/request_sizes.feature
+++ b/core/limits/request_sizes.feature
@@ -23,3 +23,15 @@
   Scenario: One request is admitted though its limit is less than one in a window
     Given a gateway of allowances that hears its points, with 0.05 units per s
     Then the next request that counts 1 units is admitted
+
+  # Guards against a time between reports that is longer than the levels are used, and against a point that states nonsense.
+  Scenario Outline: A gateway hears its points although they count <gateways> gateways
+    Given a gateway of allowances that hears its points, with 1000 units per s
+    When its points count <gateways> gateways
+    Then the gateway is not isolated for 10 s, with answers 60 ms after each report
+
+    Examples:
+      | gateways         |
+      | 430              |
+      | 1200             |
+      | 9007199254740991 |
--- a/core/limits/request_sizes_test.ts
+++ b/core/limits/request_sizes_test.ts
@@ -3,7 +3,7 @@
  */
 import assert from 'node:assert/strict'
 import { Given, Then, When } from '@cucumber/cucumber'
-import { encodeFrame } from '../../wire/mod.ts'
+import { encodeFrame, MessageKind } from '../../wire/mod.ts'
 import { createAllowancePoint, createAllowanceSpender } from './mod.ts'
 import type { AllowanceReport } from '../../wire/mod.ts'
 import type { AllowanceDenial, AllowanceLimit, AllowanceSpender } from './mod.ts'
@@ -12,6 +12,7 @@
 interface World {
   sizesLimit: AllowanceLimit
   sizesSpender: AllowanceSpender
+  sizesGateways: number
   sizesResult: Result<void, AllowanceDenial>
   /** Sends the reports that are due at a time in milliseconds, has them answered, and returns them. */
   exchangeSizes: (nowMs: number) => AllowanceReport[]
@@ -70,3 +71,21 @@
   const reports = this.exchangeSizes(3600)
   assert.deepEqual(reports.map(({ spending }) => spending), points.map(() => [{ organisation: 'north', spent: units, offered: units }]))
 })
+
+When('its points count {int} gateways', function (this: World, gateways: number) { this.sizesGateways = gateways })
+
+Then('the gateway is not isolated for {int} s, with answers {int} ms after each report', function (this: World, seconds: number, delayMs: number) {
+  const answers: Array<{ atMs: number, point: string, seq: number }> = []
+  for (let nowMs = 0; nowMs < seconds * 1000; nowMs += 10) {
+    while ((answers[0]?.atMs ?? Infinity) <= nowMs) {
+      const { point, seq } = answers.shift() as typeof answers[number]
+      this.sizesSpender.onLevels(point, { kind: MessageKind.AllowanceLevels, seq, wantsFull: false, gateways: this.sizesGateways, levels: [] }, nowMs)
+    }
+    // The gateway looks for reports that are due every 100 ms.
+    for (const point of nowMs % 100 === 0 ? points : []) {
+      const report = this.sizesSpender.createReport(point, 1, nowMs)
+      if (report !== undefined) answers.push({ atMs: nowMs + delayMs, point, seq: report.seq })
+    }
+    assert.ok(nowMs < 400 || !this.sizesSpender.isIsolated(nowMs), `isolated after ${nowMs} ms`)
+  }
+})
