Refuse reports of allowances whose numbers overflow when they are added

A report of 1.8e308 units, accepted as a finite number, made an exchange point answer all gateways with a demand of Infinity; they refuse such a message and close the connection, which also reserves memory.

--- a/core/limits/request_sizes.feature
+++ b/core/limits/request_sizes.feature
@@ -35,3 +35,7 @@
       | 430              |
       | 1200             |
       | 9007199254740991 |
+
+  # Guards against a peer whose numbers end the connections of all others, which also reserve memory.
+  Scenario: What an exchange point answers is accepted by gateways, whatever the reports that it accepts state
+    Then in 500 random series of accepted reports each answer of an exchange point of allowances is accepted
--- a/core/limits/request_sizes_test.ts
+++ b/core/limits/request_sizes_test.ts
@@ -3,7 +3,8 @@
  */
 import assert from 'node:assert/strict'
 import { Given, Then, When } from '@cucumber/cucumber'
-import { encodeFrame, MessageKind } from '../../wire/mod.ts'
+import fc from 'fast-check'
+import { encodeFrame, MessageKind, validateMessage } from '../../wire/mod.ts'
 import { createAllowancePoint, createAllowanceSpender } from './mod.ts'
 import type { AllowanceReport } from '../../wire/mod.ts'
 import type { AllowanceDenial, AllowanceLimit, AllowanceSpender } from './mod.ts'
@@ -89,3 +90,22 @@
     assert.ok(nowMs < 400 || !this.sizesSpender.isIsolated(nowMs), `isolated after ${nowMs} ms`)
   }
 })
+
+Then('in {int} random series of accepted reports each answer of an exchange point of allowances is accepted', function (numRuns: number) {
+  const number = fc.oneof(fc.constantFrom(0, 200, 1e100, -1e100, Number.MAX_VALUE, -Number.MAX_VALUE), fc.double())
+  const reports = fc.array(fc.record({ sender: fc.constantFrom('a', 'b'), spent: number, offered: number, afterMs: fc.nat(1500) }), { maxLength: 12 })
+  fc.assert(fc.property(reports, (series) => {
+    const point = createAllowancePoint({ tolerance, getLimit: () => ({ perS: 1000, burst: 1000 }) })
+    let nowMs = 0
+    for (const [i, { sender, spent, offered, afterMs }] of series.entries()) {
+      nowMs += afterMs
+      const after = series.slice(0, i).findLastIndex((earlier) => earlier.sender === sender) + 1
+      const report = { kind: MessageKind.AllowanceReport, sender, seq: i + 1, after, full: after === 0, spending: [{ organisation: 'north', spent, offered }] }
+      const accepted = validateMessage(report)
+      const levels = accepted.ok ? point.onReport(accepted.val as AllowanceReport, nowMs) : undefined
+      if (levels === undefined) continue
+      const answer = validateMessage(levels)
+      assert.ok(answer.ok, answer.err ? String(answer.val) : '')
+    }
+  }), { seed: 42, numRuns })
+})
--- a/wire/_checks.ts
+++ b/wire/_checks.ts
@@ -28,8 +28,11 @@
 /** Accepts finite numbers that are not negative. */
 export const isAmount = createCheck('a number from 0 up', (value) => Number.isFinite(value) && (value as number) >= 0)
 
-/** Accepts finite numbers. */
-export const isNumber = createCheck('a number', (value) => Number.isFinite(value))
+/** Largest magnitude of a sum: differences and sums of many such numbers are finite. */
+const maxSum = 1e100
+
+/** Accepts numbers of which many may be added. */
+export const isSum = createCheck(`a number from -${maxSum} to ${maxSum}`, (value) => typeof value === 'number' && Math.abs(value) <= maxSum)
 
 /** Accepts true and false. */
 export const isBoolean = createCheck('true or false', (value) => typeof value === 'boolean')
--- a/wire/_message_checks.ts
+++ b/wire/_message_checks.ts
@@ -3,7 +3,7 @@
  */
 import { Outcome, RefusalCode, Role, TierClass } from '../core/types/mod.ts'
 import {
-  isAmount, isBytes, isCount, isBoolean, isMap, isName, isNumber, isString, isStringMap, listOf, nullable, oneOf, optional, shape
+  isAmount, isBytes, isCount, isBoolean, isMap, isName, isString, isStringMap, isSum, listOf, nullable, oneOf, optional, shape
 } from './_checks.ts'
 import type { LeavingWorker } from '../core/fleet/mod.ts'
 import type { CrashObservation } from '../core/quarantine/mod.ts'
@@ -28,8 +28,8 @@
 const isUsage = shape<UsageShare['usage'][number]>({
   caller: isName, requests: isAmount, tokens: isAmount, concurrency: isAmount, waiting: isAmount
 })
-const isSpending = shape<AllowanceReport['spending'][number]>({ organisation: isName, spent: isNumber, offered: isNumber })
-const isLevel = shape<AllowanceLevels['levels'][number]>({ organisation: isName, level: isNumber, share: isAmount, demandPerS: isAmount })
+const isSpending = shape<AllowanceReport['spending'][number]>({ organisation: isName, spent: isSum, offered: isSum })
+const isLevel = shape<AllowanceLevels['levels'][number]>({ organisation: isName, level: isSum, share: isAmount, demandPerS: isAmount })
 const isCrash = shape<CrashObservation>({ crash: isName, parts: listOf(isName), ageMs: isAmount })
 const isLeaving = shape<LeavingWorker>({ id: isName, bornMs: isAmount })
 
