Do not take an engine for failing when its stream was not sent, and release the memory

A stream that was held back on its way (its key withdrawn, its engine leaving) counted as one that the engine failed, so that the engine was asked last for a time, and its reservation lasted until it expired. The scenario fails on the code before: one failure counted, nothing released.

--- a/gateway/_forward_stream.ts
+++ b/gateway/_forward_stream.ts
@@ -4,6 +4,7 @@
 import { createEventScanner } from '../core/stream/mod.ts'
 import { discardBody } from './_discard_body.ts'
 import { observeStream } from './_observe_stream.ts'
+import { releaseReservation } from './_reserve_memory.ts'
 import { sendToWorker } from './_send_to_worker.ts'
 import { StopReason } from './_types.ts'
 import { watchSilence } from './_watch_silence.ts'
@@ -81,6 +82,8 @@
     let lastDataMs = sentMs
     let isSettled = false
     let isCloseDelimited = false
+    /** True when nothing was sent, which says nothing about the engine and leaves its memory reserved. */
+    let hasSentNothing = false
     /** The body of a response that is not passed on. */
     let failedBody: DiscardedBody | undefined
     /** True when the client has a part of the stream, so that only the events that follow it may be forwarded. */
@@ -115,8 +118,9 @@
       held.close()
       failedBody?.cancel()
       worker.ownTokens -= reservation.tokens
-      if (end !== StreamEnd.Stopped) recordEnd(hasEngineFailed(end))
-      context.sidecars.reportStreamEnd(worker, request.requestId, end === StreamEnd.Completed)
+      if (end !== StreamEnd.Stopped && !hasSentNothing) recordEnd(hasEngineFailed(end))
+      if (hasSentNothing) releaseReservation(context, reservation, request.requestId)
+      else context.sidecars.reportStreamEnd(worker, request.requestId, end === StreamEnd.Completed)
       const ranMs = Math.round(timer.now() - sentMs)
       resolve({ ...stats, ranMs, end, detail, ...(firstMs === undefined ? {} : { firstMs }), ...(next === undefined ? {} : { next }) })
     }
@@ -218,7 +222,8 @@
         request.reply.end()
         settle(StreamEnd.Completed, '')
       },
-      onRefused ({ reason, connection }) {
+      onRefused ({ reason, connection, isWithheld = false }) {
+        hasSentNothing = isWithheld
         if (connection !== undefined) stats.connection = connection
         settle(StreamEnd.Refused, reason)
       },
--- a/gateway/withdrawn_key.feature
+++ b/gateway/withdrawn_key.feature
@@ -17,3 +17,8 @@
       | goes to another one        | breaks off                  | /safe   | 200    | answered      | 2     | south |
       | stays in a later version   | has its connection opened   | /safe   | 200    | answered      | 1     | north |
       | stays in a later version   | breaks off                  | /safe   | 200    | answered      | 2     | north |
+
+  Scenario: An engine to which nothing was sent is not taken for one that fails
+    Given a gateway of organisations whose first worker has its connection opened, while the key is withdrawn
+    When a caller of the organisations sends a request to "/stream"
+    Then its engine does not count as failing, and the memory that was reserved is released
--- a/gateway/withdrawn_key_test.ts
+++ b/gateway/withdrawn_key_test.ts
@@ -16,6 +16,7 @@
 import { createSystemTimer } from '../timer/mod.ts'
 import { createClientServer } from './_client_server.ts'
 import type { AddressInfo } from 'node:net'
+import type { Fleet } from '../core/fleet/mod.ts'
 import type { RouteTable } from '../core/route/mod.ts'
 import type { ExchangeHandlers, ExchangeRequest } from '../exchange/mod.ts'
 import type { Timer } from '../timer/mod.ts'
@@ -29,6 +30,9 @@
   sentHeaders: string[][]
   keyReply: { status: number, body: string }
   keyLog: string[]
+  keyFleet: Fleet
+  /** Ids of the requests whose memory was released without a stream. */
+  releasedIds: string[]
 }
 
 const versions: { readonly [what: string]: object[] } = {
@@ -77,9 +81,11 @@
     const responses = [firstResponses[when]?.(change) as Respond]
     this.sentHeaders = []
     this.keyLog = []
+    this.releasedIds = []
     this.keyTimer = createSystemTimer()
     const stream = new PassThrough().on('data', (chunk) => { this.keyLog.push(String(chunk)) })
     const fleet = createFleet()
+    this.keyFleet = fleet
     const entry = { zone: 'levis', slots: 6, state: WorkerState.Ready, bornMs: 1 }
     for (const id of ['w1', 'w2', 'w3']) fleet.upsert({ ...entry, id, address: `127.0.0.1:${id.slice(1)}`, service: 'plain' }, 0)
     fleet.upsert({ ...entry, id: 'd1', address: '127.0.0.1:9', service: 'llm', stage: Stage.Decode }, 0)
@@ -105,7 +111,7 @@
       retryBudget: () => ({ recordRequest () {}, take: () => true, remaining: () => 1, used: () => 0 }),
       allowances: { spend: () => Ok({ giveBack () {} }) },
       promptGuard: { find: () => undefined, watch: () => ({}), recordUnreachable () {} },
-      sidecars: { isConnected: () => true, reserve: async () => Ok('hold-1'), release () {}, reportStreamEnd () {} },
+      sidecars: { isConnected: () => true, reserve: async () => Ok('hold-1'), release: (_worker: unknown, id: string) => { this.releasedIds.push(id) }, reportStreamEnd () {} },
       controlPool: { send: () => ({ abort () {}, pause () {}, resume () {} }) },
       roundTripMs: () => 1,
       gatewayCount: () => 1,
@@ -145,3 +151,8 @@
     assert.equal(at < 0 ? 'none' : last[at + 1], name)
     assert.equal(last.filter((text) => /^(x-tenant|authorization)$/i.test(text)).length, times === 0 ? 0 : 1)
   })
+
+Then('its engine does not count as failing, and the memory that was reserved is released', function (this: World) {
+  assert.equal(this.keyFleet.get('d1')?.streamFailures, undefined)
+  assert.deepEqual(this.releasedIds, ['k-1'])
+})
