Do not accept a request whose client left while the first workers were awaited

Its end had been seen already, so it was refused with 408 at its deadline, stayed in the set of requests to stop, and would not have given its allowance back.

--- a/gateway/_client_server.ts
+++ b/gateway/_client_server.ts
@@ -101,7 +101,7 @@
     })
     whenDirectoryReady(timer.now(), () => {
       try {
-        accept(req, res, head, reply)
+        if (openResponses.has(res)) accept(req, res, head, reply)
       } catch (err) {
         failUnexpectedly(reply, head.requestId, err)
       }
--- a/gateway/organisations.feature
+++ b/gateway/organisations.feature
@@ -118,3 +118,8 @@
     When a caller with the key "x-key" who names itself "south" sends "GET /safe/x"
     Then the caller gets 200
     And the workers of the organisations saw the key "x-key" and the name "south"
+
+  Scenario: A request whose client leaves before the workers are known is not accepted any more
+    Given a gateway site whose callers carry the keys of "north: n-key-1 n-key-2, south: s-key-1", without workers
+    When a caller with the key "n-key-1" leaves 100 ms after its request, which waits for workers
+    Then the log of the organisations has no answer to it within 1300 ms
--- a/gateway/organisations_test.ts
+++ b/gateway/organisations_test.ts
@@ -164,6 +164,25 @@
   assert.equal(/www-authenticate: token/i.test(this.organisationAnswer), status === 401)
 })
 
+Given('a gateway site whose callers carry the keys of {string}, without workers', async function (this: World, text: string) {
+  await openSite(this, { hasOrganisations: true })
+  await writeKeys(this, 1, text)
+})
+
+When('a caller with the key {string} leaves {int} ms after its request, which waits for workers', async function (this: World, key: string, ms: number) {
+  const socket = await connectTo(this.gatewaySite)
+  socket.write(`GET /safe/x HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: left-1\r\nX-Request-Deadline-Ms: 900\r\nAuthorization: Token ${key}\r\n\r\n`)
+  await sleep(ms)
+  socket.destroy()
+})
+
+Then('the log of the organisations has no answer to it within {int} ms', async function (this: World, ms: number) {
+  await sleep(ms)
+  const lines = this.gatewaySite.readLog().split('\n').filter((line) => line.includes('left-1'))
+  assert.deepEqual(lines.filter((line) => /"(refused|ended)"/.test(line)), [])
+  assert.ok(lines.length > 0)
+})
+
 When('a caller with the key {string} sends a body of which the rest comes after version {int} has the keys {string}',
   async function (this: World, key: string, version: number, text: string) {
     await exchange(this, 'POST /unsafe/x', [`Authorization: Token ${key}`, 'Content-Length: 4'], async (socket) => {
