Give back what an isolated gateway spent to what is set aside, too

While a gateway heard no points, requests that workers turned away used up what is set aside for it. The scenario fails on the code before: 0 of 5 admitted again.

--- a/core/limits/create_allowance_spender.ts
+++ b/core/limits/create_allowance_spender.ts
@@ -161,7 +161,12 @@
       }
       return Err(refuse(request, account, { left, need, isUnreported, gateways: knownGateways ?? 1 }, nowMs))
     },
-    giveBack (organisation, cost) { add(organisation, getAccount(organisation), -cost) },
+    giveBack (organisation, cost) {
+      const account = getAccount(organisation)
+      // It is of no matter which way it was spent: it has not run, and the bucket holds no more than what is set aside.
+      account.isolated.spend(-cost)
+      add(organisation, account, -cost)
+    },
     setPoints (points) {
       for (const name of views.keys()) if (!points.includes(name)) views.delete(name)
       for (const name of points) if (!views.has(name)) views.set(name, createPointView(tolerance, () => ++reports))
--- a/core/limits/request_sizes.feature
+++ b/core/limits/request_sizes.feature
@@ -39,3 +39,6 @@
   # Guards against a peer whose numbers end the connections of all others, which also reserve memory.
   Scenario: What an exchange point answers is accepted by gateways, whatever the reports that it accepts state
     Then in 500 random series of accepted reports each answer of an exchange point of allowances is accepted
+
+  Scenario: What an isolated gateway gets back it may spend again, and no more
+    Then an isolated gateway that gets back all that it spent admits as much again, 5 times, and nothing beyond
--- a/core/limits/request_sizes_test.ts
+++ b/core/limits/request_sizes_test.ts
@@ -109,3 +109,19 @@
     }
   }), { seed: 42, numRuns })
 })
+
+Then('an isolated gateway that gets back all that it spent admits as much again, {int} times, and nothing beyond', function (times: number) {
+  const limit = { perS: 1000, burst: 1000 }
+  const spender = createAllowanceSpender({ sender: 'g/1', tolerance, random: () => 0.5, startMs: 0 })
+  const spendAll = (): number => {
+    let spent = 0
+    while (spender.spend({ organisation: 'north', limit, cost: 1, maxRetryAfterMs: 400 }, 0).ok) spent++
+    return spent
+  }
+  const first = spendAll()
+  assert.ok(first > 0 && first < 100, `${first} units`)
+  for (let i = 0; i < times; i++) {
+    for (let unit = 0; unit < first; unit++) spender.giveBack('north', 1)
+    assert.equal(spendAll(), first)
+  }
+})
