--- a/core/limits/_allowance_terms.ts
+++ b/core/limits/_allowance_terms.ts
@@ -18,10 +18,12 @@
 /** Shortest time in milliseconds between two reports of a gateway to a point, and its part for each gateway, which bounds what a point gets. */
 const shortestReportMs = 100
 const reportMsPerGateway = 1
+/** Longest such time in milliseconds: levels are used for little longer, so that more gateways than that allows would all be isolated. */
+const longestReportMs = 0.6 * freshMs
 
 /** Returns the time in milliseconds between two reports of one of `gateways` to a point. */
 export function getReportMs (gateways: number): number {
-  return Math.max(shortestReportMs, reportMsPerGateway * gateways)
+  return Math.min(longestReportMs, Math.max(shortestReportMs, reportMsPerGateway * gateways))
 }
 
 /** Tolerance of allowances as settings name it. */
@@ -46,6 +48,14 @@
   return limit.burst + depthShare * getTolerance(limit, tolerance)
 }
 
+/**
+ * Returns the most units that a request may count: what the limit and its tolerance allow in a window. One unit is always allowed, as a
+ * limit of requests may be less than one in a window.
+ */
+export function getLargestCost (limit: AllowanceLimit, tolerance: AllowanceTolerance): number {
+  return Math.max(1, limit.perS * tolerance.windowMs / msPerS + limit.burst + getTolerance(limit, tolerance))
+}
+
 /** Returns what one of `gateways` that are all isolated may spend, so that together they stay within what is set aside. */
 export function getIsolatedLimit (limit: AllowanceLimit, tolerance: AllowanceTolerance, gateways: number): AllowanceLimit {
   const part = isolatedShare * getTolerance(limit, tolerance) / Math.max(1, gateways) / 2
--- a/core/limits/create_allowance_spender.ts
+++ b/core/limits/create_allowance_spender.ts
@@ -5,7 +5,7 @@
 import { MessageKind } from '../../wire/mod.ts'
 import { createBucket } from './_bucket.ts'
 import { createPointView } from './_point_view.ts'
-import { getCapacity, getIsolatedLimit, getReportMs } from './_allowance_terms.ts'
+import { getCapacity, getIsolatedLimit, getLargestCost, getReportMs } from './_allowance_terms.ts'
 import { AllowanceRefusal } from './_allowance_types.ts'
 import type { Result } from '../results/mod.ts'
 import type { Bucket } from './_bucket.ts'
@@ -46,13 +46,13 @@
  * than the level before the points know of it, each admits a typical request with a chance, so that about the level is spent, and smaller
  * ones with a higher one, so that a few large requests don't crowd out many small ones. Before a point knows of it, the gateway spends at
  * most one request, a quarter of the level, or 1.5 times the level by its share of the demand. A gateway that hears no majority of the points
- * spends what is set aside.
+ * spends what is set aside. A request that counts nothing is always admitted, one that counts more than a whole window may have never.
  *
  * With `T = over * (perS * window + burst) + slack`, any window of length `W` has at most
  * - `perS * W + burst + 0.45 * T`: the refill and the depth of the bucket;
  * - `0.3 * T`: all isolated gateways together, of which a gateway that has just started and knows no number of gateways takes 1/128;
  * - what gateways spend before the points know of it: at most what they are asked for between a report and the next answer, 0.1 s (1 ms for
- *   each gateway, if that is more) and a round trip as a rule and one second at most;
+ *   each gateway, if that is more, up to 0.6 s) and a round trip as a rule and one second at most;
  * - `burst`, once, when all points that gateways hear have started anew.
  *
  * @param options the name of the sender, the tolerance, a source of randomness and the time of the start in milliseconds
@@ -73,6 +73,7 @@
   const views = new Map<string, PointView>()
   let knownGateways: number | undefined
   let isUrgent = false
+  let reports = 0
 
   function getAccount (organisation: string): Account {
     const known = totals.get(organisation)
@@ -129,7 +130,12 @@
 
   return {
     spend (request, nowMs) {
-      const { organisation, limit, cost } = request
+      const { organisation, limit, cost, maxRetryAfterMs } = request
+      if (cost <= 0) return Ok(undefined)
+      // It can never be admitted, and sums that had it would lose all smaller ones.
+      if (!(cost <= getLargestCost(limit, tolerance))) {
+        return Err({ reason: AllowanceRefusal.TooLarge, retryAfterMs: spread(maxRetryAfterMs, maxRetryAfterMs, maxRetryAfterMs) })
+      }
       const account = getAccount(organisation)
       account.offered += cost
       for (const view of views.values()) view.markChanged(organisation)
@@ -155,10 +161,15 @@
       }
       return Err(refuse(request, account, { left, need, isUnreported, gateways: knownGateways ?? 1 }, nowMs))
     },
-    giveBack (organisation, cost) { add(organisation, getAccount(organisation), -cost) },
+    giveBack (organisation, cost) {
+      const account = getAccount(organisation)
+      // It is of no matter which way it was spent: it has not run, and the bucket holds no more than what is set aside.
+      account.isolated.spend(-cost)
+      add(organisation, account, -cost)
+    },
     setPoints (points) {
       for (const name of views.keys()) if (!points.includes(name)) views.delete(name)
-      for (const name of points) if (!views.has(name)) views.set(name, createPointView(tolerance))
+      for (const name of points) if (!views.has(name)) views.set(name, createPointView(tolerance, () => ++reports))
     },
     createReport (point, connection, nowMs) {
       const view = views.get(point)
