--- a/gateway/_types.ts
+++ b/gateway/_types.ts
@@ -13,6 +13,7 @@
 import type { Timer } from '../timer/mod.ts'
 import type { WorkerLoads } from './_worker_loads.ts'
 import type { PlainPlacement } from './_place_plain.ts'
+import type { Allowances, SpentAllowance } from './_allowance.ts'
 import type { PromptGuard } from './_prompt_guard.ts'
 import type { SidecarClient } from './_sidecar_client.ts'
 import type { Reply } from './_reply.ts'
@@ -31,6 +32,7 @@
   promptGuard: PromptGuard
   workerLoads: WorkerLoads
   plainPlacement: PlainPlacement
+  allowances: Allowances
   /** Bounds the bytes of responses that are held back until it is known whether they may be passed on. */
   heldBytes: ByteBudget
   metrics: PrometheusMetrics
@@ -58,6 +60,8 @@
   priority: number
   /** Returns who sends the request by the rules in force now, or why it may not be sent to a worker any more. */
   identifyCaller (): Result<Caller, CallerRefusal>
+  /** What was spent of the organisation's allowance. */
+  spent: SpentAllowance
   /** Numbers of the connections to workers that have carried this request. */
   usedConnections: Set<number>
   reply: Reply
--- a/gateway/organisations_test.ts
+++ b/gateway/organisations_test.ts
@@ -29,7 +29,7 @@
 function readOrganisations (text: string): object[] {
   return text.split(', ').map((part) => {
     const [name, list] = part.split(': ') as [string, string]
-    return { name, api_keys: list.split(' ') }
+    return { name, api_keys: list.split(' '), ...(name === 'north' && { priority: 0 }) }
   })
 }
 
@@ -90,15 +90,8 @@
 const faults: { readonly [what: string]: (site: Site) => void } = {
   'are sound': () => {},
   'fail their first request' (site) {
-    for (const id of ['w1', 'w2']) {
-      const [worker, other] = [site.workers.get(id), site.workers.get(id === 'w1' ? 'w2' : 'w1')]
-      worker?.setMode(WorkerMode.Error)
-      const settle = setInterval(() => {
-        if (worker?.listRequests().length === 0) return
-        clearInterval(settle)
-        other?.setMode(WorkerMode.Good)
-      }, 1)
-    }
+    const modes = [WorkerMode.Error, WorkerMode.Good]
+    for (const id of ['w1', 'w2']) site.workers.get(id)?.shareModes(modes)
   },
   'lose the stream after an event' (site) { for (const id of ['d1', 'd2']) site.workers.get(id)?.resetAfterEvent(1, 1) },
   'have no memory' (site) { for (const id of ['d1', 'd2']) site.workers.get(id)?.setReservableTokens(10) },
@@ -248,6 +241,11 @@
   assert.deepEqual({ keyLabel, version, route, status, reason: fields.reason }, { keyLabel: getKeyLabel(key), version: 1, route: 'safe', status: 401, reason })
 })
 
+Then('the log of the organisations has the requests of {string} with these priorities', function (this: World, text: string) {
+  const ended = this.gatewaySite.readLog().split('\n').filter((line) => line.includes('"ended"')).map((line) => JSON.parse(line))
+  assert.equal(ended.map(({ organisation, priority }) => `${organisation}: ${priority}`).join(', '), text)
+})
+
 Then('the metrics of the organisations count {int} refusal with the reason {string}', async function (this: World, count: number, reason: string) {
   const text = await (await fetch(this.organisationMetrics)).text()
   assert.ok(text.includes(`briarloom_requests_total{service="",status="401",reason="${reason}"} ${count}`), text)
--- a/gateway/start_gateway.ts
+++ b/gateway/start_gateway.ts
@@ -1,17 +1,20 @@
 /**
  * Starts a gateway, the process between the clients and the workers of the platform.
  */
-import { createServer } from 'node:http'
+import { divideProcess } from '../core/bounds/mod.ts'
 import { Err, Ok } from '../core/results/mod.ts'
 import { createSharedRetryBudget } from '../core/retry/mod.ts'
 import { createDirectory, listStoreReaders, shareView, syncRecords } from '../directory/mod.ts'
 import { PlacementPolicy } from '../core/cost/mod.ts'
 import { createByteBudget } from '../core/stream/mod.ts'
 import { createExchangePool } from '../exchange/mod.ts'
+import { boundConnections } from '../http/mod.ts'
 import { Count, createPrometheusMetrics } from '../metrics/mod.ts'
-import { readyPath } from '../platform/mod.ts'
 import { parseAddress } from '../wire/mod.ts'
+import { createAllowances } from './_allowance.ts'
+import { createReadyServer } from './_ready_server.ts'
 import { createPromptGuard } from './_prompt_guard.ts'
+import { getRoundTripMs } from './_get_round_trip_ms.ts'
 import { createWorkerLoads } from './_worker_loads.ts'
 import { createPlainPlacement } from './_place_plain.ts'
 import { createSidecarClient } from './_sidecar_client.ts'
@@ -19,6 +22,7 @@
 import type { Server } from 'node:http'
 import type { Result } from '../core/results/mod.ts'
 import type { SharedRetryBudget } from '../core/retry/mod.ts'
+import type { BoundedConnections } from '../http/mod.ts'
 import type { Log } from '../log/mod.ts'
 import type { NodeSettings } from '../platform/mod.ts'
 import type { Timer } from '../timer/mod.ts'
@@ -46,10 +50,6 @@
   close (): Promise<void>
 }
 
-/** Expected round trip times in milliseconds within a zone, within a region, and between regions. */
-const zoneRoundTripMs = 1
-const regionRoundTripMs = 4
-const crossRegionRoundTripMs = 42
 /** Number of gateways that are assumed to share the retry budget until a sidecar reports how many there are. */
 const assumedGateways = 8
 /** Time in milliseconds for which the load balancer may still open connections: two readiness checks a second apart, and a margin. */
@@ -60,10 +60,8 @@
 /** Longest time in milliseconds for which the process waits until the responses to the requests that it stops have been sent. */
 const finalResponseMs = 150
 const finalCheckMs = 10
-/** Share of the memory of the process that responses may take while they are held back; the rest is for all else and for garbage. */
-const heldMemoryShare = 1 / 8
-/** Memory in bytes of a process whose platform names none. */
-const defaultMemoryBytes = 128 * 1_048_576
+/** Largest first frame that a process may send, in bytes. */
+const maxFirstFrameBytes = 65_536
 
 /**
  * Starts a gateway.
@@ -80,6 +78,7 @@
  */
 export async function startGateway (options: GatewayOptions): Promise<Result<Gateway, string>> {
   const { settings, timer, log, random } = options
+  const bounds = divideProcess(settings)
   const budgets = new Map<string, SharedRetryBudget>()
   const startedAtMs = timer.now()
   let lastKnownGateways = assumedGateways
@@ -90,6 +89,8 @@
   const metrics = createPrometheusMetrics({
     ...(options.metricsPort === undefined ? {} : { listen: { host: settings.ip, port: options.metricsPort } }),
     gauges: {
+      organisations: () => directory.routeTable()?.organisations()?.length ?? 0,
+      keys: () => directory.routeTable()?.organisations()?.reduce((sum, { keys }) => sum + keys.length, 0) ?? 0,
       config_version: () => directory.routeTable()?.version ?? 0,
       view_age_ms: () => directory.ageMs(),
       store_era: () => directory.storeEra(),
@@ -103,11 +104,21 @@
       held_workers: () => directory.fleet.all().filter((worker) => worker.word.hold.untilMs() > timer.now()).length,
       held_bytes: () => heldBytes.heldBytes(),
       requests_waiting: () => context.plainPlacement.waiting(),
+      allowance_isolated: () => Number(allowances.isIsolated()),
+      allowance_level_age_ms: () => allowances.levelAgeMs(),
+      held_bytes_max: () => heldBytes.maxBytes,
+      client_connections: () => clients?.count() ?? 0,
       quarantines: () => promptGuard.quarantines(),
       log_lines_dropped: () => options.droppedLines?.() ?? 0
     },
+    onServer: (server) => bound(server, 'metrics', bounds.checks),
     onError: (reason) => log.warn({ reason }, 'metrics not served')
   })
+  function bound (server: Server, address: string, maxConnections: number | undefined): BoundedConnections | undefined {
+    const onClosed = (): void => metrics.count(Count.ConnectionsClosed, { address, reason: 'too_many' })
+    return maxConnections === undefined ? undefined : boundConnections(server, { timer, maxConnections, onClosed })
+  }
+
   function onRecordPassedOver (reason: string): void { metrics.count(Count.RecordsPassedOver, { reason }) }
   function onStoreCall (hasResponded: boolean): void { metrics.count(Count.StoreReads, { result: hasResponded ? 'answered' : 'failed' }) }
 
@@ -116,7 +127,9 @@
   })
   const promptGuard = createPromptGuard({ directory, timer, log, metrics, sendEvidence: sidecars.sendEvidence })
 
-  const heldBytes = createByteBudget({ maxBytes: heldMemoryShare * (settings.memoryBytes ?? defaultMemoryBytes) })
+  const allowances = createAllowances({ settings, directory, sidecars, timer, log, metrics, random })
+
+  const heldBytes = createByteBudget({ maxBytes: bounds.heldBytes })
 
   const workerLoads = createWorkerLoads({ sidecars, timer, name: settings.machine, policy: options.placement ?? PlacementPolicy.Latency, incarnation: Date.now() })
   const context: GatewayContext = {
@@ -132,6 +145,7 @@
     controlPool: createExchangePool(),
     sidecars,
     promptGuard,
+    allowances,
     heldBytes,
     random,
     gatewayCount: gateways,
@@ -151,10 +165,7 @@
       budgets.set(service, countedBudget)
       return countedBudget
     },
-    roundTripMs (zone) {
-      if (zone === settings.zone) return zoneRoundTripMs
-      return settings.regions[zone] === settings.regions[settings.zone] ? regionRoundTripMs : crossRegionRoundTripMs
-    }
+    roundTripMs: (zone) => getRoundTripMs(settings, zone)
   }
 
   /** Returns the number of gateways: the largest that a connected sidecar reports, or the last known one when none is connected. */
@@ -166,8 +177,10 @@
 
   context.plainPlacement = createPlainPlacement(context)
   const clientServer = createClientServer(context)
+  const clients = bound(clientServer.server, 'front', bounds.clients)
   const peerAddress = settings.peerAddress === undefined ? {} : { address: settings.peerAddress }
-  const records = await syncRecords({ directory, timer, log, seeds: settings.seeds, ...peerAddress })
+  const peerBounds = { maxFirstFrameBytes, ...(bounds.peers === undefined ? {} : { maxConnections: bounds.peers }) }
+  const records = await syncRecords({ directory, timer, log, seeds: settings.seeds, ...peerAddress, bounds: peerBounds })
 
   const { regions, zone, internalPort } = settings
   const readers = (): string[] => listStoreReaders({ fleet: directory.fleet, regions, zone, internalPort })
@@ -179,11 +192,8 @@
     return table !== undefined && table.listServices().some((service) => directory.fleet.serving(service.name).length > 0)
   }
 
-  const readinessServer = createServer((req, res) => {
-    const status = req.url !== readyPath ? 404 : isReady() ? 200 : 503
-    res.writeHead(status, { 'Content-Length': 0 })
-    res.end()
-  })
+  const readinessServer = createReadyServer(isReady)
+  bound(readinessServer, 'ready', bounds.checks)
 
   async function close (): Promise<void> {
     clientServer.close()
@@ -191,6 +201,7 @@
     readinessServer.closeAllConnections()
     promptGuard.close()
     workerLoads.close()
+    allowances.close()
     sidecars.close()
     await records.close()
     await view.close()
--- a/http/mod.ts
+++ b/http/mod.ts
@@ -1,5 +1,10 @@
 /**
  * Parts of HTTP servers.
  */
-export { ClosedBy, manageConnections } from './manage_connections.ts'
-export type { AdmissionHandlers, ConnectionManager, ConnectionRequest, ManageConnectionsOptions, UnansweredRequest } from './manage_connections.ts'
+export { boundConnections } from './bound_connections.ts'
+export { BodyFault, createBodyReader } from './create_body_reader.ts'
+export { manageConnections } from './manage_connections.ts'
+export { ClosedBy } from './_types.ts'
+export type { AdmissionHandlers, ConnectionManager, ConnectionRequest, ManageConnectionsOptions, UnansweredRequest } from './_types.ts'
+export type { BodyReader, BodyReaderOptions, ReadBodyOptions } from './create_body_reader.ts'
+export type { BoundConnectionsOptions, BoundedConnections } from './bound_connections.ts'
