--- a/gateway/_place_plain.ts
+++ b/gateway/_place_plain.ts
@@ -43,18 +43,17 @@
   waiting (): number
 }
 
-/** Creates the placement. */
-export function createPlainPlacement (context: GatewayContext): PlainPlacement {
-  const { timer, random, workerLoads } = context
+/** Creates the placement; the context that it is part of is there when it is first used. */
+export function createPlainPlacement (getContext: () => GatewayContext): PlainPlacement {
   let waiting = 0
 
   /** Returns the number of more urgent kinds of requests that the service of a request has. */
-  function findRank (request: ClientRequest): number {
+  function findRank (context: GatewayContext, request: ClientRequest): number {
     const priorities = context.directory.routeTable()?.listPriorities(request.service.name) ?? []
     return priorities.filter((priority) => priority < request.priority).length
   }
 
-  function listOpen (workers: Worker[], exclude: ReadonlySet<string>): Worker[] {
+  function listOpen (context: GatewayContext, workers: Worker[], exclude: ReadonlySet<string>): Worker[] {
     const ranked = workers.filter(({ entry }) => !exclude.has(entry.id)).map((worker) => ({ worker, rank: checkWorker(context, worker).rank }))
     const bestRank = Math.min(SendRank.Held, ...ranked.map(({ rank }) => rank))
     return ranked.filter(({ rank }) => rank === bestRank).map(({ worker }) => worker)
@@ -63,6 +62,8 @@
   return {
     waiting: () => waiting,
     async place (request, exclude, failureMs) {
+      const context = getContext()
+      const { timer, random, workerLoads } = context
       const { service, route, head } = request
       const sinceMs = timer.now()
       const statedMs = head.deadlineMs ?? route.timeoutMs
@@ -70,7 +71,7 @@
       let isWaiting = false
       try {
         for (;;) {
-          const open = listOpen(context.directory.fleet.serving(service.name), exclude)
+          const open = listOpen(context, context.directory.fleet.serving(service.name), exclude)
           const fixedMs = (worker: Worker): number =>
             context.roundTripMs(worker.entry.zone) + getSendDelayMs(worker, timer.now()) + worker.failureShare * failureMs
           const { candidates, unseenRequests } = workerLoads.see(request, open, fixedMs)
@@ -89,7 +90,7 @@
             targetMs: route.targetLatencyMs,
             leftMs: Math.min(statedMs - (timer.now() - request.startedMs), request.deadlineMs - timer.now()),
             usedMs,
-            rank: findRank(request),
+            rank: findRank(context, request),
             ageMs: workerLoads.ageMs()
           }
           let decision = decideSend(situation)
--- a/gateway/start_gateway.ts
+++ b/gateway/start_gateway.ts
@@ -134,8 +134,7 @@
   const workerLoads = createWorkerLoads({ sidecars, timer, name: settings.machine, policy: options.placement ?? PlacementPolicy.Latency, incarnation: Date.now() })
   const context: GatewayContext = {
     workerLoads,
-    // Made below, since it takes the context.
-    plainPlacement: { place: () => { throw new Error('not placed before the start') }, waiting: () => 0 },
+    plainPlacement: createPlainPlacement(() => context),
     metrics,
     settings,
     timer,
@@ -175,7 +174,6 @@
     return lastKnownGateways
   }
 
-  context.plainPlacement = createPlainPlacement(context)
   const clientServer = createClientServer(context)
   const clients = bound(clientServer.server, 'front', bounds.clients)
   const peerAddress = settings.peerAddress === undefined ? {} : { address: settings.peerAddress }
--- a/gateway/worker_loads_test.ts
+++ b/gateway/worker_loads_test.ts
@@ -156,7 +156,7 @@
       deadlineMs: startedMs + deadlineMs,
       stopReason: () => this.stopped
     } as unknown as ClientRequest
-    this.placement = createPlainPlacement(context)
+    this.placement = createPlainPlacement(() => context)
     this.placed = this.placement.place(placing, new Set(), 400)
   })
 
