--- a/gateway/unexpected_errors_test.ts
+++ b/gateway/unexpected_errors_test.ts
@@ -6,7 +6,7 @@
 import { request as httpRequest } from 'node:http'
 import { PassThrough } from 'node:stream'
 import { After, Given, Then, When } from '@cucumber/cucumber'
-import { Err } from '../core/results/mod.ts'
+import { Err, Ok } from '../core/results/mod.ts'
 import { RefusalCode } from '../core/types/mod.ts'
 import { createFleet, Stage, WorkerState } from '../core/fleet/mod.ts'
 import { createRouteTable } from '../core/route/mod.ts'
@@ -93,6 +93,7 @@
     metrics: { count () {}, observe () {} },
     random: Math.random,
     retryBudget: () => budget,
+    allowances: { spend: () => Ok({ giveBack () {} }) },
     promptGuard: { find: () => undefined },
     roundTripMs: () => 1,
     workerLoads: createLoadsAlone(this.clientTimer),
