--- a/gateway/start_gateway.ts
+++ b/gateway/start_gateway.ts
@@ -13,6 +13,7 @@
 import { createAllowances } from './_allowance.ts'
 import { createReadyServer } from './_ready_server.ts'
 import { createPromptGuard } from './_prompt_guard.ts'
+import { getRoundTripMs } from './_get_round_trip_ms.ts'
 import { createWorkerLoads } from './_worker_loads.ts'
 import { createPlainPlacement } from './_place_plain.ts'
 import { createRetryBudgets } from './_retry_budgets.ts'
@@ -48,10 +49,6 @@
   close (): Promise<void>
 }
 
-/** Expected round trip times in milliseconds within a zone, within a region, and between regions. */
-const zoneRoundTripMs = 1
-const regionRoundTripMs = 4
-const crossRegionRoundTripMs = 42
 /** Number of gateways that are assumed to share the retry budget until a sidecar reports how many there are. */
 const assumedGateways = 8
 /** Time in milliseconds for which the load balancer may still open connections: two readiness checks a second apart, and a margin. */
@@ -140,8 +137,7 @@
   const workerLoads = createWorkerLoads({ sidecars, timer, name: settings.machine, policy: options.placement ?? PlacementPolicy.Latency, incarnation: timer.wallClockMs() })
   const context: GatewayContext = {
     workerLoads,
-    // Made below, since it takes the context.
-    plainPlacement: { place: () => { throw new Error('not placed before the start') }, waiting: () => 0 },
+    plainPlacement: createPlainPlacement(() => context),
     metrics,
     settings,
     timer,
@@ -156,10 +152,7 @@
     random,
     gatewayCount: gateways,
     retryBudget: createRetryBudgets({ settings, metrics, memberCount: gateways, startedAtMs: timer.now() }),
-    roundTripMs (zone) {
-      if (zone === settings.zone) return zoneRoundTripMs
-      return settings.regions[zone] === settings.regions[settings.zone] ? regionRoundTripMs : crossRegionRoundTripMs
-    }
+    roundTripMs: (zone) => getRoundTripMs(settings, zone)
   }
 
   /** Returns the number of gateways: the largest that a connected sidecar reports, or the last known one when none is connected. */
@@ -169,7 +162,6 @@
     return lastKnownGateways
   }
 
-  context.plainPlacement = createPlainPlacement(context)
   const clientServer = createClientServer(context)
   const clients = bound(clientServer.server, 'front', bounds.clients)
   const peerAddress = settings.peerAddress === undefined ? {} : { address: settings.peerAddress }
