Tell no room of an engine that is gone, and know the one that started in its place at once

An entry stays for some seconds after its engine has crashed. A sidecar took the first entry at the address for its engine's, read the report of the engine that had started there and told the gateways all its memory as room of the old one; they went there first, reserved memory, and their requests were refused, while the reservations stayed for two seconds. The entry with the latest start counts now, and only with its own report; an engine that does not answer has no room until its next report. The scenario fails on the code before (no stream is admitted to the new engine). The stand-in of an engine names its start in its report, as the protocol says.

--- a/core/packing/create_packer.ts
+++ b/core/packing/create_packer.ts
@@ -31,6 +31,8 @@
   releaseUnstarted (requestId: string): void
   /** Releases the memory of a stream that has ended; `isComplete` is true when the engine generated the whole output. */
   recordEnd (requestId: string, isComplete: boolean): void
+  /** Forgets all streams, because the engine has started again. */
+  clear (): void
   /** Returns the usable memory in tokens beyond the predicted peak; negative when the peak exceeds it. */
   freeTokens (nowMs: number): number
 }
@@ -169,6 +171,7 @@
       if (isComplete && running !== undefined) recordOutput(running)
       reservations.delete(requestId)
     },
+    clear () { reservations.clear() },
     freeTokens (nowMs) {
       removeExpired(nowMs)
       return computeUsableTokens() - predictPeak([...reservations.values()].map(predictMemory))
--- a/sidecar/_admission_task.ts
+++ b/sidecar/_admission_task.ts
@@ -48,13 +48,14 @@
   addGateway (connection: Connection): void
   /** Applies a new report of the engine and sends the capacity to the gateways when it has changed. */
   onReport (entry: WorkerEntry, report: EngineReport): void
+  /** Records that the engine does not answer, or that another one answers in its place: it takes no stream until its next report. */
+  onSilence (): void
   /** Applies the limit in requests per second that the engine names now; undefined when it names none. */
   setLimit (limitPerS: number | undefined): void
   /** Records what the engine says of itself in the answer to a call; `own` is its entry, when that may not be known here. */
   recordAnswer (response: JsonResponse, own?: WorkerEntry): void
-  /** Tells whether the engine wants no requests from this machine now. */
+  /** Tells whether the engine wants no requests from this machine now, and whether it has said that it leaves. */
   isHeld (): boolean
-  /** Tells whether the engine has said that it leaves. */
   isLeaving (): boolean
   /** Returns the tokens that are free for streams. */
   roomTokens (): number
@@ -84,11 +85,13 @@
   const quarantine = createQuarantine()
   let entry: WorkerEntry | undefined
   let report: EngineReport | undefined
+  /** True from a call that the engine did not answer until its next report. */
+  let isSilent = false
   /** Time in milliseconds until which the engine runs a prefill; a second one meanwhile would double the pause of its streams. */
   let prefillingUntilMs = 0
   /** Keeps the limit of the engine's request rate for all gateways; undefined while the engine names none. */
   let pacer: Pacer | undefined
-  let lastSent: { roomTokens: number, reads: boolean, waiting: number, senders: number, heldUntilMs: number, atMs: number } | undefined
+  let lastSent: { id: string, roomTokens: number, reads: boolean, waiting: number, senders: number, heldUntilMs: number, atMs: number } | undefined
 
   async function admit (connection: Connection, msg: Admit): Promise<void> {
     const { requestId, attempt, promptTokens, likelyTokens, maxTokens } = msg
@@ -109,6 +112,7 @@
     const call = buildReserveCall(entry.id, promptTokens + tokensPerEvent(), packing.startMs)
     const response = await callJson(entry.address, call, { pool, timer, timeoutMs: reservationTimeoutMs, mayStart: () => !isHeld() })
     if (response.ok) recordAnswer(response.val)
+    else if (!isHeld()) isSilent = true
     const hold = response.ok && response.val.status === 200 ? decodeReservationId(response.val.body) : undefined
     if (hold === undefined) {
       packer.releaseUnstarted(requestId)
@@ -124,13 +128,9 @@
     return entry === undefined ? undefined : directory.fleet.get(entry.id)
   }
 
-  function isHeld (): boolean {
-    return (own()?.word.hold.untilMs() ?? -Infinity) > timer.now()
-  }
+  function isHeld (): boolean { return (own()?.word.hold.untilMs() ?? -Infinity) > timer.now() }
 
-  function isLeaving (): boolean {
-    return own()?.word.leavingSinceMs !== undefined
-  }
+  function isLeaving (): boolean { return own()?.word.leavingSinceMs !== undefined }
 
   function recordAnswer (response: JsonResponse, ownEntry?: WorkerEntry): void {
     entry ??= ownEntry
@@ -155,7 +155,7 @@
   }
 
   function canGenerate (): boolean {
-    return report !== undefined && report.stage === Stage.Decode && !report.busy && !options.isSwitching() && !isHeld()
+    return report !== undefined && report.stage === Stage.Decode && !report.busy && !options.isSwitching() && !isHeld() && !isSilent
   }
 
   function releaseReservation (requestId: string, hold: string): void {
@@ -177,8 +177,8 @@
     const reads = report.stage === Stage.Prefill && !report.busy && !options.isSwitching()
     const heldUntilMs = own()?.word.hold.untilMs() ?? -Infinity
     const heldMs = Math.max(0, heldUntilMs - timer.now())
-    const now = { roomTokens, reads, waiting, senders: gateways.size, heldUntilMs, atMs: timer.now() }
-    const hasChanged = lastSent === undefined || lastSent.reads !== reads ||
+    const now = { id: entry.id, roomTokens, reads, waiting, senders: gateways.size, heldUntilMs, atMs: timer.now() }
+    const hasChanged = lastSent === undefined || lastSent.id !== entry.id || (lastSent.roomTokens > 0) !== (roomTokens > 0) || lastSent.reads !== reads ||
       lastSent.waiting !== now.waiting || lastSent.senders !== now.senders || lastSent.heldUntilMs !== heldUntilMs ||
       Math.abs(lastSent.roomTokens - now.roomTokens) >= minChangeShare * report.totalTokens
     if (!hasChanged && now.atMs - (lastSent?.atMs ?? 0) < resendMs) return
@@ -232,9 +232,16 @@
       else if (pacer !== undefined) pacer.setLimit(limitPerS)
       else pacer = createPacer(limitPerS, timer.now(), { memberCount: () => 1, random: () => 0, burstMs: paceBurstMs })
     },
+    onSilence () {
+      isSilent = true
+      sendCapacity()
+    },
     onReport (own, fresh) {
+      // What an earlier engine ran or had reserved is lost.
+      if (entry !== undefined && entry.id !== own.id) packer.clear()
       entry = own
       report = fresh
+      isSilent = false
       packer.setCapacity(fresh.totalTokens, tokensPerEvent())
       packer.observe(fresh.runs, timer.now())
       sendCapacity()
--- a/sidecar/sidecar.feature
+++ b/sidecar/sidecar.feature
@@ -47,6 +47,15 @@
     When the sidecar engine is replaced by another one in the store
     Then the sidecar admits streams to the new engine within 500 ms
 
+  # Guards against streams that are sent to an engine which is gone, because the room of the one that has started in its place is told as its own.
+  Scenario: A sidecar knows an engine that has started in the place of another whose entry is still there
+    Given a sidecar beside an engine of 1000 tokens with the stage "decode"
+    Then the sidecar admits a stream with 600 prompt tokens, at most 200 output tokens and an estimate of 100
+    When the sidecar engine starts again, with an entry beside that of its predecessor after 300 ms
+    Then the sidecar has told no room of the engine "i-5" since then
+    And the sidecar admits streams to the new engine within 500 ms
+    And the sidecar tells 800 tokens of room or more at the engine "i-6" within 300 ms
+
   # Guards against a worker that gets far more requests than the limit that it named (docs/incidents/worker-limit-ignored.md).
   Scenario: A sidecar keeps the limit of its engine's request rate for all gateways, and lets it go when it ends
     Given a sidecar beside an engine of 100000 tokens with the stage "decode"
--- a/sidecar/sidecar_test.ts
+++ b/sidecar/sidecar_test.ts
@@ -213,6 +213,28 @@
   this.sideStore.put('servers/i-6', this.sideEngine.buildEntry())
 })
 
+When('the sidecar engine starts again, with an entry beside that of its predecessor after {int} ms', async function (this: World, ms: number) {
+  this.sideEngine.startAgain()
+  await sleep(100)
+  this.received = this.received.filter(() => false)
+  await sleep(ms - 100)
+  this.sideStore.put('servers/i-6', this.sideEngine.buildEntry())
+})
+
+Then('the sidecar has told no room of the engine {string} since then', function (this: World, id: string) {
+  const rooms = this.received.flatMap((msg) => msg.kind === MessageKind.EngineCapacity && msg.workerId === id ? [msg.roomTokens] : [])
+  assert.deepEqual(rooms.filter((tokens) => tokens > 0), [])
+})
+
+Then('the sidecar tells {int} tokens of room or more at the engine {string} within {int} ms', async function (this: World, tokens: number, id: string, ms: number) {
+  const endMs = performance.now() + ms
+  const isTold = (): boolean => this.received.some((msg) => msg.kind === MessageKind.EngineCapacity && msg.workerId === id && msg.roomTokens >= tokens)
+  while (!isTold()) {
+    assert.ok(performance.now() < endMs, 'no such room is told')
+    await sleep(10)
+  }
+})
+
 Then('the sidecar admits streams to the new engine within {int} ms', async function (this: World, ms: number) {
   const endMs = performance.now() + ms
   for (;;) {
--- a/sidecar/start_sidecar.ts
+++ b/sidecar/start_sidecar.ts
@@ -130,8 +130,10 @@
 
   let isReadingReport = false
 
+  /** Returns the entry of the engine at the address; that of an earlier one stays for some seconds after its end. */
   function findOwnEntry (): WorkerEntry | undefined {
-    return directory.fleet.all().find(({ entry }) => entry.address === settings.workerAddress)?.entry
+    const entries = directory.fleet.all().flatMap(({ entry }) => entry.address === settings.workerAddress ? [entry] : [])
+    return entries.sort((a, b) => b.bornMs - a.bornMs)[0]
   }
 
   /** Tells whether a report may be that of the incarnation of an entry. */
@@ -148,8 +150,9 @@
       const response = await callJson(address, buildReportCall(), { pool, timer, timeoutMs: reportTimeoutMs })
       const report = response.err ? undefined : decodeEngineReport(response.val.body)
       if (response.ok) admission.setLimit(decodeResponseHead(response.val.status, response.val.headers).limitPerS)
-      if (report !== undefined) admission.onReport(entry, report)
-      // The report may be that of another incarnation than the entry, whose word the entry's is not.
+      // The report may be that of another incarnation than the entry, whose word and room the entry's are not.
+      if (report !== undefined && isOf(entry, report)) admission.onReport(entry, report)
+      else admission.onSilence()
       if (response.ok && isOf(entry, report)) admission.recordAnswer(response.val, entry)
       if (report !== undefined && directory.hasReadStore()) await stages.onReport(entry, report)
     } catch (err) {
--- a/testing/fleuve/start_worker.ts
+++ b/testing/fleuve/start_worker.ts
@@ -153,6 +153,8 @@
   setResumeMode (mode: WorkerMode | undefined): void
   /** Sets the memory of the worker in tokens: the largest reservation that it accepts. */
   setReservableTokens (tokens: number): void
+  /** Starts the engine again at its address: it knows nothing of before. */
+  startAgain (): void
   /** Sets the phase that an engine serves, `prefill` or `decode`. */
   setStage (stage: string): void
   /** Makes the next `times` streams that reach the event with number `event` reset their connection after it. */
@@ -543,7 +545,7 @@
   function createReport (): object {
     const runs = [...running].map((run) => [run, 100, 1, 5])
     return {
-      stage, models: [], busy: false, sequence: orders, waiting: 0, running: running.size, kv_used: 0, kv_total: memoryTokens, held: 0, handles: 0, runs
+      stage, born, models: [], busy: false, sequence: orders, waiting: 0, running: running.size, kv_used: 0, kv_total: memoryTokens, held: 0, handles: 0, runs
     }
   }
 
@@ -617,6 +619,11 @@
     setControlCopies (afterMs) { controlCopyMs = afterMs },
     setReportText (text) { reportText = text },
     setPrefillMs (ms) { prefillMs = ms },
+    startAgain () {
+      born++
+      running.clear()
+      reservations = 0
+    },
     setStage (next) { stage = next as 'prefill' | 'decode' },
     buildEntry: (fields = {}) => JSON.stringify({
       service,
