--- a/sidecar/_admission_task.ts
+++ b/sidecar/_admission_task.ts
@@ -57,9 +57,8 @@
   /** Tells whether the engine wants no requests from this machine now, and whether it has said that it leaves. */
   isHeld (): boolean
   isLeaving (): boolean
-  /** Returns the tokens that are free for streams. */
+  /** Returns the tokens that are free for streams, and the number of connected gateways. */
   roomTokens (): number
-  /** Returns the number of connected gateways. */
   gateways (): number
 }
 
@@ -233,6 +232,7 @@
       else pacer = createPacer(limitPerS, timer.now(), { memberCount: () => 1, random: () => 0, burstMs: paceBurstMs })
     },
     onSilence () {
+      if (!isSilent) log.warn({ worker: entry?.id }, 'engine does not answer its sidecar')
       isSilent = true
       sendCapacity()
     },
