--- a/gateway/unexpected_errors_test.ts
+++ b/gateway/unexpected_errors_test.ts
@@ -96,7 +96,6 @@
     promptGuard: { find: () => undefined },
     roundTripMs: () => 1,
     heldBytes: { open: () => ({ set () {}, close () {} }) },
-    allowances: { spend: () => Ok({ giveBack () {} }) },
     settings: { drainMs: 2_500 },
     ...context
   } as unknown as GatewayContext)
--- a/gateway/withdrawn_key_test.ts
+++ b/gateway/withdrawn_key_test.ts
@@ -110,7 +110,6 @@
       roundTripMs: () => 1,
       gatewayCount: () => 1,
       heldBytes: { open: () => ({ set () {}, close () {} }) },
-      allowances: { spend: () => Ok({ giveBack () {} }) },
       settings: { drainMs: 2_500, hasOrganisations: true }
     } as unknown as GatewayContext)
     this.keyServer.server.listen(0, '127.0.0.1')
