--- a/gateway/_types.ts
+++ b/gateway/_types.ts
@@ -11,9 +11,9 @@
 import type { Caller, CallerRefusal, OrganisationRule, RouteRule, ServiceRule } from '../core/route/mod.ts'
 import type { ByteBudget } from '../core/stream/mod.ts'
 import type { Timer } from '../timer/mod.ts'
+import type { Allowances, SpentAllowance } from './_allowance.ts'
 import type { WorkerLoads } from './_worker_loads.ts'
 import type { PlainPlacement } from './_place_plain.ts'
-import type { Allowances, SpentAllowance } from './_allowance.ts'
 import type { PromptGuard } from './_prompt_guard.ts'
 import type { SidecarClient } from './_sidecar_client.ts'
 import type { Reply } from './_reply.ts'
@@ -30,9 +30,9 @@
   controlPool: ExchangePool
   sidecars: SidecarClient
   promptGuard: PromptGuard
+  allowances: Allowances
   workerLoads: WorkerLoads
   plainPlacement: PlainPlacement
-  allowances: Allowances
   /** Bounds the bytes of responses that are held back until it is known whether they may be passed on. */
   heldBytes: ByteBudget
   metrics: PrometheusMetrics
--- a/gateway/start_gateway.ts
+++ b/gateway/start_gateway.ts
@@ -3,7 +3,6 @@
  */
 import { divideProcess } from '../core/bounds/mod.ts'
 import { Err, Ok } from '../core/results/mod.ts'
-import { createSharedRetryBudget } from '../core/retry/mod.ts'
 import { createDirectory, listStoreReaders, shareView, syncRecords } from '../directory/mod.ts'
 import { PlacementPolicy } from '../core/cost/mod.ts'
 import { createByteBudget } from '../core/stream/mod.ts'
@@ -17,11 +16,11 @@
 import { getRoundTripMs } from './_get_round_trip_ms.ts'
 import { createWorkerLoads } from './_worker_loads.ts'
 import { createPlainPlacement } from './_place_plain.ts'
+import { createRetryBudgets } from './_retry_budgets.ts'
 import { createSidecarClient } from './_sidecar_client.ts'
 import { createClientServer } from './_client_server.ts'
 import type { Server } from 'node:http'
 import type { Result } from '../core/results/mod.ts'
-import type { SharedRetryBudget } from '../core/retry/mod.ts'
 import type { BoundedConnections } from '../http/mod.ts'
 import type { Log } from '../log/mod.ts'
 import type { NodeSettings } from '../platform/mod.ts'
@@ -79,8 +78,6 @@
 export async function startGateway (options: GatewayOptions): Promise<Result<Gateway, string>> {
   const { settings, timer, log, random } = options
   const bounds = divideProcess(settings)
-  const budgets = new Map<string, SharedRetryBudget>()
-  const startedAtMs = timer.now()
   let lastKnownGateways = assumedGateways
   let isStopping = false
   const directory = createDirectory({
@@ -103,11 +100,11 @@
       leaving_workers: () => directory.fleet.all().filter((worker) => worker.word.leavingSinceMs !== undefined).length,
       held_workers: () => directory.fleet.all().filter((worker) => worker.word.hold.untilMs() > timer.now()).length,
       held_bytes: () => heldBytes.heldBytes(),
-      requests_waiting: () => context.plainPlacement.waiting(),
       allowance_isolated: () => Number(allowances.isIsolated()),
       allowance_level_age_ms: () => allowances.levelAgeMs(),
       held_bytes_max: () => heldBytes.maxBytes,
       client_connections: () => clients?.count() ?? 0,
+      requests_waiting: () => context.plainPlacement.waiting(),
       quarantines: () => promptGuard.quarantines(),
       log_lines_dropped: () => options.droppedLines?.() ?? 0
     },
@@ -137,7 +134,7 @@
 
   const heldBytes = createByteBudget({ maxBytes: bounds.heldBytes })
 
-  const workerLoads = createWorkerLoads({ sidecars, timer, name: settings.machine, policy: options.placement ?? PlacementPolicy.Latency, incarnation: Date.now() })
+  const workerLoads = createWorkerLoads({ sidecars, timer, name: settings.machine, policy: options.placement ?? PlacementPolicy.Latency, incarnation: timer.wallClockMs() })
   const context: GatewayContext = {
     workerLoads,
     plainPlacement: createPlainPlacement(() => context),
@@ -154,22 +151,7 @@
     heldBytes,
     random,
     gatewayCount: gateways,
-    retryBudget (service) {
-      const found = budgets.get(service)
-      if (found !== undefined) return found
-      const { retryRatio: ratio, retrySlack: slack, retryWindowMs: windowMs } = settings
-      const budget = createSharedRetryBudget({ ratio, slack, windowMs, memberCount: gateways, startedAtMs })
-      const countedBudget: SharedRetryBudget = {
-        ...budget,
-        take (nowMs) {
-          const granted = budget.take(nowMs)
-          if (!granted) metrics.count(Count.RetriesDenied, { service })
-          return granted
-        }
-      }
-      budgets.set(service, countedBudget)
-      return countedBudget
-    },
+    retryBudget: createRetryBudgets({ settings, metrics, memberCount: gateways, startedAtMs: timer.now() }),
     roundTripMs: (zone) => getRoundTripMs(settings, zone)
   }
 
@@ -204,8 +186,8 @@
     readinessServer.close()
     readinessServer.closeAllConnections()
     promptGuard.close()
-    workerLoads.close()
     allowances.close()
+    workerLoads.close()
     sidecars.close()
     await records.close()
     await view.close()
--- a/sidecar/start_sidecar.ts
+++ b/sidecar/start_sidecar.ts
@@ -79,10 +79,9 @@
   const peerBounds = { maxFirstFrameBytes, ...(bounds.clients === undefined ? {} : { maxConnections: bounds.clients / 2 }) }
   const view = await shareView({ directory, timer, log, address: formatAddress(settings.ip, internalPort + viewPortOffset), readers, bounds: peerBounds })
   const packing = { ...options.packing, startMs }
-  const workerLoads = createWorkerLoadsTask(timer)
   const allowances = createAllowanceTask({ directory, timer, tolerance: getAllowanceTolerance(settings) })
+  const workerLoads = createWorkerLoadsTask(timer)
   const admission = createAdmissionTask({
-    exchange: { ...allowances.handlers, ...workerLoads.handlers },
     directory,
     pool,
     timer,
@@ -90,7 +89,8 @@
     packing,
     random,
     drainMs: settings.drainMs,
-    isSwitching: () => stages.isSwitching()
+    isSwitching: () => stages.isSwitching(),
+    exchange: { ...allowances.handlers, ...workerLoads.handlers }
   })
   const stages = createStageTask({
     machine: settings.machine,
@@ -115,8 +115,8 @@
       view_revision: () => directory.position().revision,
       room_tokens: () => admission.roomTokens(),
       gateways: () => admission.gateways(),
-      load_reporters: () => workerLoads.members(),
       allowance_gateways: () => allowances.gateways(),
+      load_reporters: () => workerLoads.members(),
       log_lines_dropped: () => options.droppedLines?.() ?? 0
     },
     onServer (server) {
--- a/wire/messages.ts
+++ b/wire/messages.ts
@@ -4,8 +4,8 @@
 import type { MessageKind } from './message_kind.ts'
 import type { AttemptRef, Outcome, Place, RefusalCode, Role, TierClass } from '../core/types/mod.ts'
 import type { StoreChange } from '../core/view/mod.ts'
-import type { WorkerLoads, WorkerLoadsSum } from './load_messages.ts'
 import type { AllowanceLevels, AllowanceReport } from './allowance_messages.ts'
+import type { WorkerLoads, WorkerLoadsSum } from './load_messages.ts'
 import type { EngineCapacity, Admit, Admitted, PromptEvidenceMessage, StreamEnded } from './pack_messages.ts'
 import type { ViewChanges, ViewRequest, ViewStateMessage } from './view_messages.ts'
 
