--- a/gateway/unexpected_errors_test.ts
+++ b/gateway/unexpected_errors_test.ts
@@ -98,7 +98,6 @@
     roundTripMs: () => 1,
     workerLoads: createLoadsAlone(this.clientTimer),
     heldBytes: { open: () => ({ set () {}, close () {} }) },
-    allowances: { spend: () => Ok({ giveBack () {} }) },
     settings: { drainMs: 2_500 },
     ...context
   } as unknown as GatewayContext)
--- a/gateway/withdrawn_key_test.ts
+++ b/gateway/withdrawn_key_test.ts
@@ -112,7 +112,6 @@
       gatewayCount: () => 1,
       workerLoads: createLoadsAlone(this.keyTimer),
       heldBytes: { open: () => ({ set () {}, close () {} }) },
-      allowances: { spend: () => Ok({ giveBack () {} }) },
       settings: { drainMs: 2_500, hasOrganisations: true }
     } as unknown as GatewayContext)
     this.keyServer.server.listen(0, '127.0.0.1')
