--- a/core/limits/_allowance_terms.ts
+++ b/core/limits/_allowance_terms.ts
@@ -10,7 +10,7 @@
 
 /** Longest age in milliseconds of a level that a gateway uses. */
 export const freshMs = 1000
-/** Part of a level that a gateway spends before the point knows of it: this share, or more by its share of the demand. */
+/** Part of a level that a gateway spends before the point knows of it: this share, its equal part, or more by its share of the demand. */
 export const unreportedShare = 0.25
 export const unreportedFactor = 1.5
 
--- a/core/limits/_point_view.ts
+++ b/core/limits/_point_view.ts
@@ -72,7 +72,7 @@
       const refilled = limit.perS * (nowMs - receivedMs) / msPerS
       const level = Math.min(capacity, (told?.level ?? untoldShare * capacity) + refilled)
       const unreported = total - (acked.get(organisation) ?? 0)
-      const part = Math.max(unreportedShare, unreportedFactor * (told?.share ?? 0)) * Math.max(0, level)
+      const part = Math.max(unreportedShare, 1 / gateways, unreportedFactor * (told?.share ?? 0)) * Math.max(0, level)
       // What all gateways are asked for until the answer to the next report comes, by their recent demand.
       const awaitedDemand = (told?.demandPerS ?? 0) * (getReportMs(gateways) + receivedMs - asOfMs) / msPerS
       const chance = awaitedDemand <= level ? 1 : Math.max(0, level) / awaitedDemand
--- a/gateway/allowance_test.ts
+++ b/gateway/allowance_test.ts
@@ -186,7 +186,9 @@
 })
 
 Then('all {int} requests of "south" were answered with 200', function (this: World, count: number) {
-  assert.equal(countStatus(this.otherAnswers, 200), count)
+  const others = this.otherAnswers.filter(({ status }) => status !== 200)
+  const lines = [...this.allowanceSites.values()].flatMap((site) => site.readLog().split('\n')).filter((line) => line.includes('south') && !line.includes('"status":200'))
+  assert.equal(countStatus(this.otherAnswers, 200), count, `${JSON.stringify(others)}\n${lines.join('\n')}`)
 })
 
 Then('the allowance worker got as many requests as were answered with 200', function (this: World) {
