Stop other connections also after 2 MB of first reads in one turn of the event loop

Cause: 600 clients far over the limit had a gateway of 178 MB at 186 MB (load 24 on 7 cores), as their first reads came in one turn.

--- a/http/_read_turns.ts
+++ b/http/_read_turns.ts
@@ -9,11 +9,11 @@
   /** Takes a socket that has just been accepted. */
   accept (socket: Socket): void
   /**
-   * Notes a piece of a body of many that is read without a turn. After a number of them in one turn of the event loop, all other sockets
-   * stop for a while, since any of them may have as much to read, and come back a few at a time: those that have got a response first, and
-   * the newest.
+   * Notes a piece of a long body that is read without a turn. After a number of them, or of bytes, in one turn of the event loop, all other
+   * sockets stop for a while, since any of them may have as much to read, and come back a few at a time: those that have got a response
+   * first, and the newest.
    */
-  notePiece (): void
+  noteUnturned (bytes: number): void
   /** Stops reading a socket until its next turn, which comes at the end of the queue; `pieces` returns the number of pieces of its last read. */
   wait (socket: Socket, pieces: () => number, onTurn: () => void): void
 }
@@ -31,8 +31,9 @@
 const maxReadsPerTurn = 8
 /** Number of pieces of a body whose handling takes as long as that of a read of one large piece. */
 const piecesPerRead = 500
-/** Number of pieces read without a turn, in one turn of the event loop, after which all other sockets stop. */
+/** Number of pieces read without a turn, in one turn of the event loop, after which all other sockets stop, and the length that counts as one. */
 const maxPiecesPerTurn = 2_000
+const bytesPerPiece = 1_024
 /** Number of stopped sockets that go on in each turn of the event loop. */
 const resumedPerTurn = 8
 /** Time in milliseconds after such a stop for which accepted sockets stop too. */
@@ -106,7 +107,7 @@
     // let tens of megabytes more of them pile up.
     Buffer.allocUnsafeSlow(1)
     // What a socket that is about to close would still bring is not needed.
-    for (const socket of stopped.splice(-resumedPerTurn)) if (!socket.destroyed && !socket.writableEnded) resume(socket)
+    for (const socket of stopped.splice(isSlow ? -1 : -resumedPerTurn)) if (!socket.destroyed && !socket.writableEnded) resume(socket)
     const maxReads = isSlow ? 1 : maxReadsPerTurn
     for (let reads = 0; reads < maxReads && queue.length > 0;) {
       const next = queue.shift()
@@ -133,9 +134,11 @@
         waiting.delete(socket)
       })
     },
-    notePiece () {
+    noteUnturned (bytes) {
       if (piecesInTurn === 0) setImmediate(() => { piecesInTurn = 0 })
-      if (++piecesInTurn === maxPiecesPerTurn) stopOthers()
+      const before = piecesInTurn
+      piecesInTurn += 1 + bytes / bytesPerPiece
+      if (before < maxPiecesPerTurn && piecesInTurn >= maxPiecesPerTurn) stopOthers()
     },
     wait (socket, pieces, onTurn) {
       pause(socket)
--- a/http/create_body_reader.ts
+++ b/http/create_body_reader.ts
@@ -101,7 +101,7 @@
       pieces++
       piecesOfTurn++
       onPiece(piece)
-      if (pieces > freePieces && !hasHadTurn) turns.notePiece()
+      if (!hasHadTurn && (bytes > freeBytes || pieces > freePieces)) turns.noteUnturned(piece.length)
       if (isWaiting || req.complete || req.socket.destroyed || (bytes <= freeBytes && pieces <= freePieces)) return
       isWaiting = true
       turns.wait(req.socket, () => piecesOfTurn, () => {
