--- a/gateway/_client_server.ts
+++ b/gateway/_client_server.ts
@@ -215,15 +215,14 @@
       context.retryBudget(service.name).recordRequest(timer.now())
       serve(request).catch(fail)
     }
-    const limits = (): ClientLimits => (directory.routeTable() ?? table).limits
-    readBody(req, res, { bodies, maxBytes: () => limits().maxBodyBytes, priority, onBody, refuse, onError: fail })
+    const maxBytes = (): number => (directory.routeTable() ?? table).limits.maxBodyBytes
+    readBody(req, res, { bodies, maxBytes, priority, onBody, refuse, onError: fail })
   }
 
   async function serve (request: ClientRequest): Promise<void> {
     const result = await (request.service.engine === undefined ? handlers.plain : handlers.engine)(context, request)
     if (result.status === 503 && !request.reply.isFinished()) request.spent.giveBack()
-    const tookMs = Math.round(timer.now() - request.startedMs)
-    recordResult(context, request, result, tookMs)
+    recordResult(context, request, result, Math.round(timer.now() - request.startedMs))
   }
 
   return {
