--- a/core/view/create_view_tracker.ts
+++ b/core/view/create_view_tracker.ts
@@ -51,6 +51,8 @@
   isCovered (prefix: number, nowMs: number): boolean
   /** Returns the state of this process for others; undefined before all prefixes have been read. */
   state (nowMs: number): ViewState | undefined
+  /** Returns how old the view of a prefix is by own reads and by those of others, in milliseconds; infinite without any. */
+  ages (prefix: number, nowMs: number): { readAgeMs: number, toldAgeMs: number }
 }
 
 /**
@@ -151,6 +153,7 @@
       if (!isComplete()) return undefined
       const agesMs = known.map((_revision, prefix) => nowMs - Math.max(readMs[prefix] as number, toldMs[prefix] as number))
       return { ...(era === 0 ? {} : { era }), revisions: [...known as number[]], agesMs }
-    }
+    },
+    ages: (prefix, nowMs) => ({ readAgeMs: nowMs - (readMs[prefix] as number), toldAgeMs: nowMs - (toldMs[prefix] as number) })
   }
 }
--- a/directory/_types.ts
+++ b/directory/_types.ts
@@ -51,6 +51,19 @@
   changes: StoreChange[]
 }
 
+/** How fresh the rules of a process are, for the log. */
+export interface RulesView {
+  /** Version in force; absent before the first one. */
+  version?: number
+  /** Revision of the store up to which all changes of the rules are known; absent before the first read. */
+  revision?: number
+  /** Times in milliseconds since the store is known to have had no later rules, by own reads and by those of others; absent without any. */
+  readAgeMs?: number
+  toldAgeMs?: number
+  /** True while the rules are not read here, because others pass them on. */
+  isCovered: boolean
+}
+
 /** The routing rules and workers that the store and other processes have reported. */
 export interface Directory {
   readonly fleet: Fleet
@@ -69,6 +82,8 @@
   storeEra (): number
   /** Returns the time in milliseconds since the store is known to have had no change that is not known here. */
   ageMs (): number
+  /** Describes how fresh the rules in force are. */
+  describeRules (): RulesView
   /** Sets whether this process reads the store for others. */
   setReader (isReader: boolean): void
   /** Returns how much of the store is known here; undefined before it has been read completely. */
--- a/directory/create_directory.ts
+++ b/directory/create_directory.ts
@@ -7,6 +7,7 @@
 import { createExchangePool } from '../exchange/mod.ts'
 import { decodeRoutingRules, decodeWorkerEntry, rulesKey, workerPrefix } from '../platform/mod.ts'
 import { describeKeys } from './_describe_keys.ts'
+import { describeRules } from './_describe_rules.ts'
 import { followPrefix } from './_follow_prefix.ts'
 import { createViewUpdates } from './_view_updates.ts'
 import { createWorkerRecords } from './_worker_records.ts'
@@ -216,6 +217,7 @@
     position: records.position,
     storeEra: () => tracker.era(),
     ageMs: () => Math.max(0, ...tracker.state(timer.now())?.agesMs ?? [timer.now() - startedMs]),
+    describeRules: () => describeRules({ table, tracker, index: 0, isCovered: watches[0]?.isSuspended() === true, nowMs: timer.now() }),
     setReader (next) {
       if (next === isReader) return
       isReader = next
--- a/gateway/_client_server.ts
+++ b/gateway/_client_server.ts
@@ -145,9 +145,9 @@
     if (table === undefined) return refuse(503, 'not_ready', notReadyRetryMs)
     if (head.requestId === undefined) return refuse(400, 'no_request_id')
     const route = table.findRoute(req.headers.host ?? '', req.url ?? '/')
-    if (route === undefined) return refuse(404, 'no_route')
+    if (route === undefined) return refuse(404, 'no_route', undefined, directory.describeRules())
     const refuseCaller = ({ status, reason, retryAfterMs }: CallerReply): void => refuse(status, reason, retryAfterMs, {
-      route: route.name, version: directory.routeTable()?.version, ...(head.key !== undefined && { keyLabel: getKeyLabel(head.key) })
+      route: route.name, ...directory.describeRules(), ...(head.key !== undefined && { keyLabel: getKeyLabel(head.key) })
     })
     const caller = identify(context, table, route, head)
     if (caller.err) return refuseCaller(getCallerReply(caller.val))
--- a/gateway/gateway.feature
+++ b/gateway/gateway.feature
@@ -114,6 +114,14 @@
       | length and chunks | 400    |
       | no protocol       | 400    |
 
+  # Guards against a refusal by old rules that no log line tells from one by the rules in force.
+  Scenario: A refusal for lack of a route tells the version and the age of the rules
+    When a gateway client writes an unknown path
+    Then the gateway client gets 404
+    And the gateway logged '"reason":"no_route","version":1,"revision":'
+    And the gateway logged '"readAgeMs":'
+    And the gateway logged '"isCovered":false'
+
   Scenario: A smuggled request is not run
     When a gateway client writes a body that looks like a request
     Then the gateway client gets 200
