Let a response of the store take as long as it goes on

What callers saw: refused with 401 or 404 as an older version says, more than 4 s after a newer one was acknowledged (CONFIG). Cause: each call to the store had one deadline for its whole response: 1.5 s for a page, 700 ms beyond the wait of a watch, and 720 ms in all for the first call after a failure. A large configuration over a busy link takes longer. It was given up and begun again from the start, by every process behind that link, so the copies that were thrown away kept the link busy and the next ones late: the deadline was shortest just then. Change: a deadline holds until a response begins; after that it is given up when no byte comes for 1.5 s. The time until it begins doubles with each failure in a row, up to 2 s. The size stays bounded by 64 MB.

--- a/directory/_follow_prefix.ts
+++ b/directory/_follow_prefix.ts
@@ -44,10 +44,16 @@
   onError (err: unknown): void
 }
 
-/** Time in milliseconds beyond its wait after which a watch call times out; the store responds within a few milliseconds. */
+/**
+ * Time in milliseconds beyond its wait within which the response to a watch call must begin; the store responds within a few milliseconds.
+ * It doubles with each failure in a row, up to the longest one, because a busy link delays responses.
+ */
 const watchTimeoutMarginMs = 700
-/** Timeout in milliseconds for reading a page; a slow store takes some hundreds. */
+const maxWatchTimeoutMarginMs = 2_000
+/** Time in milliseconds within which the response to a read of a page must begin; a slow store takes some hundreds. */
 const pageTimeoutMs = 1_500
+/** Time in milliseconds without a byte after which a response that has begun is given up: losses on a busy link stop it for some hundreds. */
+const stallMs = 1_500
 /** Largest response of the store in bytes: a watch returns all changes of its history at once, each with a value of up to 1 MiB. */
 const maxResponseBytes = 64 * 1_048_576
 /** Time in milliseconds that the first watch call after a failure waits: its response tells soon whether the store has come back in a new era. */
@@ -78,7 +84,8 @@
   let isSuspended = false
   let backoffMs = minBackoffMs
   let hasRead = false
-  let hasFailed = false
+  /** Number of calls that have failed in a row. */
+  let failures = 0
   let closed = false
   let pause: Subscription | undefined
   /** Number of times that the watch has begun; a call of an earlier one is ignored. */
@@ -91,7 +98,7 @@
 
   async function read (call: Call, timeoutMs: number): Promise<EraPage | undefined> {
     const ownRun = run
-    const response = await callJson(address, call, { pool, timer, timeoutMs, maxBytes: maxResponseBytes })
+    const response = await callJson(address, call, { pool, timer, timeoutMs, stallMs, maxBytes: maxResponseBytes })
     if (ownRun !== run) return undefined
     if (response.err) {
       // A call that timed out has waited long enough.
@@ -105,7 +112,7 @@
     }
     namedEra = era
     if (status === historyGoneStatus) {
-      hasFailed = false
+      failures = 0
       if (era === options.era()) options.onHistoryGone()
       options.onCallResult(undefined)
       return undefined
@@ -113,14 +120,14 @@
     const page = status === 200 ? decodeStorePage(body) : undefined
     if (page === undefined) return fail(`GET ${address}${call.path}: status ${status} or an invalid body`)
     backoffMs = minBackoffMs
-    hasFailed = false
+    failures = 0
     options.onCallResult(undefined)
     if (page.leftOut.length > 0) options.onLeftOut(page.leftOut.map(({ reason }) => reason))
     return { ...page, era, changes: era === 0 ? page.changes : page.changes.map((change) => ({ ...change, era })) }
   }
 
   function fail (message: string): undefined {
-    hasFailed = true
+    failures++
     options.onCallResult(message)
     backoffMs = Math.min(hasRead ? maxBackoffMs : maxInitialBackoffMs, backoffMs * 2)
     return undefined
@@ -153,9 +160,10 @@
   }
 
   async function watch (after: number): Promise<boolean> {
-    const watchMs = hasFailed ? probeWatchMs : options.watchMs()
+    const watchMs = failures > 0 ? probeWatchMs : options.watchMs()
+    const marginMs = Math.min(maxWatchTimeoutMarginMs, watchTimeoutMarginMs * 2 ** failures)
     const era = options.era()
-    const page = await read(buildWatchCall(prefix, after, watchMs), watchMs + watchTimeoutMarginMs)
+    const page = await read(buildWatchCall(prefix, after, watchMs), watchMs + marginMs)
     if (page === undefined) return options.revision() === undefined || namedEra > options.era()
     if (page.era === era) options.onChanges(page.changes, { era, revision: page.revision }, { isComplete: false, unusableKeys: [] })
     return true
--- a/directory/share_view.feature
+++ b/directory/share_view.feature
@@ -104,3 +104,16 @@
     And a view process whose receiver of rules throws
     When 1000 ms pass at the view
     Then the second view store has got at most 60 calls
+
+  # Guards against a response that is given up for its length and begun again and again, while each copy delays all others.
+  Scenario Outline: A large configuration is in force in time at a process whose link to the store is slow, <when>
+    Given a view process without readers whose link to the store carries 250000 bytes a second
+    When 1000 ms pass at the view
+    And version 2 with 1400 routes more is written to the view stores, <when>
+    Then the view process with the slow link knows version 2 within 3000 ms more
+
+    Examples:
+      | when                        |
+      | while it watches            |
+      | while it has just failed    |
+      | while it has just started   |
--- a/directory/share_view_test.ts
+++ b/directory/share_view_test.ts
@@ -4,11 +4,13 @@
 import assert from 'node:assert/strict'
 import { PassThrough } from 'node:stream'
 import { After, Given, Then, When } from '@cucumber/cucumber'
+import { createServer, connect as connectTcp } from 'node:net'
 import { createLog } from '../log/mod.ts'
 import { createSystemTimer } from '../timer/mod.ts'
 import { buildConfiguration, startStore, StoreMode } from '../testing/fleuve/mod.ts'
 import { findFreePort } from '../testing/ports/mod.ts'
 import { createDirectory, shareView } from './mod.ts'
+import type { AddressInfo, Server, Socket } from 'node:net'
 import type { FakeStore } from '../testing/fleuve/mod.ts'
 import type { Timer } from '../timer/mod.ts'
 import type { Directory, ViewSharing } from './mod.ts'
@@ -25,6 +27,16 @@
   viewTimer: Timer & { close (): void }
   readerAddresses: string[]
   countedFrom: number[]
+  slowLink?: SlowLink
+  slowFollower?: Process
+}
+
+/** Stands before the readers and passes their bytes on no faster than a link carries them, all of them together. */
+interface SlowLink {
+  addresses: string[]
+  /** Returns the number of bytes that were passed on. */
+  carried (): number
+  close (): void
 }
 
 async function sleep (ms: number): Promise<void> { await new Promise((resolve) => setTimeout(resolve, ms)) }
@@ -45,12 +57,80 @@
   })
 }
 
-async function startProcess (world: World, isReader: boolean, address?: string, onRules?: () => void): Promise<void> {
+/** Factor that spreads numbers over 32 bits, so that the prefixes of routes look random. */
+const spreadFactor = 2_654_435_761
+
+function buildLargeConfiguration (version: number, moreRoutes: number): string {
+  const { routes } = JSON.parse(buildConfiguration(version))
+  const more = Array.from({ length: moreRoutes }, (_, i) => ({ ...routes[0], name: `r-${i}`, prefix: `/p${(i * spreadFactor % 2 ** 32).toString(36)}/` }))
+  return buildConfiguration(version, { routes: [...routes, ...more] })
+}
+
+const linkTickMs = 10
+
+async function startSlowLink (readers: readonly string[], bytesPerS: number): Promise<SlowLink> {
+  const bytesPerTick = bytesPerS * linkTickMs / 1000
+  const waiting = new Map<Socket, Buffer[]>()
+  const sockets = new Set<Socket>()
+  const servers: Server[] = []
+  let carried = 0
+
+  /** Passes on up to `most` bytes of what waits for a socket, and returns their number. */
+  function carry (socket: Socket, most: number): number {
+    const [first, ...others] = waiting.get(socket) ?? []
+    if (first === undefined) return 0
+    const size = Math.min(first.length, most)
+    socket.write(first.subarray(0, size))
+    const rest = size < first.length ? [first.subarray(size), ...others] : others
+    if (rest.length > 0) waiting.set(socket, rest)
+    else waiting.delete(socket)
+    return size
+  }
+
+  const ticks = setInterval(() => {
+    let left = bytesPerTick
+    while (left > 0 && waiting.size > 0) {
+      // Connections take turns, as the packets of a link do.
+      const part = Math.ceil(left / waiting.size)
+      for (const socket of [...waiting.keys()]) {
+        const size = carry(socket, Math.min(part, left))
+        carried += size
+        left -= size
+      }
+    }
+  }, linkTickMs)
+  for (const reader of readers) {
+    const server = createServer((near) => {
+      const far = connectTcp(Number(reader.split(':')[1]), '127.0.0.1')
+      for (const socket of [near, far]) {
+        sockets.add(socket)
+        socket.on('error', () => {})
+        socket.on('close', () => { near.destroy(); far.destroy() })
+      }
+      near.pipe(far)
+      near.on('close', () => { waiting.delete(near) })
+      far.on('data', (bytes: Buffer) => { waiting.set(near, [...waiting.get(near) ?? [], bytes]) })
+    })
+    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+    servers.push(server)
+  }
+  return {
+    addresses: servers.map((server) => `127.0.0.1:${(server.address() as AddressInfo).port}`),
+    carried: () => carried,
+    close () {
+      clearInterval(ticks)
+      for (const socket of sockets) socket.destroy()
+      for (const server of servers) server.close()
+    }
+  }
+}
+
+async function startProcess (world: World, isReader: boolean, address?: string, onRules?: () => void, readers = world.readerAddresses, storeAddress?: string): Promise<void> {
   const log = createLog({ name: 'p', level: 'info', stream: new PassThrough().resume() })
   const store = world.viewStores[isReader ? 0 : 1] as FakeStore
-  const directory = createDirectory({ storeAddress: store.address, timer: world.viewTimer, log, random: Math.random, ...(onRules && { onRules }) })
+  const directory = createDirectory({ storeAddress: storeAddress ?? store.address, timer: world.viewTimer, log, random: Math.random, ...(onRules && { onRules }) })
   const own = address === undefined ? {} : { address }
-  const view = await shareView({ directory, timer: world.viewTimer, log, readers: () => world.readerAddresses, ...own })
+  const view = await shareView({ directory, timer: world.viewTimer, log, readers: () => readers, ...own })
   world.processes.push({ directory, view, isReader })
 }
 
@@ -82,6 +162,7 @@
     await view.close()
     await directory.close()
   }
+  this.slowLink?.close()
   for (const store of this.viewStores ?? []) await store.close()
   this.viewTimer?.close()
 })
@@ -214,3 +295,58 @@
 Then('the second view store has got at most {int} calls', function (this: World, calls: number) {
   assert.ok(countCalls(this, 1) <= calls, `${countCalls(this, 1)} calls`)
 })
+
+Given('a view follower whose link carries {int} bytes a second', async function (this: World, bytesPerS: number) {
+  this.slowLink = await startSlowLink(this.readerAddresses, bytesPerS)
+  await startProcess(this, false, undefined, undefined, this.slowLink.addresses)
+  this.slowFollower = this.processes.at(-1) as Process
+})
+
+When('version {int} with {int} routes more is written to the view stores, and the entry of a worker each {int} ms for {int} ms',
+  async function (this: World, version: number, count: number, eachMs: number, forMs: number) {
+    writeToAll(this, 'op/config', buildLargeConfiguration(version, count))
+    for (let passedMs = 0; passedMs < forMs; passedMs += eachMs) {
+      writeToAll(this, 'servers/busy', entryOf(`busy-${passedMs}`))
+      await sleep(eachMs)
+    }
+  })
+
+Then('the view follower with the slow link knows version {int} within {int} ms more', async function (this: World, version: number, ms: number) {
+  const link = this.slowLink
+  await until(() => this.slowFollower?.directory.routeTable()?.version === version, ms, `version ${version}, after ${link?.carried() ?? 0} bytes,`)
+})
+
+Then('it was sent at most {int} bytes', function (this: World, bytes: number) {
+  assert.ok((this.slowLink?.carried() ?? 0) <= bytes, `${this.slowLink?.carried() ?? 0} bytes`)
+})
+
+async function startSlowReader (world: World): Promise<void> {
+  const [store] = world.viewStores
+  if (store === undefined || world.slowLink === undefined) return
+  await startProcess(world, false, undefined, undefined, [], world.slowLink.addresses[0])
+  world.slowFollower = world.processes.at(-1) as Process
+}
+
+Given('a view process without readers whose link to the store carries {int} bytes a second', async function (this: World, bytesPerS: number) {
+  this.slowLink = await startSlowLink(this.viewStores.slice(0, 1).map(({ address }) => address), bytesPerS)
+  await startSlowReader(this)
+})
+
+const moments: { readonly [when: string]: (world: World) => Promise<void> } = {
+  'while it watches': async () => {},
+  async 'while it has just failed' (world) {
+    world.viewStores[0]?.setMode(StoreMode.Unavailable)
+    await sleep(300)
+    world.viewStores[0]?.setMode(StoreMode.Up)
+  },
+  async 'while it has just started' (world) { await startSlowReader(world) }
+}
+
+When(/^version (\d+) with (\d+) routes more is written to the view stores, (while .+)$/, async function (this: World, version: string, count: string, when: string) {
+  writeToAll(this, 'op/config', buildLargeConfiguration(Number(version), Number(count)))
+  await moments[when]?.(this)
+})
+
+Then('the view process with the slow link knows version {int} within {int} ms more', async function (this: World, version: number, ms: number) {
+  await until(() => this.slowFollower?.directory.routeTable()?.version === version, ms, `version ${version}, after ${this.slowLink?.carried() ?? 0} bytes,`)
+})
--- a/exchange/call_json.ts
+++ b/exchange/call_json.ts
@@ -21,8 +21,10 @@
 export interface CallJsonOptions {
   pool: ExchangePool
   timer: Timer
-  /** Time in milliseconds within which the complete response must arrive. */
+  /** Time in milliseconds within which the complete response must arrive; with `stallMs`, its head. */
   timeoutMs: number
+  /** Time in milliseconds without a byte after which a response that has begun is given up; it may take as long as it goes on otherwise. */
+  stallMs?: number
   /** Maximum size of a response body in bytes; 1 MiB by default. */
   maxBytes?: number
   /** Called just before the request is written; returning false fails the call as withheld. */
@@ -50,7 +52,7 @@
  * ```
  */
 export function callJson (address: string, req: ExchangeRequest, options: CallJsonOptions): Promise<Result<JsonResponse, Failure>> {
-  const { pool, timer, timeoutMs, maxBytes = defaultMaxBytes } = options
+  const { pool, timer, timeoutMs, stallMs, maxBytes = defaultMaxBytes } = options
   return new Promise((resolve) => {
     const received = createByteBuffer()
     let status = 0
@@ -63,16 +65,26 @@
       resolve(Err({ kind, message: `${req.method} ${address}${req.path}: ${message}`, isReused: false }))
     }
 
-    const deadline = timer.after(timeoutMs, () => fail(FailureKind.TimedOut, `no complete response within ${timeoutMs} ms`))
+    let deadline = timer.after(timeoutMs, () => fail(FailureKind.TimedOut, `no complete response within ${timeoutMs} ms`))
+
+    /** Gives a response that goes on its next time. Giving up a large one for its length would have it sent again from the start. */
+    function noteProgress (): void {
+      if (stallMs === undefined) return
+      deadline.cancel()
+      deadline = timer.after(stallMs, () => fail(FailureKind.TimedOut, `the response stopped for ${stallMs} ms after ${received.length()} bytes`))
+    }
+
     const exchange = pool.send(address, req, {
       ...(options.mayStart === undefined ? {} : { mayStart: options.mayStart }),
       onHead (code, raw) {
         status = code
         headers = raw
+        noteProgress()
         return true
       },
       onData (chunk) {
         received.append(chunk)
+        noteProgress()
         if (received.length() > maxBytes) fail(FailureKind.Broken, `response body is longer than ${maxBytes} bytes`)
       },
       onEnd () {
