Send a large configuration to a follower once, and packed

Cause: a follower that had not got the changes 300 ms after it had asked one reader asked the next one, at each word of any reader. The reply of a large configuration takes longer than that on a small link, so up to three copies of it shared the link, and the first was as late as the last. Change: while a reply is arriving, no other reader is asked; a connection tells how much has come of an incomplete message. Changes of over 4 kB travel as gzip to followers that read it (`readsPacked`), packed once for all that ask for the same; older builds get them as before.

--- a/directory/share_view.feature
+++ b/directory/share_view.feature
@@ -105,6 +105,15 @@
     When 1000 ms pass at the view
     Then the second view store has got at most 60 calls
 
+  # Guards against a large configuration of which a process with a slow link is sent one copy after the other, none in time.
+  Scenario: A large configuration is in force in time at a follower with a slow link
+    Given a view follower whose link carries 300000 bytes a second
+    When 1000 ms pass at the view
+    And the second view store is "busy"
+    And version 2 with 1400 routes more is written to the view stores, and the entry of a worker each 100 ms for 1500 ms
+    Then the view follower with the slow link knows version 2 within 1000 ms more
+    And it was sent at most 200000 bytes
+
   # Guards against a response that is given up for its length and begun again and again, while each copy delays all others.
   Scenario Outline: A large configuration is in force in time at a process whose link to the store is slow, <when>
     Given a view process without readers whose link to the store carries 250000 bytes a second
--- a/directory/share_view.ts
+++ b/directory/share_view.ts
@@ -2,6 +2,7 @@
  * Passes what the store holds on from the processes that read it to those that follow them.
  */
 import { connect, listen, MessageKind, parseAddress } from '../wire/mod.ts'
+import { createChangesEncoder, decodeChanges } from './_encode_changes.ts'
 import type { ViewState } from '../core/view/mod.ts'
 import type { Log } from '../log/mod.ts'
 import type { Timer } from '../timer/mod.ts'
@@ -61,8 +62,11 @@
   const followers = new Map<Connection, boolean>()
   const links = new Map<string, ReaderLink>()
   let isClosed = false
-  /** Time in milliseconds until which the reply to a request for changes is awaited. */
+  /** Time in milliseconds until which the reply to a request for changes is awaited, the reader that was asked, and what has come of the reply. */
   let requestedUntilMs = -Infinity
+  let requestedFrom: Connection | undefined
+  let receivedBytes = 0
+  const encodeChanges = createChangesEncoder()
 
   function sendState (): void {
     const state = followers.size === 0 ? undefined : directory.viewState()
@@ -77,21 +81,37 @@
     followers.set(connection, msg.era !== undefined)
     const update = directory.changesAfter(msg.after, msg.era ?? 0)
     if (update === undefined || !canFollow(update.state, msg.era !== undefined)) return
-    const { state, ...rest } = update
-    connection.send({ kind: MessageKind.ViewChanges, after: msg.after, ...state, ...rest })
+    const { state, changes, ...rest } = update
+    connection.send({ kind: MessageKind.ViewChanges, after: msg.after, ...state, ...rest, ...encodeChanges(msg, update) })
   }
 
   function request (connection: Connection): void {
     const after = directory.viewState()?.revisions ?? []
-    if (connection.send({ kind: MessageKind.ViewRequest, after, era: directory.storeEra() })) requestedUntilMs = timer.now() + requestTimeoutMs
+    if (!connection.send({ kind: MessageKind.ViewRequest, after, era: directory.storeEra(), readsPacked: true })) return
+    requestedUntilMs = timer.now() + requestTimeoutMs
+    requestedFrom = connection
+    receivedBytes = 0
+  }
+
+  /** Tells whether the reply to a request may still come: a second copy of a large one would only delay the first. */
+  function isReplyAwaited (): boolean {
+    if (timer.now() < requestedUntilMs) return true
+    const bytes = requestedFrom?.receivingBytes ?? 0
+    if (bytes <= receivedBytes) return false
+    receivedBytes = bytes
+    requestedUntilMs = timer.now() + requestTimeoutMs
+    return true
   }
 
   function onReaderMessage (connection: Connection, msg: Message): void {
     if (msg.kind === MessageKind.ViewState) {
-      if (directory.recordViewState(msg, msg.failureAgeMs) && timer.now() >= requestedUntilMs) request(connection)
+      if (directory.recordViewState(msg, msg.failureAgeMs) && !isReplyAwaited()) request(connection)
     } else if (msg.kind === MessageKind.ViewChanges) {
       requestedUntilMs = -Infinity
-      directory.applyChanges(msg.after, { ...msg, state: msg })
+      requestedFrom = undefined
+      const changes = decodeChanges(msg)
+      if (changes.ok) directory.applyChanges(msg.after, { ...msg, state: msg, changes: changes.val })
+      else log.warn({ reader: connection.remoteAddress, reason: changes.val }, 'changes of a store reader not read')
     }
   }
 
--- a/wire/_connection.ts
+++ b/wire/_connection.ts
@@ -15,6 +15,8 @@
   readonly remoteAddress: string
   /** Number of bytes accepted by `send` and not yet handed to the operating system. */
   readonly bufferedBytes: number
+  /** Number of bytes that have come of a message that is not complete; 0 between two messages. */
+  readonly receivingBytes: number
   /** Queues a message for sending; returns false when the connection is closed or holds too many unsent bytes. */
   send (msg: Message): boolean
   /** Sets the receiver of messages; messages that arrive before the first call are kept for it. */
@@ -130,6 +132,7 @@
   return {
     remoteAddress,
     get bufferedBytes () { return unsentBytes + socket.writableLength },
+    get receivingBytes () { return decoder.bufferedBytes },
     send,
     onMessage (fn) {
       const isFirst = receiver === undefined
--- a/wire/_message_checks.ts
+++ b/wire/_message_checks.ts
@@ -26,6 +26,8 @@
 const isRole = oneOf(Object.values(Role))
 const isFinishReason = oneOf(['stop', 'length'])
 const isChange = shape<StoreChange>({ key: isName, era: optional(isCount), revision: isCount, value: nullable(isString) })
+/** Accepts the changes of the store in one message. */
+export const isChanges = listOf(isChange)
 const isReply = shape<NonNullable<CallDone['reply']>>({ status: isCount, headers: isStringMap, body: isBytes })
 const isUsage = shape<UsageShare['usage'][number]>({
   caller: isName, requests: isAmount, tokens: isAmount, concurrency: isAmount, waiting: isAmount
@@ -130,7 +132,7 @@
   [MessageKind.ViewState]: {
     era: optional(isCount), revisions: listOf(isCount), agesMs: listOf(isAmount), failureAgeMs: optional(isAmount)
   },
-  [MessageKind.ViewRequest]: { after: listOf(isCount), era: optional(isCount) },
+  [MessageKind.ViewRequest]: { after: listOf(isCount), era: optional(isCount), readsPacked: optional(isBoolean) },
   [MessageKind.ViewChanges]: {
     after: listOf(isCount),
     afterEra: optional(isCount),
@@ -139,7 +141,8 @@
     agesMs: listOf(isAmount),
     failureAgeMs: optional(isAmount),
     complete: optional(listOf(isBoolean)),
-    changes: listOf(isChange)
+    changes: isChanges,
+    packed: optional(isBytes)
   },
   [MessageKind.PeerReport]: { name: isName, incarnation: isCount, state: oneOf(['suspect', 'leaving', 'gone']) },
   [MessageKind.UsageShare]: { entry: isName, incarnation: isCount, seq: isCount, usage: listOf(isUsage) },
--- a/wire/view_messages.ts
+++ b/wire/view_messages.ts
@@ -24,6 +24,8 @@
   after: readonly number[]
   /** Era to which these revisions belong; absent from builds that know no eras, which cannot follow a store in another era than 0. */
   era?: number
+  /** True when the sender reads packed changes; absent from builds that do not. */
+  readsPacked?: boolean
 }
 
 /** Carries the changes of all prefixes after the revisions that were asked for; all items when these belong to an earlier era, or as `complete` says. */
@@ -44,4 +46,6 @@
    */
   complete?: readonly boolean[]
   changes: StoreChange[]
+  /** The changes as `packChanges` packs them, in place of `changes`, which is empty then; sent only to those that read it. */
+  packed?: Uint8Array
 }
--- a/wire/wire.feature
+++ b/wire/wire.feature
@@ -70,3 +70,19 @@
     Given a wire listener with the key "none"
     When a wire connection with a limit of 100000 bytes sends to a peer that reads nothing
     Then the wire connection refuses messages and buffers at most 250000 bytes
+
+  # Guards against a small message that takes much memory, and against packed text that no check has seen.
+  Scenario Outline: Packed changes that are <what> are refused
+    Then the wire refuses packed changes that are <what>
+
+    Examples:
+      | what                 |
+      | no gzip              |
+      | no JSON              |
+      | cut off              |
+      | larger than 16 MiB   |
+      | without a revision   |
+      | with a nested value  |
+
+  Scenario: Packed changes are unpacked as they were
+    Then in 200 random lists of changes the wire unpacks what it has packed
--- a/wire/wire_fuzz_test.ts
+++ b/wire/wire_fuzz_test.ts
@@ -66,7 +66,7 @@
     kind: MessageKind.EngineCapacity, workerId: 'i-1', roomTokens: 9000, reads: false, waiting: 2, senders: 4
   },
   [MessageKind.ViewState]: { kind: MessageKind.ViewState, era: 2, revisions: [4, 9], agesMs: [12.5, 0] },
-  [MessageKind.ViewRequest]: { kind: MessageKind.ViewRequest, after: [4, 9], era: 2 },
+  [MessageKind.ViewRequest]: { kind: MessageKind.ViewRequest, after: [4, 9], era: 2, readsPacked: true },
   [MessageKind.ViewChanges]: {
     kind: MessageKind.ViewChanges,
     after: [4, 9],
@@ -76,7 +76,8 @@
     agesMs: [3, 0],
     failureAgeMs: 900,
     complete: [true, false],
-    changes: [{ key: 'servers/i-1', era: 2, revision: 5, value: null }]
+    changes: [{ key: 'servers/i-1', era: 2, revision: 5, value: null }],
+    packed: Buffer.from([31, 139])
   },
   [MessageKind.WorkerLoads]: {
     kind: MessageKind.WorkerLoads,
@@ -162,7 +163,7 @@
   [MessageKind.ExplainReply]: { kind: MessageKind.ExplainReply, requestId: 'r1', decisions: [{ reason: 'nearest' }] }
 }
 
-const optionalFields = new Set(['likelyTokens', 'ticket', 'reply', 'code', 'ageMs', 'after', 'more', 'failureAgeMs', 'readMs', 'era', 'afterEra', 'complete'])
+const optionalFields = new Set(['likelyTokens', 'ticket', 'reply', 'code', 'ageMs', 'after', 'more', 'failureAgeMs', 'readMs', 'era', 'afterEra', 'complete', 'packed', 'readsPacked'])
 const freeFormFields = new Set(['decisions'])
 
 const sampleArbitrary = fc.constantFrom<Message>(...Object.values(samples))
