Go on with the reply of a seed that is arriving, and have it packed

Cause: a process that starts asks its seeds for all records every 400 ms, and closed each connection after 350 ms. A large configuration does not arrive in that time over a small link; what had come was thrown away, and the next round began all copies again. Evidence: the new scenario fails on the code before: with three seeds behind 300 kB a second nothing is known after 1 s. Change: a seed that may still reply is not asked again, a reply is given up when no byte has come for 350 ms, and records travel packed to those that read it.

--- a/directory/share_view.feature
+++ b/directory/share_view.feature
@@ -126,3 +126,12 @@
       | while it watches            |
       | while it has just failed    |
       | while it has just started   |
+
+  # Guards against a start in which each round of requests throws away what has come of the replies to the one before.
+  Scenario: A process that starts while the store is away learns a large configuration over a slow link
+    Given a view process that gives its records to others
+    When version 2 with 1400 routes more is written to the view stores, while it watches
+    And 500 ms pass at the view
+    And a process starts whose link to three such seeds carries 300000 bytes a second, while the store is away
+    Then the view process with the slow link knows version 2 within 1000 ms more
+    And it was sent at most 200000 bytes
--- a/directory/share_view.ts
+++ b/directory/share_view.ts
@@ -2,7 +2,7 @@
  * Passes what the store holds on from the processes that read it to those that follow them.
  */
 import { connect, listen, MessageKind, parseAddress } from '../wire/mod.ts'
-import { createChangesEncoder, decodeChanges } from './_encode_changes.ts'
+import { createChangesPacker, decodeChanges } from './_pack_changes.ts'
 import type { ViewState } from '../core/view/mod.ts'
 import type { Log } from '../log/mod.ts'
 import type { Timer } from '../timer/mod.ts'
@@ -66,7 +66,7 @@
   let requestedUntilMs = -Infinity
   let requestedFrom: Connection | undefined
   let receivedBytes = 0
-  const encodeChanges = createChangesEncoder()
+  const pack = createChangesPacker()
 
   function sendState (): void {
     const state = followers.size === 0 ? undefined : directory.viewState()
@@ -82,7 +82,9 @@
     const update = directory.changesAfter(msg.after, msg.era ?? 0)
     if (update === undefined || !canFollow(update.state, msg.era !== undefined)) return
     const { state, changes, ...rest } = update
-    connection.send({ kind: MessageKind.ViewChanges, after: msg.after, ...state, ...rest, ...encodeChanges(msg, update) })
+    const key = JSON.stringify([msg.after, rest.afterEra, state.era, state.revisions, rest.complete])
+    const carried = msg.readsPacked === true ? pack(key, changes) : { changes }
+    connection.send({ kind: MessageKind.ViewChanges, after: msg.after, ...state, ...rest, ...carried })
   }
 
   function request (connection: Connection): void {
--- a/directory/share_view_test.ts
+++ b/directory/share_view_test.ts
@@ -9,11 +9,12 @@
 import { createSystemTimer } from '../timer/mod.ts'
 import { buildConfiguration, startStore, StoreMode } from '../testing/fleuve/mod.ts'
 import { findFreePort } from '../testing/ports/mod.ts'
-import { createDirectory, shareView } from './mod.ts'
+import { createDirectory, shareView, syncRecords } from './mod.ts'
 import type { AddressInfo, Server, Socket } from 'node:net'
 import type { FakeStore } from '../testing/fleuve/mod.ts'
 import type { Timer } from '../timer/mod.ts'
-import type { Directory, ViewSharing } from './mod.ts'
+import type { Log } from '../log/mod.ts'
+import type { Directory, RecordSync, ViewSharing } from './mod.ts'
 
 interface Process {
   directory: Directory
@@ -29,6 +30,8 @@
   countedFrom: number[]
   slowLink?: SlowLink
   slowFollower?: Process
+  seedAddress?: string
+  syncs?: RecordSync[]
 }
 
 /** Stands before the readers and passes their bytes on no faster than a link carries them, all of them together. */
@@ -57,6 +60,8 @@
   })
 }
 
+function createSilentLog (): Log { return createLog({ name: 'p', level: 'info', stream: new PassThrough().resume() }) }
+
 /** Factor that spreads numbers over 32 bits, so that the prefixes of routes look random. */
 const spreadFactor = 2_654_435_761
 
@@ -126,7 +131,7 @@
 }
 
 async function startProcess (world: World, isReader: boolean, address?: string, onRules?: () => void, readers = world.readerAddresses, storeAddress?: string): Promise<void> {
-  const log = createLog({ name: 'p', level: 'info', stream: new PassThrough().resume() })
+  const log = createSilentLog()
   const store = world.viewStores[isReader ? 0 : 1] as FakeStore
   const directory = createDirectory({ storeAddress: storeAddress ?? store.address, timer: world.viewTimer, log, random: Math.random, ...(onRules && { onRules }) })
   const own = address === undefined ? {} : { address }
@@ -158,6 +163,7 @@
   })
 
 After(async function (this: World) {
+  for (const sync of this.syncs ?? []) await sync.close()
   for (const { directory, view } of this.processes ?? []) {
     await view.close()
     await directory.close()
@@ -350,3 +356,20 @@
 Then('the view process with the slow link knows version {int} within {int} ms more', async function (this: World, version: number, ms: number) {
   await until(() => this.slowFollower?.directory.routeTable()?.version === version, ms, `version ${version}, after ${this.slowLink?.carried() ?? 0} bytes,`)
 })
+
+Given('a view process that gives its records to others', async function (this: World) {
+  await startProcess(this, false)
+  this.seedAddress = `127.0.0.1:${await findFreePort()}`
+  const { directory } = this.processes.at(-1) as Process
+  this.syncs = [await syncRecords({ directory, timer: this.viewTimer, log: createSilentLog(), seeds: [], address: this.seedAddress })]
+})
+
+When('a process starts whose link to three such seeds carries {int} bytes a second, while the store is away', async function (this: World, bytesPerS: number) {
+  this.viewStores[1]?.setMode(StoreMode.Silent)
+  const seed = this.seedAddress ?? assert.fail('no seed')
+  this.slowLink = await startSlowLink([seed, seed, seed], bytesPerS)
+  await startProcess(this, false, undefined, undefined, [])
+  this.slowFollower = this.processes.at(-1) as Process
+  const { directory } = this.slowFollower
+  this.syncs?.push(await syncRecords({ directory, timer: this.viewTimer, log: createSilentLog(), seeds: this.slowLink.addresses }))
+})
--- a/directory/sync_records.ts
+++ b/directory/sync_records.ts
@@ -2,6 +2,7 @@
  * Copies store records between processes, for those that start while the store is unavailable or holds an older copy.
  */
 import { connect, listen, MessageKind, parseAddress } from '../wire/mod.ts'
+import { createChangesPacker, decodeChanges } from './_pack_changes.ts'
 import type { Log } from '../log/mod.ts'
 import type { Timer } from '../timer/mod.ts'
 import type { ListenBounds } from '../wire/mod.ts'
@@ -27,6 +28,7 @@
 
 /** Interval in milliseconds between two rounds of requests; a round opens one short connection to each seed. */
 const requestPeriodMs = 400
+/** Time in milliseconds without a byte of the reply after which a request is given up. */
 const requestTimeoutMs = 350
 
 /**
@@ -45,23 +47,40 @@
 export async function syncRecords (options: SyncRecordsOptions): Promise<RecordSync> {
   const { directory, timer, log, address } = options
   const seeds = options.seeds.filter((seed) => seed !== address)
+  /** Seeds that have been asked and may still reply: a second copy of a large reply would only delay the first. */
+  const asked = new Set<string>()
+  const pack = createChangesPacker()
 
   async function requestRecords (seed: string): Promise<void> {
+    asked.add(seed)
     const connected = await connect({ address: seed, connectTimeoutMs: requestTimeoutMs })
-    if (connected.err) return
+    if (connected.err) {
+      asked.delete(seed)
+      return
+    }
     const connection = connected.val
-    const timeout = timer.after(requestTimeoutMs, () => connection.close())
-    connection.onClose(() => timeout.cancel())
+    let receivedBytes = 0
+    const checks = timer.every(requestTimeoutMs, () => {
+      if (connection.receivingBytes <= receivedBytes) connection.close()
+      receivedBytes = connection.receivingBytes
+    })
+    connection.onClose(() => {
+      asked.delete(seed)
+      checks.cancel()
+    })
     connection.onMessage((msg) => {
       if (msg.kind !== MessageKind.ConfigRecords) return
-      directory.applyRecords(msg.changes)
-      log.info({ seed, records: msg.changes.length, revision: msg.revision }, 'records learned')
+      const changes = decodeChanges(msg)
+      if (changes.ok) {
+        directory.applyRecords(changes.val)
+        log.info({ seed, records: changes.val.length, revision: msg.revision }, 'records learned')
+      } else log.warn({ seed, reason: changes.val }, 'records not read')
       connection.close()
     })
-    connection.send({ kind: MessageKind.ConfigDigest, revision: directory.position().revision, wants: true })
+    connection.send({ kind: MessageKind.ConfigDigest, revision: directory.position().revision, wants: true, readsPacked: true })
   }
 
-  function requestFromSeeds (): void { for (const seed of seeds) requestRecords(seed) }
+  function requestFromSeeds (): void { for (const seed of seeds) if (!asked.has(seed)) requestRecords(seed) }
 
   const requestRounds = timer.every(requestPeriodMs, () => {
     if (directory.hasReadStore()) requestRounds.cancel()
@@ -79,8 +98,10 @@
       onConnection (connection) {
         connection.onMessage((msg) => {
           if (msg.kind !== MessageKind.ConfigDigest) return
-          const { revision } = directory.position()
-          connection.send({ kind: MessageKind.ConfigRecords, revision, complete: false, changes: directory.records() })
+          const { era, revision } = directory.position()
+          const records = directory.records()
+          const key = JSON.stringify([era, revision, directory.routeTable()?.version, records.length])
+          connection.send({ kind: MessageKind.ConfigRecords, revision, complete: false, ...(msg.readsPacked === true ? pack(key, records) : { changes: records }) })
         })
       }
     })
--- a/wire/_message_checks.ts
+++ b/wire/_message_checks.ts
@@ -121,13 +121,14 @@
     prefixes: listOf(isName),
     stalledMs: isAmount
   },
-  [MessageKind.ConfigDigest]: { revision: isCount, wants: isBoolean, ageMs: optional(isAmount), reply: optional(isBoolean) },
+  [MessageKind.ConfigDigest]: { revision: isCount, wants: isBoolean, ageMs: optional(isAmount), reply: optional(isBoolean), readsPacked: optional(isBoolean) },
   [MessageKind.ConfigRecords]: {
     revision: isCount,
     after: optional(isCount),
     complete: isBoolean,
     more: optional(isBoolean),
-    changes: listOf(isChange)
+    changes: isChanges,
+    packed: optional(isBytes)
   },
   [MessageKind.ViewState]: {
     era: optional(isCount), revisions: listOf(isCount), agesMs: listOf(isAmount), failureAgeMs: optional(isAmount)
--- a/wire/messages.ts
+++ b/wire/messages.ts
@@ -233,6 +233,8 @@
   ageMs?: number
   /** True when this message answers a digest; it gets no answer itself. */
   reply?: boolean
+  /** True when the sender reads packed changes; absent from builds that do not. */
+  readsPacked?: boolean
 }
 
 /** Carries configuration records between peers. */
@@ -244,6 +246,8 @@
   after?: number
   /** True when the page has every record, so that a missing record was deleted. */
   complete: boolean
+  /** The changes as `packChanges` packs them, in place of `changes`, which is empty then; sent only to those that read it. */
+  packed?: Uint8Array
   /** True when the next message continues the page; the last message of a page has no `more`. */
   more?: boolean
   changes: StoreChange[]
