Wait longer for a response of the store that has stopped on the way

Cause: when a region's readers are replaced or lost, its other processes read the store themselves, all over the link between the regions. Each gets a part of a large response and waits for its next turn longer than 1.5 s; connections take more than 1 s. What was given up was sent again. Change: a response that has begun is given up after 5 s without a byte, and a connection to the store may take 2 s.

--- a/directory/_follow_prefix.ts
+++ b/directory/_follow_prefix.ts
@@ -52,8 +52,13 @@
 const maxWatchTimeoutMarginMs = 2_000
 /** Time in milliseconds within which the response to a read of a page must begin; a slow store takes some hundreds. */
 const pageTimeoutMs = 1_500
-/** Time in milliseconds without a byte after which a response that has begun is given up: losses on a busy link stop it for some hundreds. */
-const stallMs = 1_500
+/**
+ * Time in milliseconds without a byte after which a response that has begun is given up. It is long, since a link that many processes read
+ * over at once stops each of them for a second or more, and what is given up is sent once more.
+ */
+const stallMs = 5_000
+/** Time in milliseconds within which a connection to the store must be established; over a busy link between regions it takes more than one second. */
+export const storeConnectTimeoutMs = 2_000
 /** Largest response of the store in bytes: a watch returns all changes of its history at once, each with a value of up to 1 MiB. */
 const maxResponseBytes = 64 * 1_048_576
 /** Time in milliseconds that the first watch call after a failure waits: its response tells soon whether the store has come back in a new era. */
--- a/directory/create_directory.ts
+++ b/directory/create_directory.ts
@@ -8,7 +8,7 @@
 import { decodeRoutingRules, decodeWorkerEntry, rulesKey, workerPrefix } from '../platform/mod.ts'
 import { describeKeys } from './_describe_keys.ts'
 import { describeRules } from './_describe_rules.ts'
-import { followPrefix } from './_follow_prefix.ts'
+import { followPrefix, storeConnectTimeoutMs } from './_follow_prefix.ts'
 import { createViewUpdates } from './_view_updates.ts'
 import { createWorkerRecords } from './_worker_records.ts'
 import { PassedOver } from './_types.ts'
@@ -43,7 +43,7 @@
 export function createDirectory (options: DirectoryOptions): Directory {
   const { timer, log, storeAddress, random, watchMs = defaultWatchMs } = options
   const fleet = createFleet()
-  const pool = createExchangePool()
+  const pool = createExchangePool({ connectTimeoutMs: storeConnectTimeoutMs })
   const records = createRecordSet()
   const readPrefixes = new Set<string>()
   /** Number of items that the last complete read of each prefix could not use. */
