Let a stream go on only at engines of the software version that began it

Cause: the version in a worker's entry was checked and dropped, so a stream that broke or fell silent went on at any engine of its service. Class of fault: state of one incarnation is continued by another that does not fit it. Change: an entry keeps its software version. The engine that writes the first event decides the version; from then on memory is sought only at engines of that version, also while a stream is silent, and an attempt that was prepared before the first event is given back when it does not fit. When no such engine serves, the answer is broken off, or refused at once as `version_gone` without a time to come back. A stream without an event goes on anywhere. The sidecar refuses a gateway that takes its engine for one of another version (`engineVersion`). The same cause elsewhere: a KV cache that an engine of one version has read was fetched by one of another; only engines of the same version prefill now.

--- a/core/balance/balance_test.ts
+++ b/core/balance/balance_test.ts
@@ -11,7 +11,7 @@
 const options = { policy: StagePolicy.Share, prefillShare: 0.2 }
 
 function entry (id: string, stage: Stage): WorkerEntry {
-  return { id, service: 'llm', address: '10.0.0.1:80', zone: 'levis', slots: 64, state: WorkerState.Ready, stage, bornMs: 1 }
+  return { id, service: 'llm', address: '10.0.0.1:80', zone: 'levis', slots: 64, state: WorkerState.Ready, softwareVersion: 'v1', stage, bornMs: 1 }
 }
 
 const engines = fc.uniqueArray(fc.record({ id: fc.string({ minLength: 1, maxLength: 6 }), isPrefill: fc.boolean() }), {
--- a/core/cost/_deciders_test.ts
+++ b/core/cost/_deciders_test.ts
@@ -23,7 +23,7 @@
     const fleet = createFleet()
     const random = createRandom(gateway + 77)
     for (let i = 0; i < load.workers; i++) {
-      fleet.upsert({ id: `${i}`, service: 's', address: '10.0.0.1:80', zone: `${i}`, slots: load.slots, state: WorkerState.Ready, bornMs: 1 }, 0)
+      fleet.upsert({ id: `${i}`, service: 's', address: '10.0.0.1:80', zone: `${i}`, slots: load.slots, state: WorkerState.Ready, softwareVersion: 'v1', bornMs: 1 }, 0)
     }
     const get = (worker: number): Worker => fleet.get(`${worker}`) as Worker
     return {
--- a/core/fleet/_simulated_words_test.ts
+++ b/core/fleet/_simulated_words_test.ts
@@ -59,7 +59,7 @@
   function schedule (delayMs: number, run: () => void): void { events.push({ atMs: nowMs + delayMs, run }) }
 
   function buildEntry ({ id, bornMs }: SimulatedWorker, earlierMs = 0): WorkerEntry {
-    return { id, service: 's', address: '10.0.0.1:80', zone: 'z', slots: 6, state: WorkerState.Ready, bornMs: bornMs - earlierMs }
+    return { id, service: 's', address: '10.0.0.1:80', zone: 'z', slots: 6, state: WorkerState.Ready, softwareVersion: 'v1', bornMs: bornMs - earlierMs }
   }
 
   function startProcess (name: string): Process {
--- a/core/fleet/_types.ts
+++ b/core/fleet/_types.ts
@@ -32,6 +32,8 @@
   stage?: Stage
   /** Unix time in milliseconds at which the worker started; tells a restarted worker with the same identity from its predecessor. */
   bornMs: number
+  /** Version of the worker's software, not of a model; what two versions write does not fit together. */
+  softwareVersion: string
   /** Number of times that the worker has written its entry since its start; absent when unknown. */
   sequence?: number
 }
--- a/core/fleet/find_successor.ts
+++ b/core/fleet/find_successor.ts
@@ -15,7 +15,7 @@
  * ```ts
  * import { findSuccessor, WorkerState } from 'briarloom/core/fleet'
  *
- * const entry = { id: 'd1', service: 'llm', address: '10.0.0.1:80', zone: 'a', slots: 6, state: WorkerState.Ready, bornMs: 1 }
+ * const entry = { id: 'd1', service: 'llm', address: '10.0.0.1:80', zone: 'a', slots: 6, state: WorkerState.Ready, softwareVersion: 'v1', bornMs: 1 }
  * console.assert(findSuccessor([entry], entry) === undefined)
  * console.assert(findSuccessor([{ ...entry, id: 'd9', bornMs: 2 }], entry)?.id === 'd9')
  * ```
--- a/core/fleet/fleet_test.ts
+++ b/core/fleet/fleet_test.ts
@@ -15,7 +15,7 @@
 const drainMs = 2_500
 
 function buildEntry (id: string, bornMs: number): WorkerEntry {
-  return { id, service: 's', address: '10.0.0.1:80', zone: 'z', slots: 6, state: WorkerState.Ready, bornMs }
+  return { id, service: 's', address: '10.0.0.1:80', zone: 'z', slots: 6, state: WorkerState.Ready, softwareVersion: 'v1', bornMs }
 }
 
 function workerOf (world: World, id: string): Worker {
--- a/core/prefill/prefill_test.ts
+++ b/core/prefill/prefill_test.ts
@@ -19,7 +19,7 @@
   const fleet = createFleet()
   for (const id of ['i-1', 'i-2']) {
     const stage = Stage.Prefill
-    fleet.upsert({ id, service: 'llm', address: '10.0.0.1:80', zone: 'levis', slots: 64, state: WorkerState.Ready, stage, bornMs: 1 }, 0)
+    fleet.upsert({ id, service: 'llm', address: '10.0.0.1:80', zone: 'levis', slots: 64, state: WorkerState.Ready, softwareVersion: 'v1', stage, bornMs: 1 }, 0)
   }
   const measured = fleet.get('i-2') as Worker
   measured.prefillMsPerToken = prefillMsPerToken
--- a/gateway/_forward_stream.ts
+++ b/gateway/_forward_stream.ts
@@ -60,6 +60,8 @@
   events: EventSplitter
   /** Seeks another engine while the stream is silent. */
   seek: SeekReplacement
+  /** Called before an event of this attempt is passed on. */
+  onEvents (): void
 }
 
 const minFailureStatus = 500
@@ -179,6 +181,7 @@
       if (events !== undefined) held.set(events.partialBytes())
       if (isSettled) return
       watch?.onData(forwarded.length > 0)
+      if (forwarded.length > 0 && hasEvents) resumption?.onEvents()
       if (forwarded.length === 0 || request.reply.write(forwarded)) return
       watch?.suspend()
       exchange.pause()
@@ -190,9 +193,7 @@
     }
 
     const lastEventId = events === undefined ? request.head.lastEventId : events.lastId()
-    const addedHeaders = {
-      reservationId: reservation.id, ...(kvSource === undefined ? {} : { kvSource }), ...(lastEventId === undefined ? {} : { lastEventId })
-    }
+    const addedHeaders = { reservationId: reservation.id, ...(kvSource && { kvSource }), ...(lastEventId !== undefined && { lastEventId }) }
     const exchange = sendToWorker(context, request, worker, addedHeaders, {
       onHead (head) {
         stats.status = head.status
--- a/gateway/_prefill.ts
+++ b/gateway/_prefill.ts
@@ -31,11 +31,15 @@
 /** A client whose deadline is shorter than this share of the route's timeout has come back after a refusal. */
 const returningDeadlineShare = 0.97
 
-/** Returns the prefill engine with the lowest estimated cost; undefined when none can be asked. */
-function findFastestPrefillEngine (context: GatewayContext, request: ClientRequest): Worker | undefined {
+/**
+ * Returns the prefill engine with the lowest estimated cost whose KV cache the decode engine can use: the caches of two software versions
+ * do not fit together. Returns undefined when none can be asked.
+ */
+function findFastestPrefillEngine (context: GatewayContext, request: ClientRequest, decodeEngine: Worker): Worker | undefined {
   const nowMs = context.timer.now()
   const ranked = context.directory.fleet.serving(request.service.name)
-    .filter((worker) => stageOf(worker) === Stage.Prefill && (worker.prefillRetryAtMs ?? 0) <= nowMs)
+    .filter((worker) => stageOf(worker) === Stage.Prefill && worker.entry.softwareVersion === decodeEngine.entry.softwareVersion)
+    .filter((worker) => (worker.prefillRetryAtMs ?? 0) <= nowMs)
     .map((worker) => ({ worker, rank: checkWorker(context, worker, request.head.sharedParts).rank }))
   const bestRank = Math.min(SendRank.Leaving, ...ranked.map(({ rank }) => rank))
   const engines = ranked.filter(({ rank }) => rank === bestRank).map(({ worker }) => worker)
@@ -73,7 +77,7 @@
 
 /** Plans the prefill of a request. */
 export function planPrefill (context: GatewayContext, request: ClientRequest, options: PlanPrefillOptions): PrefillPlan {
-  const engine = findFastestPrefillEngine(context, request)
+  const engine = findFastestPrefillEngine(context, request, options.decodeEngine)
   const { targetLatencyMs, longestPauseMs } = request.route
   // A late request may wait for the whole target from now on.
   const sinceMs = options.isLate ? context.timer.now() : request.startedMs
@@ -114,7 +118,7 @@
   const result = await runPrefill(context, request, engine)
   if (!result.isLost || request.stopReason() !== undefined) return result
   if (canPrefillWithinPause(estimatePrefillAtDecodeMs(context, request, decodeEngine), request.route.longestPauseMs)) return result
-  const secondEngine = findFastestPrefillEngine(context, request)
+  const secondEngine = findFastestPrefillEngine(context, request, decodeEngine)
   if (secondEngine === undefined || !context.retryBudget(request.service.name).take(context.timer.now())) return result
   context.log.warn({ request: request.requestId, reader: engine.entry.id, other: secondEngine.entry.id }, 'prompt read again')
   return await runPrefill(context, request, secondEngine)
--- a/gateway/_prepare_attempt.ts
+++ b/gateway/_prepare_attempt.ts
@@ -9,7 +9,7 @@
 import { releaseReservation, reserveMemory } from './_reserve_memory.ts'
 import type { Result } from '../core/results/mod.ts'
 import type { PrefillResult } from './_prefill.ts'
-import type { Reservation } from './_reserve_memory.ts'
+import type { EngineFilter, Reservation } from './_reserve_memory.ts'
 import type { ClientRequest, GatewayContext } from './_types.ts'
 
 /** An attempt for which everything is ready. */
@@ -23,9 +23,7 @@
 }
 
 /** Configures the preparation. */
-export interface PrepareAttemptOptions {
-  /** Ids of the engines that are not asked. */
-  exclude: ReadonlySet<string>
+export interface PrepareAttemptOptions extends EngineFilter {
   /** True when a repeated send is still to be taken from the retry budget, once memory is reserved. */
   takesRetry: boolean
 }
@@ -39,7 +37,7 @@
   if (isQuarantined(context, request)) return Err('prompt_quarantined')
   const reply = findCallerReply(request)
   if (reply !== undefined) return Err(reply.reason)
-  const reservation = await reserveMemory(context, request, options.exclude)
+  const reservation = await reserveMemory(context, request, options)
   const reservedAtMs = timer.now()
   context.metrics.count(Count.Reservations, { result: reservation === undefined ? 'refused' : 'taken' })
   if (reservation === undefined) return Err('no_memory')
--- a/gateway/_reserve_memory.ts
+++ b/gateway/_reserve_memory.ts
@@ -34,6 +34,8 @@
   /** Id of the reservation at the engine. */
   id: string
   tokens: number
+  /** Software version of the engine when the memory was reserved. */
+  softwareVersion: string
   /** Engines of the service that the choice held back, with the reasons, for the log. */
   held?: string | undefined
 }
@@ -77,14 +79,30 @@
   return (open.length > 0 ? open : ranked.filter(({ rank }) => rank === SendRank.Leaving)).map(({ worker }) => worker)
 }
 
+/** Which engines are asked for memory. */
+export interface EngineFilter {
+  /** Ids of the engines that are not asked. */
+  exclude: ReadonlySet<string>
+  /** Software version of the engines that are asked; those of any version when it is absent. */
+  softwareVersion?: string | undefined
+}
+
+/** Returns the engines of a request's service that generate, or will when their stage has changed back: of one software version if it is given. */
+export function listDecodeEngines (context: GatewayContext, request: ClientRequest, softwareVersion?: string): Worker[] {
+  return context.directory.fleet.serving(request.service.name).filter((worker) =>
+    stageOf(worker) !== Stage.Prefill && (softwareVersion === undefined || worker.entry.softwareVersion === softwareVersion))
+}
+
 /** Reserves memory at an engine; returns undefined when no engine grants it in time, or when the request has stopped. */
 export async function reserveMemory (
-  context: GatewayContext, request: ClientRequest, exclude: ReadonlySet<string>
+  context: GatewayContext, request: ClientRequest, { exclude, softwareVersion }: EngineFilter
 ): Promise<Reservation | undefined> {
   const { timer, directory } = context
   // A retrying client has already missed its target latency: it may wait longer, and a second refusal has no benefit.
   const isBack = isReturning(request)
-  const untilMs = (exclude.size > 0 ? timer.now() : request.startedMs) +
+  // A stream that goes on has lost its time already.
+  const goesOn = exclude.size > 0 || softwareVersion !== undefined
+  const untilMs = (goesOn ? timer.now() : request.startedMs) +
     (isBack ? retryingWaitMs : reservationWaitShare * request.route.targetLatencyMs)
   const memoryTokens = request.service.engine?.memoryTokens ?? 0
   /** Number of refusals of engines by their code. */
@@ -108,9 +126,9 @@
     return undefined
   }
   for (;;) {
-    const decodeEngines = directory.fleet.serving(request.service.name)
-      .filter((worker) => stageOf(worker) !== Stage.Prefill && !exclude.has(worker.entry.id))
+    const decodeEngines = listDecodeEngines(context, request, softwareVersion).filter(({ entry }) => !exclude.has(entry.id))
     const engines = sortByRoom(context, listOpenEngines(context, request, decodeEngines), memoryTokens)
+    if (softwareVersion !== undefined && decodeEngines.length === 0) return logNotReserved(engines)
     if (areAllHeld(context, decodeEngines) && timer.now() + (getEarliestMs(context, decodeEngines) ?? Infinity) > untilMs) return logNotReserved(engines)
     const prefilling: Worker[] = []
     for (const candidates of [engines, prefilling]) {
@@ -118,7 +136,7 @@
         if (request.stopReason() !== undefined) return logNotReserved(engines)
         if (worker.capacity !== undefined && worker.capacity.freeTokens < request.head.promptTokens) continue
         // Engines that refused because they run a prefill are asked again with a separate prefill engine, once all others have refused.
-        plan = planPrefill(context, request, { decodeEngine: worker, areDecodeEnginesBusy: candidates === prefilling, isLate: isBack || exclude.size > 0 })
+        plan = planPrefill(context, request, { decodeEngine: worker, areDecodeEnginesBusy: candidates === prefilling, isLate: isBack || goesOn })
         if (plan.place === PrefillPlace.Later) continue
         const reservation = await reserveAtEngine(context, request, worker, plan.engine)
         if (reservation.ok) return { ...reservation.val, held }
@@ -150,13 +168,14 @@
   const withoutEstimate = { requestId: request.requestId, promptTokens, maxTokens }
   const packRequest = likelyOutputTokens === undefined ? withoutEstimate : { ...withoutEstimate, likelyTokens: likelyOutputTokens }
   const readMs = prefillEngine === undefined ? estimatePrefillAtDecodeMs(context, request, worker) : undefined
+  const { softwareVersion } = worker.entry
   const response = await context.sidecars.reserve(worker, packRequest, readMs)
   if (response.err) {
     if (response.val === RefusalCode.NoCapacity && worker.capacity) worker.capacity.freeTokens = Math.min(worker.capacity.freeTokens, promptTokens)
     return response
   }
   if (worker.capacity) worker.capacity.freeTokens = Math.max(0, worker.capacity.freeTokens - countReservedTokens(request))
-  return releaseIfStopped(context, request, { worker, prefillEngine, id: response.val, tokens: countReservedTokens(request) })
+  return releaseIfStopped(context, request, { worker, prefillEngine, id: response.val, tokens: countReservedTokens(request), softwareVersion })
 }
 
 /** Releases a reservation at once when its request has stopped meanwhile. */
@@ -170,6 +189,7 @@
   context: GatewayContext, request: ClientRequest, worker: Worker, prefillEngine: Worker | undefined
 ): Promise<Result<Reservation, RefusalCode>> {
   const tokens = countReservedTokens(request)
+  const { softwareVersion } = worker.entry
   const { timer, controlPool: pool, directory } = context
   const call = buildReserveCall(worker.entry.id, tokens, request.service.engine?.holdMs ?? 0)
   const response = await callJson(worker.entry.address, call, {
@@ -182,7 +202,7 @@
   }
   recordCallAnswer(context, worker, response.val)
   const id = response.val.status === 200 ? decodeReservationId(response.val.body) : undefined
-  return id === undefined ? Err(RefusalCode.NoCapacity) : releaseIfStopped(context, request, { worker, prefillEngine, id, tokens })
+  return id === undefined ? Err(RefusalCode.NoCapacity) : releaseIfStopped(context, request, { worker, prefillEngine, id, tokens, softwareVersion })
 }
 
 /** Releases a reservation that will not be used. */
--- a/gateway/_serve_generation.ts
+++ b/gateway/_serve_generation.ts
@@ -1,19 +1,21 @@
 /**
  * Serves generations: reserves memory at a decode engine, then has the prompt prefilled, then forwards the stream.
  */
-import { Stage, stageOf } from '../core/fleet/mod.ts'
 import { createEventSplitter } from '../core/stream/mod.ts'
 import { Count } from '../metrics/mod.ts'
 import { forwardStream, StreamEnd } from './_forward_stream.ts'
 import { findCallerReply } from './_identify_caller.ts'
 import { prepareAttempt, releaseAttempt } from './_prepare_attempt.ts'
-import { areAllHeld, reserveAtEngine } from './_reserve_memory.ts'
+import { areAllHeld, listDecodeEngines, reserveAtEngine } from './_reserve_memory.ts'
+import { mayVersionServe, versionGone } from './_resume_stream.ts'
 import { getReturnMs } from './_send_to_worker.ts'
 import { StopReason } from './_types.ts'
 import type { EventSplitter } from '../core/stream/mod.ts'
 import type { Worker } from '../core/fleet/mod.ts'
+import type { Origin } from './_resume_stream.ts'
 import type { StreamResult } from './_forward_stream.ts'
 import type { PreparedAttempt } from './_prepare_attempt.ts'
+import type { Reservation } from './_reserve_memory.ts'
 import type { RequestResult, ClientRequest, GatewayContext } from './_types.ts'
 
 /** Delay in milliseconds after which a client may retry when an engine has refused its request. */
@@ -33,6 +35,8 @@
   /** True when an engine may have run the request. */
   mayHaveRun: boolean
   events?: EventSplitter
+  /** What began the stream; absent until it has an event. It goes on at the same software version only. */
+  origin?: Origin
 }
 
 /** Serves one generation and returns its result. */
@@ -42,8 +46,8 @@
   let prepared: PreparedAttempt | undefined
   for (;;) {
     if (prepared === undefined) {
-      const result = await prepareAttempt(context, request, { exclude: state.exclude, takesRetry: false })
-      if (result.err) return failRequest(context, request, state, result.val === 'no_memory' ? findRefusalReason(context, request) : result.val)
+      const result = await prepareAttempt(context, request, { exclude: state.exclude, takesRetry: false, softwareVersion: state.origin?.softwareVersion })
+      if (result.err) return failRequest(context, request, state, result.val === 'no_memory' ? findRefusalReason(context, request, state) : result.val)
       prepared = result.val
     }
     const { reservation: { worker }, kvCache, holdMs, prefillMs } = prepared
@@ -56,6 +60,10 @@
     }
     recordFailedAttempt(context, request, state, prepared, result)
     prepared = await next
+    if (prepared !== undefined && !fitsOrigin(state, prepared)) {
+      releaseAttempt(context, request, prepared)
+      prepared = undefined
+    }
     if (prepared !== undefined && request.stopReason() !== undefined) {
       releaseAttempt(context, request, prepared)
       return { ...fields, ...failRequest(context, request, state, result.end) }
@@ -90,17 +98,28 @@
   if (state.attempts >= search.route.maxAttempts) return undefined
   if (context.retryBudget(search.service.name).remaining(context.timer.now()) < 1) return undefined
   const exclude = new Set([...state.exclude, silent.entry.id])
-  const result = await prepareAttempt(context, search, { exclude, takesRetry: true })
+  const result = await prepareAttempt(context, search, { exclude, takesRetry: true, softwareVersion: state.origin?.softwareVersion })
   return result.ok ? result.val : undefined
 }
 
+/** Tells whether a stream may go on at the engine of an attempt, which may have been sought before the stream had an event. */
+function fitsOrigin ({ origin }: GenerationState, { reservation }: PreparedAttempt): boolean {
+  return origin === undefined || origin.softwareVersion === reservation.softwareVersion
+}
+
+/** Records what begins the stream, before the client has an event of it. */
+function recordOrigin (request: ClientRequest, state: GenerationState, { softwareVersion }: Reservation): void {
+  state.origin ??= { service: request.service.name, softwareVersion }
+}
+
 /** Forwards a stream. When the engine refuses it with a KV cache to fetch, the same engine is asked once more, to run the prefill itself. */
 async function forwardWithFallback (
   context: GatewayContext, request: ClientRequest, state: GenerationState, { reservation, kvCache }: PreparedAttempt
 ): Promise<StreamResult> {
   const { worker, prefillEngine } = reservation
   const seek = (search: ClientRequest): Promise<PreparedAttempt | undefined> => seekReplacement(context, search, state, worker)
-  const resumption = state.events === undefined ? {} : { resumption: { events: state.events, seek } }
+  const onEvents = (): void => recordOrigin(request, state, reservation)
+  const resumption = state.events === undefined ? {} : { resumption: { events: state.events, seek, onEvents } }
   if (kvCache === undefined) return await forwardStream(context, request, { reservation, ...resumption })
   const kvSource = { address: kvCache.worker.entry.address, handle: kvCache.handle }
   const result = await forwardStream(context, request, { reservation, kvSource, ...resumption })
@@ -129,17 +148,15 @@
   if (request.reply.hasBegun()) request.reply.abort()
   else if (mayHaveRun) request.reply.sendLocal({ status, reason: failure.reason })
   else if (callerReply !== undefined) request.reply.sendLocal(callerReply)
+  else if (reason === versionGone) request.reply.sendLocal({ status, reason })
   else request.reply.sendLocal({ status: 503, reason, retryAfterMs: getRetryAfterMs(context, request, reason) })
   return failure
 }
 
-function listDecodeEngines (context: GatewayContext, request: ClientRequest): Worker[] {
-  return context.directory.fleet.serving(request.service.name).filter((worker) => stageOf(worker) !== Stage.Prefill)
-}
-
 /** Returns why no engine has reserved memory. */
-function findRefusalReason (context: GatewayContext, request: ClientRequest): string {
-  const engines = listDecodeEngines(context, request)
+function findRefusalReason (context: GatewayContext, request: ClientRequest, { origin }: GenerationState): string {
+  if (origin !== undefined && !mayVersionServe(context, request, origin)) return versionGone
+  const engines = listDecodeEngines(context, request, origin?.softwareVersion)
   return areAllHeld(context, engines) && getReturnMs(context, engines) !== undefined ? 'worker_retry_after' : 'no_memory'
 }
 
--- a/gateway/_sidecar_client.ts
+++ b/gateway/_sidecar_client.ts
@@ -199,7 +199,7 @@
       const link = links.get(address)
       const attempt = ++attempts
       const reading = readMs === undefined ? { reads: false } : { reads: true, readMs }
-      const sent = link?.connection?.send({ kind: MessageKind.Admit, attempt, workerId: worker.entry.id, ...reading, ...request })
+      const sent = link?.connection?.send({ kind: MessageKind.Admit, attempt, workerId: worker.entry.id, engineVersion: worker.entry.softwareVersion, ...reading, ...request })
       if (link === undefined || !sent) return Promise.resolve(Err(RefusalCode.Unreachable))
       const key = `${request.requestId}/${attempt}`
       return new Promise((resolve) => {
--- a/gateway/prefill_times_test.ts
+++ b/gateway/prefill_times_test.ts
@@ -15,7 +15,7 @@
 function createContext (): { context: GatewayContext, engines: Worker[] } {
   const fleet = createFleet()
   for (const id of ['d1', 'd2']) {
-    fleet.upsert({ id, service: 'llm', address: '10.0.0.1:80', zone: 'z', slots: 64, state: WorkerState.Ready, stage: Stage.Decode, bornMs: 1 }, 0)
+    fleet.upsert({ id, service: 'llm', address: '10.0.0.1:80', zone: 'z', slots: 64, state: WorkerState.Ready, softwareVersion: 'v1', stage: Stage.Decode, bornMs: 1 }, 0)
   }
   const timer = createManualTimer({ startMs: nowMs })
   const context = { timer, workerLoads: createLoadsAlone(timer), directory: { fleet }, roundTripMs: () => 1 } as unknown as GatewayContext
--- a/gateway/unexpected_errors_test.ts
+++ b/gateway/unexpected_errors_test.ts
@@ -82,7 +82,7 @@
   this.clientTimer = createSystemTimer()
   stream.on('data', (chunk) => { this.clientLog.push(String(chunk)) })
   const fleet = createFleet()
-  const entry = { address: '127.0.0.1:9', zone: 'levis', slots: 6, state: WorkerState.Ready, bornMs: 1 }
+  const entry = { address: '127.0.0.1:9', zone: 'levis', slots: 6, state: WorkerState.Ready, softwareVersion: 'v1', bornMs: 1 }
   fleet.upsert({ ...entry, id: 'w1', service: 'plain' }, 0)
   fleet.upsert({ ...entry, id: 'd1', service: 'llm', stage: Stage.Decode }, 0)
   const table = createRouteTable(decodeRoutingRules(buildConfiguration(1)).unwrap())
--- a/gateway/withdrawn_key_test.ts
+++ b/gateway/withdrawn_key_test.ts
@@ -87,7 +87,7 @@
     const stream = new PassThrough().on('data', (chunk) => { this.keyLog.push(String(chunk)) })
     const fleet = createFleet()
     this.keyFleet = fleet
-    const entry = { zone: 'levis', slots: 6, state: WorkerState.Ready, bornMs: 1 }
+    const entry = { zone: 'levis', slots: 6, state: WorkerState.Ready, softwareVersion: 'v1', bornMs: 1 }
     for (const id of ['w1', 'w2', 'w3']) fleet.upsert({ ...entry, id, address: `127.0.0.1:${id.slice(1)}`, service: 'plain' }, 0)
     fleet.upsert({ ...entry, id: 'd1', address: '127.0.0.1:9', service: 'llm', stage: Stage.Decode }, 0)
     const pool = {
--- a/gateway/worker_loads_test.ts
+++ b/gateway/worker_loads_test.ts
@@ -33,7 +33,7 @@
 const request = { route: { name: 'stamp' }, method: 'POST', head: {} } as unknown as ClientRequest
 
 const fleet = createFleet()
-for (const id of ['v', 'w']) fleet.upsert({ id, service: 's', address: '10.0.0.1:80', zone: 'z', slots: 6, state: WorkerState.Ready, bornMs: 5 }, 0)
+for (const id of ['v', 'w']) fleet.upsert({ id, service: 's', address: '10.0.0.1:80', zone: 'z', slots: 6, state: WorkerState.Ready, softwareVersion: 'v1', bornMs: 5 }, 0)
 
 function getWorker (id: string): Worker { return fleet.get(id) as Worker }
 
--- a/sidecar/_admission_task.ts
+++ b/sidecar/_admission_task.ts
@@ -97,7 +97,7 @@
     const refuse = (code: RefusalCode, retryAfterMs = 0): void => {
       connection.send({ kind: MessageKind.Refused, requestId, attempt, code, retryAfterMs })
     }
-    if (entry === undefined || entry.id !== msg.workerId) return refuse(RefusalCode.Stale)
+    if (entry?.id !== msg.workerId || (msg.engineVersion ?? entry.softwareVersion) !== entry.softwareVersion) return refuse(RefusalCode.Stale)
     const worker = own()
     const verdict = worker === undefined ? undefined : checkSend(worker, { nowMs: timer.now(), drainMs: options.drainMs })
     if (verdict?.rank === SendRank.Held) return refuse(RefusalCode.LimitExceeded, verdict.untilMs - timer.now())
--- a/testing/fleuve/start_worker.ts
+++ b/testing/fleuve/start_worker.ts
@@ -197,6 +197,8 @@
   zone?: string
   /** Phase that an engine serves; none for a plain worker. */
   stage?: 'prefill' | 'decode'
+  /** Version of the software, `v1` by default; when it is given, each event of a stream names the worker. */
+  version?: string
   /** Number of events of a stream; 3 by default. */
   events?: number
   /** Time in milliseconds between two events; 5 by default. */
@@ -233,7 +235,8 @@
 
 /** Starts a worker on a free port of the loopback address. */
 export async function startWorker (options: FakeWorkerOptions): Promise<FakeWorker> {
-  const { id, service, zone = 'levis', events = 3, eventMs = 5, eventBytes = 0 } = options
+  const { id, service, zone = 'levis', version = 'v1', events = 3, eventMs = 5, eventBytes = 0 } = options
+  const writer = options.version === undefined ? 'piece' : options.id
   const requests: ReceivedRequest[] = []
   const controlCalls: Array<{ call: string, body: string, receivedMs: number }> = []
   const turnedAway: Array<{ atMs: number, text: string, origin: string | undefined }> = []
@@ -486,7 +489,7 @@
     let event = first
     let timer: ReturnType<typeof setTimeout>
 
-    function buildEvent (id: number): string { return `id: ${id}\ndata: piece ${id}${'.'.repeat(eventBytes)}\n\n` }
+    function buildEvent (id: number): string { return `id: ${id}\ndata: ${writer} ${id}${'.'.repeat(eventBytes)}\n\n` }
 
     function sendNext (): void {
       event++
@@ -629,7 +632,7 @@
       service,
       address,
       zone,
-      version: 'v1',
+      version,
       slots: 6,
       state: 'ready',
       cold_remaining_ms: 0,
--- a/wire/_message_checks.ts
+++ b/wire/_message_checks.ts
@@ -153,6 +153,7 @@
   [MessageKind.Admit]: {
     ...attempt,
     workerId: isName,
+    engineVersion: optional(isName),
     promptTokens: isAmount,
     likelyTokens: optional(isAmount),
     maxTokens: isAmount,
--- a/wire/pack_messages.ts
+++ b/wire/pack_messages.ts
@@ -11,6 +11,8 @@
   kind: MessageKind.Admit
   /** Identity of the engine that should run the stream. */
   workerId: string
+  /** Software version that the engine is taken to have: it may have started again with another one. Absent from builds that do not say it. */
+  engineVersion?: string
   promptTokens: number
   /** The client's estimate of the number of output tokens. */
   likelyTokens?: number
--- a/wire/wire_fuzz_test.ts
+++ b/wire/wire_fuzz_test.ts
@@ -55,7 +55,7 @@
     tierClass: TierClass.Paid
   },
   [MessageKind.Admit]: {
-    kind: MessageKind.Admit, ...ref, workerId: 'i-1', promptTokens: 400, likelyTokens: 90.5, maxTokens: 200, reads: false
+    kind: MessageKind.Admit, ...ref, workerId: 'i-1', engineVersion: 'v2', promptTokens: 400, likelyTokens: 90.5, maxTokens: 200, reads: false
   },
   [MessageKind.Admitted]: { kind: MessageKind.Admitted, ...ref, hold: 'h' },
   [MessageKind.StreamEnded]: { kind: MessageKind.StreamEnded, ...ref, whole: true },
@@ -163,7 +163,7 @@
   [MessageKind.ExplainReply]: { kind: MessageKind.ExplainReply, requestId: 'r1', decisions: [{ reason: 'nearest' }] }
 }
 
-const optionalFields = new Set(['likelyTokens', 'ticket', 'reply', 'code', 'ageMs', 'after', 'more', 'failureAgeMs', 'readMs', 'era', 'afterEra', 'complete', 'packed', 'readsPacked'])
+const optionalFields = new Set(['likelyTokens', 'ticket', 'reply', 'code', 'ageMs', 'after', 'more', 'failureAgeMs', 'readMs', 'era', 'afterEra', 'complete', 'packed', 'readsPacked', 'engineVersion'])
 const freeFormFields = new Set(['decisions'])
 
 const sampleArbitrary = fc.constantFrom<Message>(...Object.values(samples))
