Take a stream up only at the version that began it, at any gateway

Cause: a gateway took a take-up for a request like any other. Nothing read `Resumes`, and what began the stream was known to a gateway that is gone. Class of fault: knowledge that a promise rests on lives only in the process that made it. Change: before the first event of a client attempt leaves, its gateway tells three sidecars, chosen by rendezvous hash over zones and regions, which service and software version began it; they keep it for 60 s after its last use, in memory. A gateway that is asked to go on asks those sidecars (five, and the three from before some began to leave), goes on at the recorded service and version, and else refuses at once: `version_gone` when no engine of it serves, `origin_unknown` when nobody knows, with a time to come back only when not all could be asked. Contradictory records leave an origin unknown, a lost one too: nothing is guessed. Gateways tell sidecars again that are new or have started anew. A take-up has its time for memory from the moment at which its origin is known, and a gateway that has started connects to the sidecars at once.

--- a/gateway/_serve_generation.ts
+++ b/gateway/_serve_generation.ts
@@ -7,12 +7,12 @@
 import { findCallerReply } from './_identify_caller.ts'
 import { prepareAttempt, releaseAttempt } from './_prepare_attempt.ts'
 import { areAllHeld, listDecodeEngines, reserveAtEngine } from './_reserve_memory.ts'
-import { mayVersionServe, versionGone } from './_resume_stream.ts'
+import { findResumedStream, mayVersionServe, refuseResumption, versionGone } from './_resume_stream.ts'
 import { getReturnMs } from './_send_to_worker.ts'
 import { StopReason } from './_types.ts'
 import type { EventSplitter } from '../core/stream/mod.ts'
 import type { Worker } from '../core/fleet/mod.ts'
-import type { Origin } from './_resume_stream.ts'
+import type { Origin } from '../core/origin/mod.ts'
 import type { StreamResult } from './_forward_stream.ts'
 import type { PreparedAttempt } from './_prepare_attempt.ts'
 import type { Reservation } from './_reserve_memory.ts'
@@ -39,9 +39,12 @@
   origin?: Origin
 }
 
-/** Serves one generation and returns its result. */
-export async function serveGeneration (context: GatewayContext, request: ClientRequest): Promise<RequestResult> {
-  const state: GenerationState = { attempts: 0, exclude: new Set(), mayHaveRun: false }
+/** Serves one generation, or the rest of one whose client takes it up, and returns its result. */
+export async function serveGeneration (context: GatewayContext, received: ClientRequest): Promise<RequestResult> {
+  const found = await findResumedStream(context, received)
+  if (found.err) return refuseResumption(received, found.val)
+  const { request, origin } = found.val
+  const state: GenerationState = { attempts: 0, exclude: new Set(), mayHaveRun: false, ...(origin === undefined ? {} : { origin }) }
   if (request.route.mayResume) state.events = createEventSplitter(request.head.lastEventId)
   let prepared: PreparedAttempt | undefined
   for (;;) {
@@ -108,8 +111,9 @@
 }
 
 /** Records what begins the stream, before the client has an event of it. */
-function recordOrigin (request: ClientRequest, state: GenerationState, { softwareVersion }: Reservation): void {
+function recordOrigin (context: GatewayContext, request: ClientRequest, state: GenerationState, { softwareVersion }: Reservation): void {
   state.origin ??= { service: request.service.name, softwareVersion }
+  context.streamOrigins.record({ requestId: request.requestId, ...state.origin })
 }
 
 /** Forwards a stream. When the engine refuses it with a KV cache to fetch, the same engine is asked once more, to run the prefill itself. */
@@ -118,7 +122,7 @@
 ): Promise<StreamResult> {
   const { worker, prefillEngine } = reservation
   const seek = (search: ClientRequest): Promise<PreparedAttempt | undefined> => seekReplacement(context, search, state, worker)
-  const onEvents = (): void => recordOrigin(request, state, reservation)
+  const onEvents = (): void => recordOrigin(context, request, state, reservation)
   const resumption = state.events === undefined ? {} : { resumption: { events: state.events, seek, onEvents } }
   if (kvCache === undefined) return await forwardStream(context, request, { reservation, ...resumption })
   const kvSource = { address: kvCache.worker.entry.address, handle: kvCache.handle }
--- a/gateway/_sidecar_client.ts
+++ b/gateway/_sidecar_client.ts
@@ -45,9 +45,11 @@
   sendLeaving (leaving: LeavingWorker[], count: number): void
   /** Returns the addresses of the sidecars that serve as exchange points, connected or not; all gateways with the same workers choose the same. */
   exchangePoints (): readonly string[]
+  /** Returns the address of the sidecar of an engine; undefined when the engine's entry names none that can be read. */
+  addressOf (worker: Worker): string | undefined
   /** Returns the number of the connection to an address, which no other connection has; undefined while there is none. */
   connectionNumber (address: string): number | undefined
-  /** Sends a message to an exchange point; returns false when it is not connected. */
+  /** Sends a message to a sidecar; returns false when it is not connected. */
   sendToPoint (address: string, msg: Message): boolean
   /** Sets the receiver of one kind of message, which gets the address of its sender. */
   receive<K extends MessageKind> (kind: K, fn: (address: string, msg: MessageOf<K>) => void): void
@@ -74,6 +76,8 @@
 /** Interval in milliseconds at which connections to engines without one are opened. */
 const reconnectMs = 500
 const connectTimeoutMs = 500
+/** Interval in milliseconds at which a process that has just started looks for its first workers. */
+const firstCheckMs = 25
 /** Interval in milliseconds at which the first workers are looked for, and connections to exchange points without one are opened. */
 const pointCheckMs = 100
 /** Number of exchange points: each may be lost without loss of what they know together. */
@@ -188,7 +192,13 @@
     for (const address of points) if (!links.has(address)) open(address)
   }
 
-  const timers = [timer.every(reconnectMs, connectMissing)]
+  /** Connects as soon as the first workers are known: clients that come back after a restart of all gateways wait for it. */
+  const firstCheck = timer.every(firstCheckMs, () => {
+    if (directory.fleet.all().length === 0) return
+    firstCheck.cancel()
+    connectMissing()
+  })
+  const timers = [firstCheck, timer.every(reconnectMs, connectMissing)]
   if (options.needsPoints === true) timers.push(timer.every(pointCheckMs, connectPoints))
   let attempts = 0
 
@@ -223,6 +233,7 @@
     },
     sendEvidence: (evidence, count) => sendToSome(evidence, count),
     exchangePoints: () => points,
+    addressOf,
     connectionNumber: (address) => links.get(address)?.connection === undefined ? undefined : links.get(address)?.number,
     sendToPoint: (address, msg) => links.get(address)?.connection?.send(msg) ?? false,
     receive: (kind, fn) => { receivers.set(kind, fn as (address: string, msg: Message) => void) },
--- a/gateway/_types.ts
+++ b/gateway/_types.ts
@@ -14,6 +14,7 @@
 import type { Allowances, SpentAllowance } from './_allowance.ts'
 import type { WorkerLoads } from './_worker_loads.ts'
 import type { PlainPlacement } from './_place_plain.ts'
+import type { StreamOrigins } from './_stream_origins.ts'
 import type { PromptGuard } from './_prompt_guard.ts'
 import type { SidecarClient } from './_sidecar_client.ts'
 import type { Reply } from './_reply.ts'
@@ -30,6 +31,7 @@
   controlPool: ExchangePool
   sidecars: SidecarClient
   promptGuard: PromptGuard
+  streamOrigins: StreamOrigins
   allowances: Allowances
   workerLoads: WorkerLoads
   plainPlacement: PlainPlacement
--- a/gateway/resume_stream.feature
+++ b/gateway/resume_stream.feature
@@ -33,3 +33,101 @@
     And the versioned engine "d1" falls silent after event 2 for 1900 ms
     When a versioned client begins the stream "a" while the engines "d2, d3" get memory after event 2
     Then the versioned client has the events 1 to 8 of "a", all of "v1"
+
+  # Guards against streams that are joined from two versions after every gateway has lost its memory.
+  Scenario: A client takes its stream up at a gateway that has just started
+    Given a sidecar of the versioned engines that remembers streams
+    And only the versioned engines "d1" have memory
+    When a versioned client begins the stream "a" and leaves after event 3
+    And only the versioned engines "d2, d3" have memory
+    And the versioned client takes "a" up as "b" at a gateway that has just started
+    Then the versioned client has the events 1 to 8 of "a", all of "v1"
+
+  Scenario: A client takes its stream up at the gateway where it began, with no sidecar
+    Given only the versioned engines "d1" have memory
+    When a versioned client begins the stream "a" and leaves after event 3
+    And only the versioned engines "d2, d3" have memory
+    And the versioned client takes "a" up as "b"
+    Then the versioned client has the events 1 to 8 of "a", all of "v1"
+
+  Scenario: A stream that was taken up goes on at its version when it is taken up once more, whichever of its attempts the client names
+    Given a sidecar of the versioned engines that remembers streams
+    And only the versioned engines "d1" have memory
+    When a versioned client begins the stream "a" and leaves after event 3
+    And the versioned client takes "a" up as "b" at a gateway that has just started, and leaves after event 5
+    And only the versioned engines "d2, d3" have memory
+    And the versioned client takes "a" up as "c" at a gateway that has just started
+    Then the versioned client has the events 1 to 8 of "a", all of "v1"
+    When the versioned client takes "b" up after event 7 as "d" at a gateway that has just started
+    Then the versioned client has the events 8 to 8 of "d", all of "v1"
+
+  Scenario: A stream whose version has gone is refused at once, and told no time to come back
+    Given a sidecar of the versioned engines that remembers streams
+    And only the versioned engines "d1" have memory
+    When a versioned client begins the stream "a" and leaves after event 3
+    And the versioned engines "d1, d3" leave
+    And only the versioned engines "d2" have memory
+    And the versioned client takes "a" up as "b" at a gateway that has just started
+    Then the versioned client is refused with "version_gone", without a time to come back
+    And the versioned engine "d2" saw 0 requests
+
+  Scenario: A stream whose version has no room now is refused with a time to come back
+    Given a sidecar of the versioned engines that remembers streams
+    And only the versioned engines "d1" have memory
+    When a versioned client begins the stream "a" and leaves after event 3
+    And only the versioned engines "d2" have memory
+    And the versioned client takes "a" up as "b" at a gateway that has just started
+    Then the versioned client is refused with "no_memory", with a time to come back
+    And the versioned engine "d2" saw 0 requests
+
+  # Nobody knows what began the stream, so any engine may be of another version.
+  Scenario Outline: A stream that <what> is not taken up
+    Given a sidecar of the versioned engines that remembers streams
+    And only the versioned engines "d1" have memory
+    When a versioned client begins the stream "a" and leaves after event 3
+    And the versioned engines "d1, d2, d3" all have memory
+    And the versioned client <takes up> at a gateway that has just started
+    Then the versioned client is refused with "origin_unknown", without a time to come back
+    And the versioned engine "d2" saw 0 requests
+    And the versioned engine "d3" saw 0 requests
+
+    Examples:
+      | what                            | takes up                                   |
+      | names an attempt that never was | takes "x" up after event 3 as "b"          |
+      | names no attempt                | takes "a" up without naming an attempt     |
+
+  Scenario: A stream is not taken up when its sidecar has started anew and its gateway is gone
+    Given a sidecar of the versioned engines that remembers streams
+    And only the versioned engines "d1" have memory
+    When a versioned client begins the stream "a" and leaves after event 3
+    And a versioned gateway that has just started is connected to a sidecar that has just started, and the first gateway is not
+    And the versioned client takes "a" up as "b" at the gateway that has just started
+    Then the versioned client is refused with "origin_unknown", without a time to come back
+
+  # Guards against the loss of what is known when sidecars are replaced one after the other.
+  Scenario: A sidecar that has started anew is told what the gateways know
+    Given a sidecar of the versioned engines that remembers streams
+    And only the versioned engines "d1" have memory
+    When a versioned client begins the stream "a" and leaves after event 3
+    And the sidecar of the versioned engines starts anew
+    And only the versioned engines "d2, d3" have memory
+    And the versioned client takes "a" up as "b" at a gateway that has just started
+    Then the versioned client has the events 1 to 8 of "a", all of "v1"
+
+  Scenario: An id that two streams of different versions bear is not taken up
+    Given a sidecar of the versioned engines that remembers streams
+    And only the versioned engines "d1" have memory
+    When a versioned client begins the stream "a" and leaves after event 3
+    And only the versioned engines "d2" have memory
+    And a versioned client begins the stream "a" and leaves after event 3
+    And the versioned engines "d1, d2, d3" all have memory
+    And the versioned client takes "a" up as "b" at a gateway that has just started
+    Then the versioned client is refused with "origin_unknown", without a time to come back
+
+  Scenario: A caller that names a stream of another version gets only events of that version, and those of one answer
+    Given a sidecar of the versioned engines that remembers streams
+    And only the versioned engines "d2" have memory
+    When a versioned client begins the stream "a" and leaves after event 3
+    And the versioned engines "d1, d2, d3" all have memory
+    And the versioned client takes "a" up after event 6 as "b" at a gateway that has just started
+    Then the versioned client has the events 7 to 8 of "b", all of "v2"
--- a/gateway/resume_stream_test.ts
+++ b/gateway/resume_stream_test.ts
@@ -4,11 +4,15 @@
 import assert from 'node:assert/strict'
 import { request as httpRequest } from 'node:http'
 import { After, Given, Then, When } from '@cucumber/cucumber'
+import { createOriginTask } from '../sidecar/_origin_task.ts'
 import { SilencePoint, startSite, WorkerMode } from '../testing/fleuve/mod.ts'
-import { until } from './gateway_test.ts'
+import { createSystemTimer } from '../timer/mod.ts'
+import { listen } from '../wire/mod.ts'
+import { sleep, until } from './gateway_test.ts'
 import type { DataTable } from '@cucumber/cucumber'
 import type { IncomingHttpHeaders } from 'node:http'
 import type { FakeWorker, Site } from '../testing/fleuve/mod.ts'
+import type { Connection, Listener, Message } from '../wire/mod.ts'
 
 /** What a client has of one stream, over all its tries. */
 interface ClientStream {
@@ -21,9 +25,14 @@
 
 interface World {
   versionedSite: Site
+  /** Gateways that share the store and the sidecars of the site. */
+  otherGateways: Site[]
   versions: Map<string, string>
   streams: Map<string, ClientStream>
   answer: ClientStream
+  originPoint?: Listener
+  /** The gateway at which streams are taken up; unless it is set, one is started each time. */
+  nextGateway?: Site
 }
 
 const eventCount = 8
@@ -39,6 +48,7 @@
 Given('a versioned gateway site with the engines', async function (this: World, table: DataTable) {
   this.versions = new Map(table.hashes().map(({ id = '', version = '' }) => [id, version]))
   this.streams = new Map()
+  this.otherGateways = []
   this.versionedSite = await startSite()
   this.versionedSite.writeConfiguration(1)
   for (const [id, version] of this.versions) {
@@ -48,9 +58,19 @@
 })
 
 After(async function (this: World) {
+  for (const site of this.otherGateways ?? []) await site.close()
   await this.versionedSite?.close()
+  await this.originPoint?.close()
 })
 
+/** Starts a gateway at the store and the sidecars of the site. */
+async function startOtherGateway (world: World): Promise<Site> {
+  const { storeAddress, internalPort } = world.versionedSite.settings
+  const site = await startSite({ settings: { storeAddress, internalPort, machine: `edge-${world.otherGateways.length + 2}` } })
+  world.otherGateways.push(site)
+  return site
+}
+
 Given('only the versioned engines {string} have memory', function (this: World, ids: string) {
   for (const id of this.versions.keys()) engineOf(this, id).setReservableTokens(ids.split(', ').includes(id) ? memoryTokens : 10)
 })
@@ -120,3 +140,109 @@
 Then(/^the versioned answer is (not )?complete$/, function (this: World, not: string | null) {
   assert.equal(this.answer.isComplete, not === null)
 })
+
+/** Starts the sidecar of all engines, which remembers streams and admits nothing. */
+async function startPoint (world: World): Promise<void> {
+  const task = createOriginTask(createSystemTimer())
+  const listener = await listen({
+    host: '127.0.0.1',
+    port: world.versionedSite.settings.internalPort,
+    firstMessageTimeoutMs: 0,
+    onConnection (connection) {
+      connection.onMessage((msg) => {
+        const handle = task.handlers[msg.kind] as ((connection: Connection, msg: Message) => void) | undefined
+        handle?.(connection, msg)
+      })
+    }
+  })
+  world.originPoint = listener.unwrap()
+}
+
+function countConnections (site: Site): number { return site.readLog().split('sidecar connected').length - 1 }
+
+async function untilConnected (site: Site, times = 1): Promise<void> {
+  await until(() => countConnections(site) >= times, 2000, 'a connection to the sidecar')
+}
+
+Given('a sidecar of the versioned engines that remembers streams', async function (this: World) {
+  await startPoint(this)
+  await untilConnected(this.versionedSite)
+})
+
+When('the sidecar of the versioned engines starts anew', async function (this: World) {
+  const before = countConnections(this.versionedSite)
+  await this.originPoint?.close()
+  await startPoint(this)
+  await untilConnected(this.versionedSite, before + 1)
+  // The gateway tells what it knows within one period of its check.
+  await sleep(600)
+})
+
+When('a versioned gateway that has just started is connected to a sidecar that has just started, and the first gateway is not', async function (this: World) {
+  await this.versionedSite.gateway.close()
+  await this.originPoint?.close()
+  await startPoint(this)
+  this.nextGateway = await startOtherGateway(this)
+  await untilConnected(this.nextGateway)
+})
+
+When('a versioned client begins the stream {string} and leaves after event {int}', async function (this: World, name: string, event: number) {
+  this.streams.set(name, await requestStream(this, { gateway: this.versionedSite, requestId: name, leavesAfter: event }))
+})
+
+When('the versioned engines {string} all have memory', function (this: World, ids: string) {
+  for (const id of ids.split(', ')) engineOf(this, id).setReservableTokens(memoryTokens)
+})
+
+When('the versioned engines {string} leave', async function (this: World, ids: string) {
+  for (const id of ids.split(', ')) this.versionedSite.store.remove(`servers/${id}`)
+  await sleep(100)
+})
+
+interface TakeUp {
+  /** Attempt that the client names; none when it is undefined. */
+  named: string | undefined
+  /** Stream whose events the client has; that of the named attempt by default. */
+  stream: string
+  requestId: string
+  afterEvent?: number
+  isNewGateway: boolean
+  leavesAfter?: number
+}
+
+/** Has a client take up a stream, and adds what it gets to the events that it has of it. */
+async function takeUp (world: World, { named, stream, requestId, afterEvent, isNewGateway, leavesAfter }: TakeUp): Promise<void> {
+  const gateway = world.nextGateway ?? (isNewGateway ? await startOtherGateway(world) : world.versionedSite)
+  await until(() => gateway.readLog().includes('"configuration in force"'), 2000, 'the configuration')
+  const had = afterEvent === undefined ? world.streams.get(stream)?.events ?? [] : []
+  const lastEventId = afterEvent ?? had.at(-1)?.id
+  const headers = { 'Last-Event-Id': String(lastEventId), ...(named === undefined ? {} : { Resumes: named }) }
+  world.answer = await requestStream(world, { gateway, requestId, headers, ...(leavesAfter === undefined ? {} : { leavesAfter }) })
+  world.streams.set(afterEvent === undefined ? stream : requestId, { ...world.answer, events: [...had, ...world.answer.events] })
+}
+
+When(/^the versioned client takes "([^"]*)" up(?: after event (\d+))? as "([^"]*)"( at (?:a|the) gateway that has just started)?(?:, and leaves after event (\d+))?$/,
+  async function (this: World, named: string, afterEvent: string | null, requestId: string, at: string | null, leavesAfter: string | null) {
+    await takeUp(this, {
+      named,
+      stream: named,
+      requestId,
+      isNewGateway: at !== null,
+      ...(afterEvent === null ? {} : { afterEvent: Number(afterEvent) }),
+      ...(leavesAfter === null ? {} : { leavesAfter: Number(leavesAfter) })
+    })
+  })
+
+When('the versioned client takes {string} up without naming an attempt at a gateway that has just started', async function (this: World, stream: string) {
+  await takeUp(this, { named: undefined, stream, requestId: 'unnamed', isNewGateway: true })
+})
+
+Then(/^the versioned client is refused with "([^"]*)", (with|without) a time to come back$/, function (this: World, reason: string, how: string) {
+  assert.equal(this.answer.status, 503)
+  assert.ok(this.answer.body.includes(reason), this.answer.body)
+  assert.equal(this.answer.headers['retry-after'] !== undefined, how === 'with')
+})
+
+Then('the versioned engine {string} saw {int} requests', function (this: World, id: string, count: number) {
+  assert.equal(engineOf(this, id).listRequests().length, count)
+})
--- a/gateway/start_gateway.ts
+++ b/gateway/start_gateway.ts
@@ -18,6 +18,7 @@
 import { createPlainPlacement } from './_place_plain.ts'
 import { createRetryBudgets } from './_retry_budgets.ts'
 import { createSidecarClient } from './_sidecar_client.ts'
+import { createStreamOrigins } from './_stream_origins.ts'
 import { createClientServer } from './_client_server.ts'
 import type { Server } from 'node:http'
 import type { Result } from '../core/results/mod.ts'
@@ -106,6 +107,7 @@
       client_connections: () => clients?.count() ?? 0,
       requests_waiting: () => context.plainPlacement.waiting(),
       quarantines: () => promptGuard.quarantines(),
+      stream_origins: () => streamOrigins.size(),
       log_lines_dropped: () => options.droppedLines?.() ?? 0
     },
     onServer: (server) => bound(server, 'metrics', bounds.checks),
@@ -132,6 +134,8 @@
 
   const allowances = createAllowances({ settings, directory, sidecars, timer, log, metrics, random })
 
+  const streamOrigins = createStreamOrigins({ directory, sidecars, regions: settings.regions, timer, log })
+
   const heldBytes = createByteBudget({ maxBytes: bounds.heldBytes })
 
   const workerLoads = createWorkerLoads({ sidecars, timer, name: settings.machine, policy: options.placement ?? PlacementPolicy.Latency, incarnation: timer.wallClockMs() })
@@ -147,6 +151,7 @@
     controlPool: createExchangePool(),
     sidecars,
     promptGuard,
+    streamOrigins,
     allowances,
     heldBytes,
     random,
@@ -186,6 +191,7 @@
     readinessServer.close()
     readinessServer.closeAllConnections()
     promptGuard.close()
+    streamOrigins.close()
     allowances.close()
     workerLoads.close()
     sidecars.close()
--- a/sidecar/start_sidecar.ts
+++ b/sidecar/start_sidecar.ts
@@ -11,6 +11,7 @@
 import { formatAddress, listen } from '../wire/mod.ts'
 import { createAllowanceTask } from './_allowance_task.ts'
 import { createAdmissionTask } from './_admission_task.ts'
+import { createOriginTask } from './_origin_task.ts'
 import { createWorkerLoadsTask } from './_worker_loads_task.ts'
 import { createStageTask } from './_stage_task.ts'
 import type { ChooseStagesOptions } from '../core/balance/mod.ts'
@@ -81,6 +82,7 @@
   const packing = { ...options.packing, startMs }
   const allowances = createAllowanceTask({ directory, timer, tolerance: getAllowanceTolerance(settings) })
   const workerLoads = createWorkerLoadsTask(timer)
+  const origins = createOriginTask(timer)
   const admission = createAdmissionTask({
     directory,
     pool,
@@ -90,7 +92,7 @@
     random,
     drainMs: settings.drainMs,
     isSwitching: () => stages.isSwitching(),
-    exchange: { ...allowances.handlers, ...workerLoads.handlers }
+    exchange: { ...allowances.handlers, ...workerLoads.handlers, ...origins.handlers }
   })
   const stages = createStageTask({
     machine: settings.machine,
@@ -117,6 +119,7 @@
       gateways: () => admission.gateways(),
       allowance_gateways: () => allowances.gateways(),
       load_reporters: () => workerLoads.members(),
+      stream_origins: () => origins.size(),
       log_lines_dropped: () => options.droppedLines?.() ?? 0
     },
     onServer (server) {
--- a/wire/_message_checks.ts
+++ b/wire/_message_checks.ts
@@ -8,6 +8,7 @@
 import type { LeavingWorker } from '../core/fleet/mod.ts'
 import { LoadTopic } from '../core/cost/mod.ts'
 import type { LoadEntry } from '../core/cost/mod.ts'
+import type { Origin, OriginRecord } from '../core/origin/mod.ts'
 import type { CrashObservation } from '../core/quarantine/mod.ts'
 import type { AttemptRef } from '../core/types/mod.ts'
 import type { StoreChange } from '../core/view/mod.ts'
@@ -36,6 +37,8 @@
 const isLevel = shape<AllowanceLevels['levels'][number]>({ organisation: isName, level: isSum, share: isAmount, demandPerS: isAmount })
 const isCrash = shape<CrashObservation>({ crash: isName, parts: listOf(isName), ageMs: isAmount })
 const isLoad = shape<LoadEntry>({ worker: isName, requests: isAmount, workMs: isAmount, slowness: isAmount, samples: isAmount })
+const isOrigin = shape<Origin>({ service: isName, softwareVersion: isName })
+const isOriginRecord = shape<OriginRecord>({ requestId: isName, service: isName, softwareVersion: isName })
 const isLeaving = shape<LeavingWorker>({ id: isName, bornMs: isAmount })
 
 /** The check for each field of each kind of message; `kind` itself selects the entry. */
@@ -166,6 +169,9 @@
   [MessageKind.PromptEvidence]: { crashes: listOf(isCrash), sound: listOf(isName), leaving: optional(listOf(isLeaving)) },
   [MessageKind.WorkerLoads]: { topic: oneOf(Object.values(LoadTopic)), name: isName, incarnation: isCount, seq: isCount, asks: isBoolean, loads: listOf(isLoad) },
   [MessageKind.WorkerLoadsSum]: { topic: oneOf(Object.values(LoadTopic)), seq: isCount, ageMs: isAmount, loads: listOf(isLoad) },
+  [MessageKind.StreamOrigins]: { origins: listOf(isOriginRecord) },
+  [MessageKind.OriginRequest]: { requestId: isName },
+  [MessageKind.OriginReply]: { requestId: isName, origin: optional(isOrigin), isAmbiguous: isBoolean },
   [MessageKind.Status]: {},
   [MessageKind.StatusReply]: { status: isMap },
   [MessageKind.Explain]: { requestId: isName },
--- a/wire/messages.ts
+++ b/wire/messages.ts
@@ -6,6 +6,7 @@
 import type { StoreChange } from '../core/view/mod.ts'
 import type { AllowanceLevels, AllowanceReport } from './allowance_messages.ts'
 import type { WorkerLoads, WorkerLoadsSum } from './load_messages.ts'
+import type { OriginReply, OriginRequest, StreamOrigins } from './origin_messages.ts'
 import type { EngineCapacity, Admit, Admitted, PromptEvidenceMessage, StreamEnded } from './pack_messages.ts'
 import type { ViewChanges, ViewRequest, ViewStateMessage } from './view_messages.ts'
 
@@ -310,6 +311,7 @@
   | LoadReport | ConfigDigest | ConfigRecords | PeerReport | UsageShare | StatusRequest | StatusReply | Explain
   | ExplainReply | Admit | Admitted | StreamEnded | EngineCapacity | PromptEvidenceMessage
   | ViewStateMessage | ViewRequest | ViewChanges | AllowanceReport | AllowanceLevels | WorkerLoads | WorkerLoadsSum
+  | StreamOrigins | OriginRequest | OriginReply
 
 /** The message of one kind. */
 export type MessageOf<K extends MessageKind> = Extract<Message, { kind: K }>
--- a/wire/wire_fuzz_test.ts
+++ b/wire/wire_fuzz_test.ts
@@ -91,6 +91,11 @@
   [MessageKind.WorkerLoadsSum]: {
     kind: MessageKind.WorkerLoadsSum, topic: LoadTopic.Reads, seq: 3, ageMs: 40.5, loads: [{ worker: 'i-1/5', requests: 20, workMs: 1600, slowness: 0.8, samples: 31 }]
   },
+  [MessageKind.StreamOrigins]: {
+    kind: MessageKind.StreamOrigins, origins: [{ requestId: 'r', service: 'llm', softwareVersion: 'v2' }]
+  },
+  [MessageKind.OriginRequest]: { kind: MessageKind.OriginRequest, requestId: 'r' },
+  [MessageKind.OriginReply]: { kind: MessageKind.OriginReply, requestId: 'r', origin: { service: 'llm', softwareVersion: 'v2' }, isAmbiguous: false },
   [MessageKind.Resume]: { kind: MessageKind.Resume, ...ref, offset: 4 },
   [MessageKind.Tokens]: { kind: MessageKind.Tokens, ...ref, offset: 4, tokens: [' été'] },
   [MessageKind.Finished]: { kind: MessageKind.Finished, ...ref, tokens: 16, reason: 'stop' },
@@ -163,7 +168,7 @@
   [MessageKind.ExplainReply]: { kind: MessageKind.ExplainReply, requestId: 'r1', decisions: [{ reason: 'nearest' }] }
 }
 
-const optionalFields = new Set(['likelyTokens', 'ticket', 'reply', 'code', 'ageMs', 'after', 'more', 'failureAgeMs', 'readMs', 'era', 'afterEra', 'complete', 'packed', 'readsPacked', 'engineVersion'])
+const optionalFields = new Set(['likelyTokens', 'ticket', 'reply', 'code', 'ageMs', 'after', 'more', 'failureAgeMs', 'readMs', 'era', 'afterEra', 'complete', 'packed', 'readsPacked', 'origin', 'engineVersion'])
 const freeFormFields = new Set(['decisions'])
 
 const sampleArbitrary = fc.constantFrom<Message>(...Object.values(samples))
