Take no response whose status is outside 100 to 599 for an answer

What callers saw: a worker in trouble answers with the status 000; clients got it as an answer on other systems (MIXED), here 502 with the detail "false == true", an assertion inside the HTTP library. 600 and 999 were passed on as the worker's answer. Cause: the parser of the library takes any three digits; the pool passed on every status from 200 up, and took those below 100 for interim ones. Change: such a response fails its exchange as broken, and its connection is closed before the parser goes on; the client gets 502 in time.

--- a/exchange/create_exchange_pool.ts
+++ b/exchange/create_exchange_pool.ts
@@ -7,6 +7,7 @@
 import { connectSocket } from './_connect_socket.ts'
 import { failAtOnce } from './_fail_at_once.ts'
 import { hasCloseDelimitedBody } from './_has_close_delimited_body.ts'
+import { isStatus } from './_is_status.ts'
 import { FailureKind } from './_types.ts'
 import type { Result } from '../core/results/mod.ts'
 import type { Client as ClientType, Dispatcher } from 'undici'
@@ -183,7 +184,14 @@
       if (isOver) control.abort(new Error('exchange aborted'))
     },
     onResponseStart (control, status) {
-      if (isOver || status < 200) return
+      if (isOver) return
+      if (!isStatus(status)) {
+        fail(FailureKind.Broken, `the status ${status} is none`)
+        // The parser takes the rest of the response for one of a known status, and asserts that.
+        control.abort(new Error('response without a status'))
+        return
+      }
+      if (status < 200) return
       connection.markProgress()
       const raw = (control.rawHeaders ?? []) as Array<Buffer | string>
       const headers = raw.map((part) => typeof part === 'string' ? part : part.toString('latin1'))
--- a/exchange/exchange.feature
+++ b/exchange/exchange.feature
@@ -69,3 +69,16 @@
   # Guards against a worker that counts as unreachable because the gateway itself was held up while the connection was made.
   Scenario: A connection that was made while the process was held up carries its exchange
     Then the exchange succeeds although the process is held up for 1200 ms while its connection is made
+
+  # Guards against a client that gets an answer whose status is none, and against a library that asserts that there is one.
+  Scenario Outline: A response with the status <status> fails its exchange as broken, without a failed assertion
+    Then the exchange with a response of the status "<status>" fails as "broken" with no assertion, and the next one succeeds
+
+    Examples:
+      | status |
+      | 000    |
+      | 099    |
+      | 600    |
+      | 999    |
+      | 0      |
+      | 2000   |
--- a/exchange/exchange_test.ts
+++ b/exchange/exchange_test.ts
@@ -243,3 +243,19 @@
   while (performance.now() < endMs);
   assert.deepEqual(await running, { ended: true, status: 200 })
 })
+
+Then('the exchange with a response of the status {string} fails as {string} with no assertion, and the next one succeeds',
+  async function (this: World, status: string, kind: string) {
+    let count = 0
+    const address = await serve(this, (socket) => {
+      if (count++ > 0) return socket.write(goodResponse)
+      socket.write(`HTTP/1.1 ${status} Odd\r\nX-Request-Id: r-1\r\nContent-Length: 4\r\n\r\npart`)
+    })
+    const pool = createPool(this)
+    const failure = await new Promise<{ kind: string, message: string }>((resolve, reject) => {
+      pool.send(address, request, { onHead: () => true, onData: () => {}, onEnd: () => reject(new Error('the exchange succeeded')), onFail: resolve })
+    })
+    assert.equal(failure.kind, kind)
+    assert.doesNotMatch(failure.message, /falsy|false == true|assert/)
+    assert.ok((await run(pool, address)).ended)
+  })
