Keep failed assertions of libraries from parsing the bundle

What callers saw: the first request whose worker answered 000 got no answer at all, past its deadline, and neither did any other request meanwhile. Cause: for the message of a failed assertion Node reads the source around it and parses it. Each assertion has its own first time, so one status does not stand for all. Class of fault: an error path that costs the whole process far more than the request that takes it. Evidence: the new scenario fails on the code before, which imports `assert` and `node:assert`. Change: the bundle has assertions of its own, with fixed messages.

--- a/scripts/bundle_program.ts
+++ b/scripts/bundle_program.ts
@@ -30,6 +30,26 @@
   }
 }
 
+/**
+ * Assertions for libraries. For the message of a failed one, Node reads and parses the source around it, which is the whole bundle here:
+ * the process stands still for seconds, with all its clients.
+ */
+const assertions = `
+function assert (value, message) {
+  if (value) return
+  throw message instanceof Error ? message : Object.assign(new Error(message ?? 'an assertion of a library failed'), { code: 'ERR_ASSERTION' })
+}
+const equal = (a, b, message) => assert(a === b, message)
+module.exports = Object.assign(assert, { ok: assert, equal, strictEqual: equal })`
+
+const replaceAssertions: Plugin = {
+  name: 'assertions',
+  setup (plugin) {
+    plugin.onResolve({ filter: /^(node:)?assert$/ }, ({ path }) => ({ path, namespace: 'assertions' }))
+    plugin.onLoad({ filter: /.*/, namespace: 'assertions' }, () => ({ contents: assertions }))
+  }
+}
+
 const options: BuildOptions = {
   bundle: true,
   platform: 'node',
@@ -41,7 +61,7 @@
   // CommonJS libraries call `require`, which is not defined in ES modules.
   banner: { js: "import { createRequire as createBundleRequire } from 'node:module'; const require = createBundleRequire(import.meta.url);" },
   external: externalPackages,
-  plugins: [replaceUnusedPackages],
+  plugins: [replaceUnusedPackages, replaceAssertions],
   logLevel: 'warning',
   metafile: true
 }
--- a/scripts/bundle_program_test.ts
+++ b/scripts/bundle_program_test.ts
@@ -29,6 +29,10 @@
   assert.deepEqual(this.loaded.filter((name) => !name.startsWith('node:') && !isBuiltin(name)), [packageName])
 })
 
+Then('the bundle imports none of {string}', function (this: World, names: string) {
+  assert.deepEqual(this.loaded.filter((name) => names.split(', ').includes(name)), [])
+})
+
 Then('the bundle names the missing environment variable on standard error and exits with {int}', function (this: World, code: number) {
   const result = spawnSync(process.execPath, [join(this.bundleFolder as string, 'briarloom.js'), 'gateway', 'policy.json'], { encoding: 'utf8', env: {} })
   assert.match(result.stderr, /BRIARLOOM_NODE_FILE/)
