--- a/bench/slopes/_state_slopes.ts
+++ b/bench/slopes/_state_slopes.ts
@@ -4,12 +4,14 @@
 import { createConfiguration } from '../../core/configuration/mod.ts'
 import { createLimiter } from '../../core/limits/mod.ts'
 import { createMembership } from '../../core/membership/mod.ts'
+import { choosePoints, createOriginTable } from '../../core/origin/mod.ts'
+import type { OriginTable } from '../../core/origin/mod.ts'
 import { choosePlacement } from '../../core/placement/mod.ts'
 import { RecordKind } from '../../core/records/mod.ts'
 import { createRouteTable, identifyCaller } from '../../core/route/mod.ts'
 import type { RouteTable } from '../../core/route/mod.ts'
 import { createReservationTable } from '../../core/reservation/mod.ts'
-import { chooseRelayPeers, chooseSubset } from '../../core/subset/mod.ts'
+import { chooseRelayPeers, chooseSubset, hashText } from '../../core/subset/mod.ts'
 import type { SubsetMember } from '../../core/subset/mod.ts'
 import { HostState } from '../../source/mod.ts'
 import type { ConfigChange, HostEntry } from '../../source/mod.ts'
@@ -163,6 +165,18 @@
   }
 }
 
+function buildOrigins (count: number): OriginTable {
+  const table = createOriginTable({ maxRecords: count, keepMs: 60_000 })
+  for (let i = 0; i < count; i++) table.record({ requestId: `request-${i}`, service: 'llm', softwareVersion: 'v1.2' }, 0)
+  return table
+}
+
+function choosePointsOfAll (count: number): void {
+  const names = Array.from({ length: count }, (_, i) => `10.0.${i >> 8}.${i & 255}:7600`)
+  const candidates = names.map((name, i) => ({ name, nameHash: hashText(name), zone: `z${i % 13}`, region: `r${i % 13 % 5}`, isLeaving: false }))
+  for (let group = 0; group < 512; group++) choosePoints({ key: String(group), candidates, count: 3 })
+}
+
 /** Lists the slopes of state and of periodic computations. */
 export function listStateSlopes (): SlopeMeasurement[] {
   return [
@@ -172,6 +186,8 @@
     createMemoryMeasurement('a caller\'s usage with 8 fellows', 'caller', [50, 100, 200, 400, 800], buildLimiter),
     createMemoryMeasurement('a reservation', 'request', [500, 1000, 2000, 4000, 8000], buildReservations),
     createMemoryMeasurement('an API key', 'key', keyCounts, buildKeyTable),
+    createMemoryMeasurement('the origin of a stream', 'stream', recordCounts, buildOrigins),
+    createCpuMeasurement('choose the points of 512 groups of streams', 'sidecar', [100, 200, 400, 800], 5, (x) => () => { choosePointsOfAll(x) }),
     createCpuMeasurement('identify a caller by its API key', 'key', keyCounts, 20_000, prepareIdentification),
     createCpuMeasurement('build a table with API keys', 'key', keyCounts, 5, (x) => () => { buildKeyTable(x) }),
     createCpuMeasurement('apply a complete page', 'record', recordCounts, 5, (x) => {
--- a/gateway/_stream_origins.ts
+++ b/gateway/_stream_origins.ts
@@ -81,7 +81,7 @@
       const name = worker.entry.stage === undefined ? undefined : sidecars.addressOf(worker)
       if (name === undefined) return []
       const isLeaving = worker.drainingSinceMs !== undefined || worker.word.leavingSinceMs !== undefined
-      return [{ name, zone: worker.entry.zone, region: regions[worker.entry.zone] ?? '', isLeaving }]
+      return [{ name, nameHash: hashText(name), zone: worker.entry.zone, region: regions[worker.entry.zone] ?? '', isLeaving }]
     })
     const names = next.map(({ name, isLeaving }) => `${name}${isLeaving ? '-' : '+'}`).sort().join(' ')
     if (names === candidateNames) return
