Prefer prefill engines of the decode engine's version, and do without them rather not

Cause: half of the engines have another version there, and of few prefill engines one version has none. Change: an engine of another version costs 200 ms in the choice, so it is asked when the others are busy or not there.

--- a/gateway/_prefill.ts
+++ b/gateway/_prefill.ts
@@ -28,22 +28,29 @@
 const maxExtensions = 2
 /** Cost in milliseconds of a lost response in the choice of an engine; about the time until the loss is detected. */
 const lossCostMs = 400
+/**
+ * Cost in milliseconds of a prefill engine of another software version in that choice. The versions of engines come apart in a release, and
+ * without any prefill engine the prompts would delay the streams of the decode engines.
+ */
+const otherVersionCostMs = 200
 /** A client whose deadline is shorter than this share of the route's timeout has come back after a refusal. */
 const returningDeadlineShare = 0.97
 
-/**
- * Returns the prefill engine with the lowest estimated cost whose KV cache the decode engine can use: the caches of two software versions
- * do not fit together. Returns undefined when none can be asked.
- */
+/** Returns the prefill engine with the lowest estimated cost for a decode engine; undefined when none can be asked. */
 function findFastestPrefillEngine (context: GatewayContext, request: ClientRequest, decodeEngine: Worker): Worker | undefined {
   const nowMs = context.timer.now()
   const ranked = context.directory.fleet.serving(request.service.name)
-    .filter((worker) => stageOf(worker) === Stage.Prefill && worker.entry.softwareVersion === decodeEngine.entry.softwareVersion)
-    .filter((worker) => (worker.prefillRetryAtMs ?? 0) <= nowMs)
+    .filter((worker) => stageOf(worker) === Stage.Prefill && (worker.prefillRetryAtMs ?? 0) <= nowMs)
     .map((worker) => ({ worker, rank: checkWorker(context, worker, request.head.sharedParts).rank }))
   const bestRank = Math.min(SendRank.Leaving, ...ranked.map(({ rank }) => rank))
   const engines = ranked.filter(({ rank }) => rank === bestRank).map(({ worker }) => worker)
-  return engines.sort((a, b) => estimateCostMs(context, request, a) - estimateCostMs(context, request, b))[0]
+  const cost = (worker: Worker): number => estimateCostMs(context, request, worker) + getVersionCostMs(worker, decodeEngine)
+  return engines.sort((a, b) => cost(a) - cost(b))[0]
+}
+
+/** Returns the cost in milliseconds of a KV cache that comes from another software version. */
+function getVersionCostMs (worker: Worker, decodeEngine: Worker): number {
+  return worker.entry.softwareVersion === decodeEngine.entry.softwareVersion ? 0 : otherVersionCostMs
 }
 
 /** Estimates the time in milliseconds until a prefill engine has finished the prompt, plus the expected cost of lost responses. */
