Bound the time of a response that goes on

What callers would see: a process that stays at an old configuration. Cause: since a response of the store may go on as long as bytes come, so one that dribbles holds its watch for good. The new scenario would wait for the 100,000 bytes of its response, 2,000 s, on the code before.

--- a/exchange/call_json.ts
+++ b/exchange/call_json.ts
@@ -23,7 +23,7 @@
   timer: Timer
   /** Time in milliseconds within which the complete response must arrive; with `stallMs`, its head. */
   timeoutMs: number
-  /** Time in milliseconds without a byte after which a response that has begun is given up; it may take as long as it goes on otherwise. */
+  /** Time in milliseconds without a byte after which a response that has begun is given up; as long as it goes on, it may take four times as long. */
   stallMs?: number
   /** Maximum size of a response body in bytes; 1 MiB by default. */
   maxBytes?: number
@@ -32,6 +32,8 @@
 }
 
 const defaultMaxBytes = 1_048_576
+/** Number of times `stallMs` that a response that goes on may take: one that dribbles must not hold its caller for good. */
+const maxStalls = 4
 
 /**
  * Sends a request to a server and decodes its response.
@@ -67,11 +69,14 @@
 
     let deadline = timer.after(timeoutMs, () => fail(FailureKind.TimedOut, `no complete response within ${timeoutMs} ms`))
 
-    /** Gives a response that goes on its next time. Giving up a large one for its length would have it sent again from the start. */
+    const lastMs = timer.now() + timeoutMs + maxStalls * (stallMs ?? 0)
+
+    /** Gives a response that goes on its next time. Giving up a large one early would have it sent again from the start. */
     function noteProgress (): void {
       if (stallMs === undefined) return
       deadline.cancel()
-      deadline = timer.after(stallMs, () => fail(FailureKind.TimedOut, `the response stopped for ${stallMs} ms after ${received.length()} bytes`))
+      const waitMs = Math.max(0, Math.min(stallMs, lastMs - timer.now()))
+      deadline = timer.after(waitMs, () => fail(FailureKind.TimedOut, `the response was not complete after ${received.length()} bytes, waited ${Math.round(waitMs)} ms`))
     }
 
     const exchange = pool.send(address, req, {
--- a/exchange/exchange.feature
+++ b/exchange/exchange.feature
@@ -82,3 +82,7 @@
       | 999    |
       | 0      |
       | 2000   |
+
+  # Guards against a caller that is held for good by a response that sends a byte now and then.
+  Scenario: A call whose response dribbles without end fails
+    Then a call that may stall for 50 ms fails within 1000 ms when its response sends a byte each 20 ms
--- a/exchange/exchange_test.ts
+++ b/exchange/exchange_test.ts
@@ -259,3 +259,18 @@
     assert.doesNotMatch(failure.message, /falsy|false == true|assert/)
     assert.ok((await run(pool, address)).ended)
   })
+
+Then('a call that may stall for {int} ms fails within {int} ms when its response sends a byte each {int} ms',
+  async function (this: World, stallMs: number, withinMs: number, eachMs: number) {
+    const address = await serve(this, (socket) => {
+      socket.write('HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n')
+      const dribble = setInterval(() => socket.write(' '), eachMs)
+      socket.on('close', () => clearInterval(dribble))
+    })
+    const timer = createSystemTimer()
+    const startedMs = performance.now()
+    const result = await callJson(address, request, { pool: createPool(this), timer, timeoutMs: 2 * stallMs, stallMs })
+    timer.close()
+    assert.ok(result.err && result.val.kind === FailureKind.TimedOut)
+    assert.ok(performance.now() - startedMs < withinMs)
+  })
