--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -1,62 +1,110 @@
 /**
- * Prompts with one part crash engines, whose sound streams end with their connections; sound prompts are held back for good.
+ * An engine that states the length of a stream breaks it off, another one goes on with longer events, and what follows on the client's
+ * connection is no answer.
  */
+import { connect } from 'node:net'
 import { dirname } from 'node:path'
 import { fileURLToPath } from 'node:url'
-import { buildConfiguration, engineRule, runCase, send, sleep, until } from '../lib-2/rig.mjs'
+import { buildConfiguration, engineRule, runCase, sleep, until } from '../lib-2/rig.mjs'
 import { startStore } from '../lib-2/store.mjs'
 import { startWorker } from '../lib-2/worker.mjs'
 
 const host = 'llm.example'
-const zones = { levis: 'qc-est', rimouski: 'qc-est' }
-const stableMs = 4_000
-/** Time in milliseconds between two sound requests, and between two that crash an engine. */
-const soundMs = 200
-const crashMs = 2_500
+const zones = { levis: 'qc-est' }
+const streams = 600
+const streamMs = 100
+/** Each answer of this number is broken off at the engines that do so: a share of 0.0294. */
+const brokenEach = 34
+/** Length in milliseconds of each time in which they do so, and of the pause between two of them. */
+const garbleMs = 5_000
+const pauseMs = 1_000
 
 await runCase(dirname(fileURLToPath(import.meta.url)), async ({ rig, record, isTroubled }) => {
   const store = await startStore({ ip: rig.takeIp(), record })
   rig.onClose(store.close)
-  const rule = { ...engineRule, kv_tokens: 79_304 }
   store.put('op/config', buildConfiguration({
-    host, routes: [{ name: 'r-1', prefix: '/scan/', kind: 'streaming', gap_aim_ms: 300, session_affinity: true, service: 'llm' }], services: [{ name: 'llm', health_path: '/health', max_connections: 360, engine: rule }]
+    host,
+    routes: [
+      { name: 'r-1', prefix: '/avis/', kind: 'streaming', gap_aim_ms: 300, max_attempts: 2, allow_resume: true, session_affinity: true, service: 'llm' },
+      { name: 'r-2', prefix: '/suivi/', kind: 'idempotent', max_attempts: 2, timeout_ms: 2_000, service: 'registre' }
+    ],
+    services: [{ name: 'llm', health_path: '/health', max_connections: 360, engine: engineRule }, { name: 'registre', health_path: '/health', max_connections: 100 }]
   }))
-  const engines = []
-  for (const zone of ['levis', 'rimouski', 'levis', 'rimouski', 'levis', 'rimouski']) {
+  const startMs = record.now()
+  for (let number = 0; number < 5; number++) {
     const ip = rig.takeIp()
-    const engine = await startWorker({ ip, service: 'llm', zone, stage: engines.length === 0 ? 'prefill' : 'decode', store, record, isUnframed: true, crashPart: () => 'bad0' })
+    // Two of the five break answers off.
+    const isFaulty = isTroubled && (number === 1 || number === 2)
+    let answers = 0
+    const engine = await startWorker({
+      ip,
+      service: 'llm',
+      zone: 'levis',
+      stage: number === 0 ? 'prefill' : 'decode',
+      store,
+      record,
+      // The engine writes its answer once it has generated all of it, so that it knows the length.
+      isWhole: true,
+      breaksOff: () => isFaulty && (record.now() - startMs) % (garbleMs + pauseMs) < garbleMs && ++answers % brokenEach === 0
+    })
     rig.onClose(engine.close)
-    engines.push(engine)
-    await rig.startSidecar({ name: `side-${engines.length}`, ip, zone, zones, storeAddress: store.address, app: engine.address })
+    await rig.startSidecar({ name: `side-${number + 1}`, ip, zone: 'levis', zones, storeAddress: store.address, app: engine.address })
   }
+  const plain = await startWorker({ ip: rig.takeIp(), service: 'registre', zone: 'levis', store, record })
+  rig.onClose(plain.close)
   const gateway = await rig.startGateway({ name: 'edge-1', ip: rig.takeIp(), zone: 'levis', zones, storeAddress: store.address })
   await until('the gateway is ready', gateway.isReady)
-  await sleep(stableMs)
+  await sleep(5_000)
 
-  const sound = []
-  const bad = []
-  const sendSound = () => sound.push(send(record, gateway.front, {
-    path: '/scan/1', host, headers: { 'X-Model': 'm', 'X-Token-Counts': '1000,70', 'X-Length-Hint': '70', 'X-Prompt-Prefix': `5a00:200,a100:150,b200:150,${(10_000 + sound.length).toString(16)}:500` }
-  }).result)
-  const sendBad = () => bad.push(send(record, gateway.front, {
-    path: '/scan/1', host, headers: { 'X-Model': 'm', 'X-Token-Counts': '1000,70', 'X-Length-Hint': '70', 'X-Prompt-Prefix': `5a00:200,${bad.length % 2 === 0 ? '' : 'a100:150,'}bad0:150,${(90_000 + bad.length).toString(16)}:500` }
-  }).result)
-  const timers = [setInterval(sendSound, soundMs)]
-  await sleep(8_000)
-  const firstBadMs = record.now()
-  if (isTroubled) timers.push(setInterval(sendBad, crashMs))
-  await sleep(50_000)
-  for (const timer of timers) clearInterval(timer)
-  await sleep(3_000)
-
-  const crashes = bad.filter(({ status }) => status === 200).map(({ endMs }) => endMs)
-  const fifthMs = crashes[Math.min(4, crashes.length - 1)] ?? firstBadMs
-  const fromMs = fifthMs + 2 * stableMs
-  const share = (list) => list.filter(({ status, body }) => status === 200 && body.length > 0).length / list.length
-  const before = sound.filter(({ sentMs }) => sentMs < firstBadMs)
-  const after = sound.filter(({ sentMs }) => sentMs > fromMs)
-  const late = bad.filter(({ sentMs, status }) => sentMs > fifthMs + stableMs && status === 200)
-  record.add(`crashes: ${crashes.length}, the fifth or last at ${Math.round(fifthMs)} ms; ${late.length} requests with the part reached workers later than ${stableMs} ms after it`)
-  record.add(`sound requests that began: ${(100 * share(before)).toFixed(0)} % of ${before.length} before, ${(100 * share(after)).toFixed(0)} % of ${after.length} from ${2 * stableMs} ms after the fifth or last crash`)
-  return share(after) < share(before) / 2
+  /** Sends a stream and then a lookup on one connection, as clients that keep connections open do, and returns all bytes that come. */
+  const followOnOneConnection = async (index) => {
+    const [hostname, port] = gateway.front.split(':')
+    const socket = connect(Number(port), hostname)
+    let text = ''
+    const state = { isEnded: false }
+    socket.on('data', (data) => { text += data.toString('latin1') })
+    socket.on('close', () => { state.isEnded = true })
+    socket.on('error', () => {})
+    const streamId = `5e${(10_000 + index).toString(16)}`
+    const lookupId = `10${(10_000 + index).toString(16)}`
+    socket.write(`POST /avis/1 HTTP/1.1\r\nHost: ${host}\r\nX-Request-Id: ${streamId}\r\nX-Model: m\r\nX-Token-Counts: 400,60\r\nX-Length-Hint: 60\r\nX-Prompt-Prefix: 5a00:200,${(10_000 + index).toString(16)}:200\r\nX-Request-Deadline-Ms: 14000\r\nContent-Length: 0\r\n\r\n`)
+    const readAnswer = () => {
+      const headEnd = text.indexOf('\r\n\r\n')
+      if (headEnd < 0) return undefined
+      const length = /content-length: (\d+)/i.exec(text.slice(0, headEnd))?.[1]
+      const isChunked = /transfer-encoding: chunked/i.test(text.slice(0, headEnd))
+      const bodyStart = headEnd + 4
+      if (isChunked) {
+        const end = text.indexOf('0\r\n\r\n', bodyStart)
+        return end < 0 ? undefined : { head: text.slice(0, headEnd), body: text.slice(bodyStart, end), rest: text.slice(end + 5) }
+      }
+      if (length === undefined || text.length < bodyStart + Number(length)) return undefined
+      return { head: text.slice(0, headEnd), body: text.slice(bodyStart, bodyStart + Number(length)), rest: text.slice(bodyStart + Number(length)) }
+    }
+    for (let waitedMs = 0; readAnswer() === undefined && !state.isEnded && waitedMs < 14_000; waitedMs += 20) await sleep(20)
+    const answer = readAnswer()
+    if (answer === undefined) {
+      record.add(`client: ${streamId} gets no whole answer, ${text.length} bytes`)
+      socket.destroy()
+      return { isStreamWhole: false }
+    }
+    record.add(`client: ${streamId} is whole by its length: ${JSON.stringify(answer.head.split('\r\n')[0])}, body ${JSON.stringify(answer.body)}`)
+    text = answer.rest
+    socket.write(`GET /suivi/1 HTTP/1.1\r\nHost: ${host}\r\nX-Request-Id: ${lookupId}\r\nX-Request-Deadline-Ms: 1500\r\n\r\n`)
+    await sleep(400)
+    record.add(`client: ${lookupId} gets on the same connection ${JSON.stringify(text.slice(0, 200))}`)
+    socket.destroy()
+    const lastEvent = /\n\n$/.test(answer.body)
+    return { isStreamWhole: true, endsInsideEvent: !lastEvent, isForeign: text.length > 0 && !text.startsWith('HTTP/1.1 ') }
+  }
+  const all = []
+  for (let index = 0; index < streams; index++) {
+    all.push(followOnOneConnection(index))
+    await sleep(streamMs)
+  }
+  const ended = await Promise.all(all)
+  const cut = ended.filter(({ endsInsideEvent }) => endsInsideEvent)
+  const foreign = ended.filter(({ isForeign }) => isForeign)
+  record.add(`of ${ended.length} streams, ${cut.length} ended as complete inside an event; ${foreign.length} lookups got bytes of a stream that are no answer`)
+  return cut.length > 0 || foreign.length > 0
 })
--- a/review/lib-2/rig.mjs
+++ b/review/lib-2/rig.mjs
@@ -52,6 +52,10 @@
   let code = 2
   const timeout = setTimeout(() => finish(2), 115_000)
   for (const signal of ['SIGTERM', 'SIGINT']) process.once(signal, () => finish(2))
+  process.once('uncaughtException', (err) => {
+    record.add(`error: ${err.stack}`)
+    finish(2)
+  })
   async function finish (result) {
     clearTimeout(timeout)
     await rig.close()
--- a/review/lib-2/worker.mjs
+++ b/review/lib-2/worker.mjs
@@ -17,11 +17,13 @@
  * Starts a worker and writes its entry to the store.
  *
  * `stage` makes it an engine. `isUnframed` makes it answer streams with neither a length nor chunks. `crashPart` names a part of prompts
- * that crashes it as soon as it begins to write an answer; it is back after `backMs`.
+ * that crashes it as soon as it begins to write an answer; it is back after `backMs`. `isWhole` makes it write streams with their length, once
+ * all is generated, and `breaksOff` tells whether the next one of them is broken off behind its first events.
  */
 export async function startWorker (options) {
   const { ip, service, zone, store, record, stage: firstStage, slots = 64, kvTokens = 79_304, speed = 1, version = 'v1' } = options
   const { stepMs = 2, stride = 10, stageSwitchMs = 300, handleTtlMs = 500, isUnframed = false, crashPart, backMs = 2_000, responseMs = 20 } = options
+  const { isWhole = false, breaksOff = () => false } = options
   const id = options.id ?? drawId('i-')
   const key = `servers/${id}`
   let stage = firstStage
@@ -163,6 +165,7 @@
   }
 
   function crashNow (awayMs) {
+    if (!isUp) return
     isUp = false
     for (const socket of sockets) socket.resetAndDestroy()
     server.close()
@@ -183,6 +186,17 @@
     }, awayMs)
   }
 
+  /** Sends a stream with its length; a part of it, when the engine breaks it off. What the engines generate differs in length. */
+  function sendWhole (req, res, head, first, last) {
+    const events = Array.from({ length: Math.max(0, last - first) }, (_, index) => `id: ${first + index + 1}\ndata: ${id} ${'w'.repeat(1 + Math.floor(30 * Math.random()))}\n\n`)
+    const text = events.join('')
+    res.writeHead(200, { ...head, 'Content-Length': text.length })
+    if (first > 0 || !breaksOff()) return res.end(text)
+    record.add(`worker ${id}: breaks off ${req.headers['x-request-id']} behind event 2`)
+    res.write(events.slice(0, 2).join(''))
+    setTimeout(() => res.socket?.resetAndDestroy(), 20)
+  }
+
   function serveStream (req, res, { tokens, maxTokens, parts }) {
     const requestId = req.headers['x-request-id']
     if (stage !== 'decode' || isBusy) return misdirect(req, res)
@@ -206,6 +220,10 @@
       const last = Math.max(1, Math.ceil(maxTokens / stride))
       let event = first
       const socket = res.socket
+      if (isWhole) {
+        timer = setTimeout(() => sendWhole(req, res, head, first, last), (last - first) * stride * stepMs)
+        return
+      }
       if (isUnframed) {
         const lines = Object.entries({ ...head, Connection: 'close' }).map(([name, value]) => `${name}: ${value}\r\n`).join('')
         socket.write(`HTTP/1.1 200 OK\r\n${lines}\r\n`)
