--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -11,10 +11,10 @@
 
 const host = 'llm.example'
 const zones = { levis: 'qc-est' }
-const streams = 600
-const streamMs = 100
-/** Each answer of this number is broken off at the engines that do so: a share of 0.0294. */
-const brokenEach = 34
+const streams = 1200
+const streamMs = 50
+/** Each answer of this number is broken off at the engines that do so: a share of 0.02. */
+const brokenEach = 50
 /** Length in milliseconds of each time in which they do so, and of the pause between two of them. */
 const garbleMs = 5_000
 const pauseMs = 1_000
@@ -31,9 +31,9 @@
     services: [{ name: 'llm', health_path: '/health', max_connections: 360, engine: engineRule }, { name: 'registre', health_path: '/health', max_connections: 100 }]
   }))
   const startMs = record.now()
-  for (let number = 0; number < 5; number++) {
+  for (let number = 0; number < 6; number++) {
     const ip = rig.takeIp()
-    // Two of the five break answers off.
+    // Two of the six break answers off.
     const isFaulty = isTroubled && (number === 1 || number === 2)
     let answers = 0
     const engine = await startWorker({
--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -15,6 +15,6 @@
 const buildBad = (number) => ({ ...shared, [badPart]: 50, [`f${number}`]: 500 })
 
 await runCase(dirname(fileURLToPath(import.meta.url)), async (context) => {
-  const { late } = await runUnderPrompts(context, { engineCount: 6, soundMs: 200, crashMs: 2_500, outputTokens: 700, buildSound, buildBad })
+  const { late } = await runUnderPrompts(context, { engineCount: 6, soundMs: 100, crashMs: 2_500, outputTokens: 700, buildSound, buildBad })
   return late > maxLate
 })
