Do not let another engine go on under a length that the first one stated

Where the second engine's events were shorter, the client waited for missing bytes until its deadline.

Cause: the head of the first engine is passed on with its Content-Length; when that engine breaks off, the events of another one follow under the same head. A head that describes the bytes of one run stood over the bytes of two; the same holds for digests, entity tags and ranges.

Change: a stream whose head states a length is not continued at another engine within the response. It is broken off, which its client sees by the length, also with HTTP/1.0, and takes up again by Last-Event-Id. A search for another engine during a silence is neither begun nor used then. "attempt failed" names whether another worker could go on.

Weighed: chunks for all streams that may go on keep the continuation. Clients of HTTP/1.0 need the length either way.

--- a/gateway/_serve_generation.ts
+++ b/gateway/_serve_generation.ts
@@ -63,7 +63,7 @@
     }
     recordFailedAttempt(context, request, state, prepared, result)
     prepared = await next
-    if (prepared !== undefined && !fitsOrigin(state, prepared)) {
+    if (prepared !== undefined && (!fitsOrigin(state, prepared) || !request.reply.canChangeWorker())) {
       releaseAttempt(context, request, prepared)
       prepared = undefined
     }
@@ -88,7 +88,17 @@
   const { end, status, detail, bytes, ranMs, connection } = result
   const parts = request.head.sharedParts.join(' ')
   context.log.warn({
-    request: request.requestId, attempt: state.attempts, worker: reservation.worker.entry.id, end, status, detail, bytes, ranMs, connection, parts
+    request: request.requestId,
+    attempt: state.attempts,
+    worker: reservation.worker.entry.id,
+    end,
+    status,
+    detail,
+    bytes,
+    ranMs,
+    connection,
+    parts,
+    canChangeWorker: request.reply.canChangeWorker()
   }, 'attempt failed')
   if (end === StreamEnd.Lost) context.metrics.count(Count.StreamsLost, { phase: bytes === 0 ? 'start' : 'midway' })
   if (kvCache !== undefined && end === StreamEnd.Refused) context.metrics.count(Count.WastedPrefillTokens, {}, request.head.promptTokens)
@@ -98,7 +108,7 @@
 async function seekReplacement (
   context: GatewayContext, search: ClientRequest, state: GenerationState, silent: Worker
 ): Promise<PreparedAttempt | undefined> {
-  if (state.attempts >= search.route.maxAttempts) return undefined
+  if (state.attempts >= search.route.maxAttempts || !search.reply.canChangeWorker()) return undefined
   if (context.retryBudget(search.service.name).remaining(context.timer.now()) < 1) return undefined
   const exclude = new Set([...state.exclude, silent.entry.id])
   const result = await prepareAttempt(context, search, { exclude, takesRetry: true, softwareVersion: state.origin?.softwareVersion })
@@ -137,7 +147,8 @@
 
 /** Takes a retry from the budget when a stream may resume at another engine, within its attempts and its deadline; returns whether it may. */
 function tryTakeRetry (context: GatewayContext, request: ClientRequest, state: GenerationState, result: StreamResult): boolean {
-  if (!request.route.mayResume || state.attempts >= request.route.maxAttempts || request.stopReason() !== undefined || findCallerReply(request) !== undefined) return false
+  if (!request.route.mayResume || state.attempts >= request.route.maxAttempts || !request.reply.canChangeWorker()) return false
+  if (request.stopReason() !== undefined || findCallerReply(request) !== undefined) return false
   const isLost = result.end === StreamEnd.Lost || result.end === StreamEnd.Refused
   return isLost && context.retryBudget(request.service.name).take(context.timer.now())
 }
--- a/gateway/_watch_silence.ts
+++ b/gateway/_watch_silence.ts
@@ -104,7 +104,7 @@
     const isCurrent = search === finished
     if (isCurrent) search = undefined
     if (attempt === undefined || finished.isTaken) return
-    if (isCurrent && detector.isSilent(timer.now())) onReplaced(attempt, describePause())
+    if (isCurrent && detector.isSilent(timer.now()) && request.reply.canChangeWorker()) onReplaced(attempt, describePause())
     else releaseAttempt(context, request, attempt)
   }
 
--- a/testing/fleuve/mod.ts
+++ b/testing/fleuve/mod.ts
@@ -3,7 +3,7 @@
  */
 export { buildConfiguration, startSite } from './start_site.ts'
 export { startStore, StoreMode } from './start_store.ts'
-export { SilencePoint, startWorker, WorkerMode } from './start_worker.ts'
+export { SilencePoint, StatedOfBody, startWorker, WorkerMode } from './start_worker.ts'
 export type { Site, SiteOptions } from './start_site.ts'
 export type { FakeStore, StoreCopy } from './start_store.ts'
 export type { FakeWorker, FakeWorkerOptions, ReceivedRequest, Silence } from './start_worker.ts'
--- a/testing/fleuve/start_worker.ts
+++ b/testing/fleuve/start_worker.ts
@@ -190,6 +190,15 @@
   close (): Promise<void>
 }
 
+/** Names what the head of a stream states of its bytes. */
+export enum StatedOfBody {
+  Nothing = 'nothing',
+  /** A digest, an entity tag and ranges. */
+  Digest = 'its digest',
+  /** The same and the length. */
+  Length = 'its length'
+}
+
 /** Configures a worker. */
 export interface FakeWorkerOptions {
   id: string
@@ -205,6 +214,8 @@
   eventMs?: number
   /** Bytes of padding in each event; 0 by default. */
   eventBytes?: number
+  /** What the heads of an engine's streams state of their bytes; nothing by default. */
+  stated?: StatedOfBody
 }
 
 const responseText = 'signed'
@@ -235,7 +246,7 @@
 
 /** Starts a worker on a free port of the loopback address. */
 export async function startWorker (options: FakeWorkerOptions): Promise<FakeWorker> {
-  const { id, service, zone = 'levis', version = 'v1', events = 3, eventMs = 5, eventBytes = 0 } = options
+  const { id, service, zone = 'levis', version = 'v1', events = 3, eventMs = 5, eventBytes = 0, stated = StatedOfBody.Nothing } = options
   const writer = options.version === undefined ? 'piece' : options.id
   const requests: ReceivedRequest[] = []
   const controlCalls: Array<{ call: string, body: string, receivedMs: number }> = []
@@ -479,18 +490,27 @@
     }, crashDelayMs)
   }
 
+  function buildEvent (number: number): string { return `id: ${number}\ndata: ${writer} ${number}${'.'.repeat(eventBytes)}\n\n` }
+
+  /** Returns the headers that state something of the bytes of the stream behind an event. */
+  function describeStream (after: number): object {
+    if (stated === StatedOfBody.Nothing) return {}
+    const numbers = Array.from({ length: Math.max(0, events - after) }, (_, i) => after + 1 + i)
+    const length = numbers.reduce((sum, number) => sum + buildEvent(number).length, 0)
+    const digest = { Digest: `sha-256=${id}`, 'Content-Digest': `sha-256=:${id}:`, ETag: `"${id}"`, 'Accept-Ranges': 'bytes' }
+    return stated === StatedOfBody.Length ? { ...digest, 'Content-Length': length } : digest
+  }
+
   function sendStream (req: IncomingMessage, res: ServerResponse): void {
     if (promptCrash !== undefined && hasPart(req, promptCrash.part)) return crash(req, res, promptCrash)
     if (res.destroyed) return
     const first = Number(req.headers['last-event-id'] ?? 0)
     running.add(String(req.headers['x-request-id']))
-    res.writeHead(200, createHeaders(req, { 'Content-Type': 'text/event-stream' }))
+    res.writeHead(200, createHeaders(req, { 'Content-Type': 'text/event-stream', ...describeStream(first) }))
     res.flushHeaders()
     let event = first
     let timer: ReturnType<typeof setTimeout>
 
-    function buildEvent (id: number): string { return `id: ${id}\ndata: ${writer} ${id}${'.'.repeat(eventBytes)}\n\n` }
-
     function sendNext (): void {
       event++
       res.write(buildEvent(event))
