Reset broken responses of clients that cannot read chunks, whatever framing the worker chose

A client of HTTP/1.0 that got a response of a worker in chunks saw an orderly end of its connection when the response was broken off, and took the part for the whole. The reset that shows the break was sent only where the worker itself had stated neither a length nor chunks.

What counts is the framing towards the client now: no length, and no chunks because of its version. The new scenario of gateway/response_framing.feature fails without the change ("has ended with a reset") and passes with it.

--- a/gateway/_reply.ts
+++ b/gateway/_reply.ts
@@ -2,6 +2,7 @@
  * Writes the response to one request of a client.
  */
 import { encodeLocalReplyHeaders } from '../platform/mod.ts'
+import { omitBodyHeaders, statesLength } from './_body_headers.ts'
 import type { ServerResponse } from 'node:http'
 import type { ByteBudget } from '../core/stream/mod.ts'
 import type { WorkerResponse } from './_send_to_worker.ts'
@@ -23,8 +24,10 @@
   sendLocal (reply: LocalReply): void
   /** Sends the complete response of a worker. */
   sendWhole (head: WorkerResponse, body: Buffer): void
-  /** Sends the head of the response of a worker. */
-  begin (head: WorkerResponse): void
+  /** Sends the head of the response of a worker; with `mayContinue`, another worker may go on with a body of unknown length. */
+  begin (head: WorkerResponse, options?: { mayContinue?: boolean }): void
+  /** Tells whether another worker may go on with the response: no head has been sent, or one that describes no worker's bytes. */
+  canChangeWorker (): boolean
   /** Sends a part of the body; returns false when the client reads more slowly than the worker writes. */
   write (chunk: Buffer): boolean
   /** Completes a response whose head has been sent. */
@@ -53,6 +56,7 @@
   let isOver = false
   let isRefusal = false
   let isCloseDelimited = false
+  let describesBody = false
   let onDrained: (() => void) | undefined
 
   /** Counts a whole response until its client has read it; one that is too many is broken off. */
@@ -74,9 +78,9 @@
    * its length or in chunks, because the end of this process ends the connection too: what ends with its connection would look complete.
    */
   function writeHead (response: WorkerResponse, bodyBytes?: number): void {
-    const hasNoFraming = response.isCloseDelimited && bodyBytes === undefined
-    // Clients of HTTP/1.0 cannot read chunks.
-    isCloseDelimited = hasNoFraming && !res.useChunkedEncodingByDefault
+    const hasLength = bodyBytes !== undefined || statesLength(response.forwarded)
+    // Clients of HTTP/1.0 cannot read chunks, whatever framing the worker has chosen.
+    isCloseDelimited = !hasLength && !res.useChunkedEncodingByDefault
     const length = response.isCloseDelimited && bodyBytes !== undefined ? ['Content-Length', String(bodyBytes)] : []
     res.sendDate = false
     res.writeHead(response.status, [...response.forwarded, ...length])
@@ -104,11 +108,14 @@
       hold(body.length)
       res.end(body)
     },
-    begin (response) {
+    begin (response, { mayContinue = false } = {}) {
       if (isOver || res.headersSent) return
-      writeHead(response)
+      // A length holds for the bytes of one worker only, and shows its client an early end, also where chunks cannot be read.
+      describesBody = !mayContinue || statesLength(response.forwarded)
+      writeHead(describesBody ? response : { ...response, forwarded: omitBodyHeaders(response.forwarded) })
       res.flushHeaders()
     },
+    canChangeWorker: () => !res.headersSent || !describesBody,
     write: (chunk) => isOver || res.write(chunk),
     end () {
       if (isOver) return
--- a/gateway/response_framing.feature
+++ b/gateway/response_framing.feature
@@ -33,3 +33,10 @@
     And gateway workers that are "unframed"
     When a gateway client of HTTP/1.0 reads the response to "POST /unsafe/x"
     Then the raw gateway response has "content-length: 6" and 6 bytes
+
+  # Guards against a broken response that looks complete: chunks end for such a client where its connection does.
+  Scenario: A long response in chunks that breaks off is reset to a client of HTTP/1.0
+    Given a gateway site with the plain workers "w1"
+    And gateway workers that are "cut_chunks_large"
+    When a gateway client of HTTP/1.0 reads the response to "POST /unsafe/x" until its connection ends
+    Then the raw gateway response has ended with a reset
--- a/gateway/response_framing_test.ts
+++ b/gateway/response_framing_test.ts
@@ -5,6 +5,7 @@
 import { once } from 'node:events'
 import { connect } from 'node:net'
 import { Then, When } from '@cucumber/cucumber'
+import { isReset } from '../exchange/mod.ts'
 import { send } from './gateway_test.ts'
 import type { Site } from '../testing/fleuve/mod.ts'
 
@@ -13,6 +14,7 @@
   rawHead: string
   rawBody: Buffer
   hasEnded: boolean
+  wasReset: boolean
   broken: { body: string, isComplete: boolean }
 }
 
@@ -42,6 +44,20 @@
   this.rawBody = all.subarray(at + 4)
 })
 
+When('a gateway client of HTTP\\/{word} reads the response to {string} until its connection ends', async function (this: World, version: string, line: string) {
+  const [host, port] = (this.gatewaySite.settings.clientAddress as string).split(':')
+  const socket = connect({ host: host as string, port: Number(port) })
+  this.wasReset = false
+  socket.on('error', () => { this.wasReset = true })
+  socket.on('end', () => { this.wasReset ||= isReset(socket) })
+  socket.resume()
+  const closed = once(socket, 'close')
+  socket.write(`${line} HTTP/${version}\r\nHost: a.example\r\nX-Request-Id: raw-1\r\nX-Request-Deadline-Ms: 600\r\nContent-Length: 0\r\n\r\n`)
+  await closed
+})
+
+Then('the raw gateway response has ended with a reset', function (this: World) { assert.ok(this.wasReset) })
+
 Then('the raw gateway response has {string}, ends with the last chunk, and keeps its connection', function (this: World, field: string) {
   assert.ok(this.rawHead.includes(field), this.rawHead)
   assert.equal(this.rawBody.subarray(-lastChunk.length).toString(), lastChunk)
