Do not continue an answer that is no stream with the events of another engine

An engine that answered 404 and broke off inside the body was taken for a lost stream: the events of the next engine followed under the head and the beginning of the first one's refusal.

A head whose status is none of a stream binds the response to its worker now. The new scenario of gateway/continued_stream.feature fails without the change (the connection goes on with another engine's events) and passes with it.

--- a/gateway/_forward_stream.ts
+++ b/gateway/_forward_stream.ts
@@ -200,7 +200,7 @@
         stats.connection = head.connection
         isCloseDelimited = head.isCloseDelimited
         if (!hasFailed()) {
-          request.reply.begin(head, { mayContinue: events !== undefined })
+          request.reply.begin(head, { mayContinue: events !== undefined && head.status < minRefusalStatus })
           return
         }
         failedBody = discardBody(timer, () => {
--- a/gateway/continued_stream.feature
+++ b/gateway/continued_stream.feature
@@ -50,3 +50,10 @@
       | what                                | path      |
       | though it may go on at another one  | /resume/x |
       | when it may not be resumed          | /stream/x |
+
+  # Guards against the events of one engine in the answer of another that has refused.
+  Scenario: An answer that is no stream and breaks off is not continued with the events of another engine
+    Given a continued stream of an engine that refuses with a body that breaks off, and another engine
+    When a client of HTTP/1.1 reads the continued stream until its connection ends
+    Then the continued stream has the status 404 and no event
+    And the second engine of the continued stream saw 0 requests
--- a/gateway/continued_stream_test.ts
+++ b/gateway/continued_stream_test.ts
@@ -5,7 +5,7 @@
 import { once } from 'node:events'
 import { connect } from 'node:net'
 import { Given, Then, When } from '@cucumber/cucumber'
-import { SilencePoint } from '../testing/fleuve/mod.ts'
+import { SilencePoint, WorkerMode } from '../testing/fleuve/mod.ts'
 import { open, until } from './gateway_test.ts'
 import type { Socket } from 'node:net'
 import type { FakeWorker, Site, StatedOfBody } from '../testing/fleuve/mod.ts'
@@ -44,6 +44,13 @@
 Given('a continued stream of an engine that states {string} and breaks off after event {int}, and another engine whose events have {int} more bytes',
   async function (this: World, stated: StatedOfBody, breaksAfter: number, moreBytes: number) { await openEngines(this, { stated, moreBytes, breaksAfter }) })
 
+Given('a continued stream of an engine that refuses with a body that breaks off, and another engine', async function (this: World) {
+  await openEngines(this, { stated: 'nothing' as StatedOfBody, moreBytes: 0, breaksAfter: 0 })
+  engine(this, 'first').setMode(WorkerMode.TruncatedNotFound)
+  // The second engine gets memory while the body of the first one arrives.
+  setTimeout(() => engine(this, 'second').setReservableTokens(memoryTokens), secondMemoryMs)
+})
+
 Given('the first engine of the continued stream falls silent before the first event for {int} ms', function (this: World, ms: number) {
   engine(this, 'first').setSilence({ point: SilencePoint.BeforeFirstEvent, ms })
   engine(this, 'second').setReservableTokens(memoryTokens)
@@ -71,6 +78,8 @@
   afterEvent?: number
 }
 
+/** Time in milliseconds after which the second engine gets memory; a client has sent its request by then. */
+const secondMemoryMs = 60
 const firstId = 'raw-1'
 
 function requestStream (socket: Socket, { path, version = '1.1', afterEvent }: StreamRequest): void {
@@ -144,6 +153,11 @@
   Object.assign(this, { rawHead: head, rawBody: body })
 })
 
+Then('the continued stream has the status {int} and no event', function (this: World, status: number) {
+  assert.ok(this.rawHead.startsWith(`http/1.1 ${status} `), this.rawHead)
+  assert.doesNotMatch(this.rawBody, /id: /)
+})
+
 Then('the second engine of the continued stream saw {int} requests', function (this: World, count: number) {
   assert.equal(engine(this, 'second').listRequests().length, count)
 })
--- a/testing/fleuve/start_worker.ts
+++ b/testing/fleuve/start_worker.ts
@@ -17,6 +17,8 @@
   FullWithoutId = 'full_without_id',
   /** Responds with status 404 and a body that looks like an event. */
   NotFound = 'not_found',
+  /** Responds with status 404 and breaks off inside the body, which comes in chunks. */
+  TruncatedNotFound = 'cut_not_found',
   /** Streams from the first event on, although the request asks for those after a later one. */
   FromStart = 'from_start',
   /** Begins an event and sends one byte of it now and then, until the connection is closed. */
@@ -348,6 +350,11 @@
       res.writeHead(404, createHeaders(req, { 'Content-Length': 20 }))
       res.end('id: 9\ndata: no such\n\n')
     },
+    [WorkerMode.TruncatedNotFound]: (req, res) => {
+      res.writeHead(404, createHeaders(req))
+      res.write('no su')
+      setTimeout(() => req.socket.resetAndDestroy(), slowMs)
+    },
     [WorkerMode.FromStart]: (req, res) => {
       delete req.headers['last-event-id']
       sendStream(req, res)
