--- a/gateway/_resume_stream.ts
+++ b/gateway/_resume_stream.ts
@@ -9,6 +9,8 @@
 
 /** Reason of a refusal because no engine of the version that began the stream is left. */
 export const versionGone = 'version_gone'
+/** Reason of a refusal because all engines of the version that began the stream prefill; one of them may be changing its stage. */
+export const versionPrefills = 'version_prefills'
 /** Reason of a refusal because nobody knows which version began the stream. */
 const originUnknown = 'origin_unknown'
 /** Delay in milliseconds after which a client may come back when not all who may know its stream could be asked. */
--- a/gateway/resume_stream.feature
+++ b/gateway/resume_stream.feature
@@ -80,6 +80,16 @@
     Then the versioned client is refused with "no_memory", with a time to come back
     And the versioned engine "d2" saw 0 requests
 
+  # Guards against a refusal in the log that cannot be told from one for lack of room.
+  Scenario: A stream whose version has only prefill engines is refused with that reason and a time to come back
+    Given a sidecar of the versioned engines that remembers streams
+    And only the versioned engines "d1" have memory
+    When a versioned client begins the stream "a" and leaves after event 3
+    And the versioned engines "d1, d3" change to prefill
+    And the versioned client takes "a" up as "b" at a gateway that has just started
+    Then the versioned client is refused with "version_prefills", with a time to come back
+    And the versioned engine "d2" saw 0 requests
+
   # Nobody knows what began the stream, so any engine may be of another version.
   Scenario Outline: A stream that <what> is not taken up
     Given a sidecar of the versioned engines that remembers streams
--- a/gateway/resume_stream_test.ts
+++ b/gateway/resume_stream_test.ts
@@ -199,6 +199,14 @@
   await sleep(100)
 })
 
+When('the versioned engines {string} change to prefill', async function (this: World, ids: string) {
+  for (const id of ids.split(', ')) {
+    engineOf(this, id).setStage('prefill')
+    this.versionedSite.store.put(`servers/${id}`, engineOf(this, id).buildEntry())
+  }
+  await sleep(100)
+})
+
 interface TakeUp {
   /** Attempt that the client names; none when it is undefined. */
   named: string | undefined
