Keep engines of every software version that decode, so that one crash does not end a version

Two engines of v1 served, and both prefilled.

Cause: the choice of stages knew no software versions and kept who prefilled, so all engines of a version could prefill, or all but one. A stream goes on only at the version that began it.

Change: a version keeps a second decode engine if it has three or more, and one if it has one or two. The prefill engines are shared among the versions within that, in the order of age, so the choice depends on the entries only and stays the same until all engines have changed. With `keep`, stages stay as they are. Each sidecar still orders only its own engine: an order has one holder, also while two sidecars see different entries.

Not changed: a stage that is due is still ordered after 1.5 s, also for a version that cannot decode. An engine that starts again is back within that, its entry lapses 3.6 s after a crash, and a switch takes 6 s, so the order would come too late for most clients either way.

--- a/core/balance/choose_stages.ts
+++ b/core/balance/choose_stages.ts
@@ -28,15 +28,31 @@
   [StagePolicy.None]: () => 0
 }
 
+/** Numbers of decode engines of one software version that are to remain when one of them is lost: only they can go on with its streams. */
+function countKeptForDecode (engineCount: number): number {
+  return engineCount < 3 ? 1 : 2
+}
+
 /** Compares engines by the time of their start: one that starts while another switches does not take its place. */
 function compareByAge (a: WorkerEntry, b: WorkerEntry): number {
   return a.bornMs - b.bornMs || (a.id < b.id ? -1 : 1)
 }
 
+/** Returns how many engines of each software version may run prefill only. */
+function countPrefillPlaces (engines: readonly WorkerEntry[]): Map<string, number> {
+  const counts = new Map<string, number>()
+  for (const { softwareVersion } of engines) counts.set(softwareVersion, (counts.get(softwareVersion) ?? 0) + 1)
+  return new Map([...counts].map(([version, count]) => [version, Math.max(0, count - countKeptForDecode(count))]))
+}
+
 /**
  * Chooses the stage of each engine of a service so that as few engines as possible change.
  *
- * The result depends only on the set of entries, so sidecars that see the same entries choose alike without coordination.
+ * A stream goes on only at the software version that began it. So unless the stages are kept as they are, each version has a decode engine,
+ * and a second one if it has three or more engines, even when fewer engines than wanted run prefill then.
+ *
+ * The result depends only on the set of entries, so sidecars that see the same entries choose alike without coordination. It stays the
+ * same while some of the engines have changed and others have not.
  *
  * @param entries the published entries of the service's engines, in any order
  * @param options the policy and its share
@@ -55,6 +71,14 @@
   const prefillEngines = byAge.filter((entry) => entry.stage === Stage.Prefill)
   const decodeEngines = byAge.filter((entry) => entry.stage === Stage.Decode)
   const wantedCount = prefillCounts[options.policy](byAge.length, prefillEngines.length, options.prefillShare)
-  const chosen = new Set([...prefillEngines, ...decodeEngines].slice(0, wantedCount).map((entry) => entry.id))
+  const places = countPrefillPlaces(byAge)
+  const chosen = new Set<string>()
+  for (const { id, softwareVersion } of [...prefillEngines, ...decodeEngines]) {
+    const placesLeft = places.get(softwareVersion) ?? 0
+    const isKept = options.policy === StagePolicy.Keep
+    if (chosen.size >= wantedCount || (placesLeft === 0 && !isKept)) continue
+    places.set(softwareVersion, placesLeft - 1)
+    chosen.add(id)
+  }
   return new Map(byAge.map((entry) => [entry.id, chosen.has(entry.id) ? Stage.Prefill : Stage.Decode]))
 }
