Take a whole answer without a length for sound when its engine has stayed

It counted as a crash when the engine was gone within 6 s, and never as an answer otherwise. So sound prompts that had ended well before a crash were in its evidence, and nothing ever cleared them.

Change: a whole answer whose engine is still there after these 6 s, by a view of the store at most a second old, clears its parts like any other answer. With an older view it says nothing, since nobody would have heard that the engine is gone.

--- a/gateway/_observe_stream.ts
+++ b/gateway/_observe_stream.ts
@@ -32,7 +32,7 @@
   function onEarlyEnd (hasBroken: boolean): void {
     if (hasSurvived || sharedParts.length === 0) return
     if (hasBroken) guard.recordCrash(worker, sharedParts)
-    else guard.recordPossibleCrash(worker, sharedParts)
+    else guard.recordPossibleCrash(worker, sharedParts, { isWhole: false })
   }
 
   return {
@@ -42,8 +42,8 @@
       else if (chunks >= minSurvivalChunks && nowMs - firstChunkMs >= minSurvivalMs) recordSurvival()
     },
     onEnd (isCloseDelimited) {
-      if (isCloseDelimited) onEarlyEnd(false)
-      else recordSurvival()
+      if (!isCloseDelimited) recordSurvival()
+      else if (!hasSurvived && sharedParts.length > 0) guard.recordPossibleCrash(worker, sharedParts, { isWhole: true })
     },
     onEarlyEnd
   }
--- a/gateway/_prompt_guard.ts
+++ b/gateway/_prompt_guard.ts
@@ -30,8 +30,11 @@
   recordSurvival (parts: readonly string[]): void
   /** Records that a stream broke just after its engine had begun to answer. */
   recordCrash (worker: Worker, parts: readonly string[]): void
-  /** Records that a stream ended early in a way that a crash may have caused; it counts as a crash when the engine turns out to be gone. */
-  recordPossibleCrash (worker: Worker, parts: readonly string[]): void
+  /**
+   * Records that a stream ended in a way that a crash may have caused; it counts as a crash when the engine turns out to be gone. With
+   * `isWhole`, nothing else speaks against the stream, and it counts as answered when the engine turns out to have stayed.
+   */
+  recordPossibleCrash (worker: Worker, parts: readonly string[], options: { isWhole: boolean }): void
   /** Records that a worker cannot be reached. */
   recordUnreachable (worker: Worker): void
   /** Adds what another gateway has observed. */
@@ -46,12 +49,15 @@
 const snapshotPeriodMs = 2_000
 /** Time in milliseconds within which a crashed engine is found to be gone: three heartbeats without an entry, and a margin. */
 const confirmWithinMs = 6_000
-/** Largest number of early ends that wait for the confirmation of a crash. */
+/** Largest age in milliseconds of the known workers at which an engine that is not gone has stayed. */
+const maxViewAgeMs = 1_000
+/** Largest number of ends that wait for the confirmation of a crash. */
 const maxPossibleCrashes = 64
 
 interface PossibleCrash {
   worker: Worker
   parts: readonly string[]
+  isWhole: boolean
   atMs: number
 }
 
@@ -96,12 +102,21 @@
     logChanges()
   }
 
-  /** Turns early ends into crashes when their engine is gone, and drops those whose engine stayed. */
+  /** Turns ends into crashes when their engine is gone, and whole ones into answers when it has stayed. */
   function confirm (hasCrashed: (worker: Worker) => boolean): void {
     if (possibleCrashes.length === 0) return
-    const confirmed = possibleCrashes.filter(({ worker }) => hasCrashed(worker))
-    possibleCrashes = possibleCrashes.filter((possible) => !confirmed.includes(possible) && timer.now() - possible.atMs < confirmWithinMs)
-    for (const { worker, parts } of confirmed) recordCrash(worker, parts)
+    const nowMs = timer.now()
+    const crashed: PossibleCrash[] = []
+    const expired: PossibleCrash[] = []
+    const waiting: PossibleCrash[] = []
+    for (const possible of possibleCrashes) {
+      const list = hasCrashed(possible.worker) ? crashed : nowMs - possible.atMs >= confirmWithinMs ? expired : waiting
+      list.push(possible)
+    }
+    possibleCrashes = waiting
+    // The answers come first: what they clear is not suspected of the crashes.
+    if (directory.ageMs() <= maxViewAgeMs) for (const { parts, isWhole } of expired) if (isWhole) quarantine.recordSurvival(parts, nowMs)
+    for (const { worker, parts } of crashed) recordCrash(worker, parts)
   }
 
   const newsTimer = timer.every(newsPeriodMs, () => {
@@ -122,8 +137,9 @@
       recordCrash(worker, parts)
       confirm((other) => identify(other) === identify(worker))
     },
-    recordPossibleCrash (worker, parts) {
-      possibleCrashes = [...possibleCrashes, { worker, parts, atMs: timer.now() }].slice(-maxPossibleCrashes)
+    recordPossibleCrash (worker, parts, { isWhole }) {
+      possibleCrashes.push({ worker, parts, isWhole, atMs: timer.now() })
+      if (possibleCrashes.length > maxPossibleCrashes) possibleCrashes.shift()
     },
     recordUnreachable (worker) { confirm((other) => identify(other) === identify(worker)) },
     merge (evidence) {
