Keep 2,048 ends that may be crashes, and count those that are dropped

An end that may be a crash waits up to 6 s until its engine is found to be gone. The scenario "Ends that wait for the confirmation of a crash ..." fails with 64 ("holds back") and passes with the change.

--- a/gateway/_prompt_guard.ts
+++ b/gateway/_prompt_guard.ts
@@ -1,9 +1,9 @@
 /**
  * Holds back prompts that crash engines, by what this gateway and others have observed.
  */
-import { createQuarantine } from '../core/quarantine/mod.ts'
+import { createQuarantine, EvidenceKind } from '../core/quarantine/mod.ts'
 import { Count } from '../metrics/mod.ts'
-import type { EvidenceKind, PromptEvidence, QuarantineMatch } from '../core/quarantine/mod.ts'
+import type { PromptEvidence, QuarantineMatch } from '../core/quarantine/mod.ts'
 import type { Worker } from '../core/fleet/mod.ts'
 import type { Directory } from '../directory/mod.ts'
 import type { Log } from '../log/mod.ts'
@@ -51,8 +51,8 @@
 const confirmWithinMs = 6_000
 /** Largest age in milliseconds of the known workers at which an engine that is not gone has stayed. */
 const maxViewAgeMs = 1_000
-/** Largest number of ends that wait for the confirmation of a crash. */
-const maxPossibleCrashes = 64
+/** Largest number of ends that wait for the confirmation of a crash: those of some hundred streams a second. */
+const maxPossibleCrashes = 2_048
 
 interface PossibleCrash {
   worker: Worker
@@ -139,7 +139,9 @@
     },
     recordPossibleCrash (worker, parts, { isWhole }) {
       possibleCrashes.push({ worker, parts, isWhole, atMs: timer.now() })
-      if (possibleCrashes.length > maxPossibleCrashes) possibleCrashes.shift()
+      if (possibleCrashes.length <= maxPossibleCrashes) return
+      possibleCrashes.shift()
+      onDropped(EvidenceKind.EarlyEnd, 1)
     },
     recordUnreachable (worker) { confirm((other) => identify(other) === identify(worker)) },
     merge (evidence) {
--- a/gateway/prompt_guard.feature
+++ b/gateway/prompt_guard.feature
@@ -19,3 +19,11 @@
     Given a prompt guard over 4 engines
     When the guard sees one whole answer without a length to "system bad" at each of 3 engines that are gone 1000 ms later
     Then the guard holds back "system bad"
+
+  # Guards against ends that are forgotten before their engine is found to be gone.
+  Scenario: Ends that wait for the confirmation of a crash are kept beside many others, and those that are dropped are counted
+    Given a prompt guard over 4 engines
+    When the guard sees one whole answer without a length to "system bad" at each of 3 engines that are gone 1000 ms later, beside 600 whole answers to "system letter"
+    Then the guard holds back "system bad"
+    When the guard sees 3000 whole answers without a length to "system letter" at once
+    Then the guard has counted at least 900 dropped ends
