Check that an engine is the published one before a stream depends on its software version

Shown here in two forms, by new scenarios of gateway/resume_stream.feature that fail without the change (the client got 200 and a stream joined from v1 and v2, or a v2 stream remembered as v1): an engine starts again under its id with another version, and a gateway that has not heard of it and is not connected to the engine's sidecar reserves its memory directly.

Cause: the version of an engine was that of its entry in the gateway's own view, and nothing compared it with the engine. The sidecar on the engine's machine does so for the streams that it admits (its report names the start of the engine); without it nobody did. X-Expect-Instance does not help, as the id stays.

Change: a direct reservation for a stream that may resume reads the engine's report beside it, and is given back as stale when the start differs from the entry's, or cannot be read. The calls run together, so it takes no longer. Other streams, and those that a sidecar admits, cost no call.

Ruled out for the other forms, by the scenarios of that file: a gateway goes on only with a stream whose version the sidecars or itself remember.

--- a/gateway/_reserve_memory.ts
+++ b/gateway/_reserve_memory.ts
@@ -6,7 +6,7 @@
 import { Err, Ok } from '../core/results/mod.ts'
 import { RefusalCode } from '../core/types/mod.ts'
 import { callJson, FailureKind } from '../exchange/mod.ts'
-import { decodeReservationId, buildReleaseCall, buildReserveCall } from '../platform/mod.ts'
+import { buildReleaseCall, buildReportCall, buildReserveCall, decodeEngineReport, decodeReservationId } from '../platform/mod.ts'
 import { checkWorker, getEarliestMs, mayStart, recordCallAnswer, recordHeld } from './_check_worker.ts'
 import { isReturning, planPrefill } from './_prefill.ts'
 import { estimatePrefillAtDecodeMs } from './_prefill_times.ts'
@@ -185,6 +185,17 @@
   return Err(RefusalCode.DeadlineExceeded)
 }
 
+/**
+ * Tells whether the engine at the address of an entry is the one that the entry describes. An engine may start again with another software
+ * version under its id, while this gateway is behind the store; its sidecar would see that.
+ */
+async function isAsPublished (context: GatewayContext, { entry }: Worker): Promise<boolean> {
+  const { timer, controlPool: pool } = context
+  const response = await callJson(entry.address, buildReportCall(), { pool, timer, timeoutMs: reservationTimeoutMs })
+  const bornMs = response.ok ? decodeEngineReport(response.val.body)?.bornMs : undefined
+  return bornMs !== undefined && (bornMs === 0 || bornMs === entry.bornMs)
+}
+
 async function reserveDirectly (
   context: GatewayContext, request: ClientRequest, worker: Worker, prefillEngine: Worker | undefined
 ): Promise<Result<Reservation, RefusalCode>> {
@@ -192,9 +203,11 @@
   const { softwareVersion } = worker.entry
   const { timer, controlPool: pool, directory } = context
   const call = buildReserveCall(worker.entry.id, tokens, request.service.engine?.holdMs ?? 0)
-  const response = await callJson(worker.entry.address, call, {
-    pool, timer, timeoutMs: reservationTimeoutMs, mayStart: () => mayStart(context, worker)
-  })
+  // Only a stream that may go on elsewhere depends on the version of its engine.
+  const [response, isSameEngine] = await Promise.all([
+    callJson(worker.entry.address, call, { pool, timer, timeoutMs: reservationTimeoutMs, mayStart: () => mayStart(context, worker) }),
+    request.route.mayResume ? isAsPublished(context, worker) : true
+  ])
   if (response.err) {
     if (response.val.kind === FailureKind.Withheld) return Err(RefusalCode.LimitExceeded)
     directory.fleet.markSuspect(worker, timer.now())
@@ -202,7 +215,11 @@
   }
   recordCallAnswer(context, worker, response.val)
   const id = response.val.status === 200 ? decodeReservationId(response.val.body) : undefined
-  return id === undefined ? Err(RefusalCode.NoCapacity) : releaseIfStopped(context, request, { worker, prefillEngine, id, tokens, softwareVersion })
+  if (id === undefined) return Err(RefusalCode.NoCapacity)
+  const reservation = { worker, prefillEngine, id, tokens, softwareVersion }
+  if (isSameEngine) return releaseIfStopped(context, request, reservation)
+  releaseReservation(context, reservation, request.requestId)
+  return Err(RefusalCode.Stale)
 }
 
 /** Releases a reservation that will not be used. */
--- a/gateway/resume_stream.feature
+++ b/gateway/resume_stream.feature
@@ -141,3 +141,23 @@
     And the versioned engines "d1, d2, d3" all have memory
     And the versioned client takes "a" up after event 6 as "b" at a gateway that has just started
     Then the versioned client has the events 7 to 8 of "b", all of "v2"
+
+  # Guards against a stream that goes on at an engine whose software has changed, at a gateway that stood still or was cut off meanwhile.
+  Scenario: A gateway that is behind does not go on with a stream at an engine that has started again with another version
+    Given a sidecar of the versioned engines that remembers streams
+    And only the versioned engines "d1" have memory
+    When a versioned client begins the stream "a" and leaves after event 3
+    And a versioned gateway goes out of step, and the engine "d3" starts again with the version "v2"
+    And only the versioned engines "d3" have memory
+    And the versioned client takes "a" up as "b" at the gateway that is out of step
+    Then the versioned client is refused with "no_memory", with a time to come back
+    And the versioned engine "d3" streamed to 0 requests
+
+  # Guards against a wrong version that is remembered for a stream, which then goes on at engines of that version.
+  Scenario: A gateway that is behind begins no stream at an engine that has started again with another version
+    Given a sidecar of the versioned engines that remembers streams
+    When a versioned gateway goes out of step, and the engine "d3" starts again with the version "v2"
+    And only the versioned engines "d3" have memory
+    And a versioned client begins the stream "a" at the gateway that is out of step
+    Then the versioned client is refused with "no_memory", with a time to come back
+    And the versioned engine "d3" streamed to 0 requests
--- a/gateway/resume_stream_test.ts
+++ b/gateway/resume_stream_test.ts
@@ -5,7 +5,7 @@
 import { request as httpRequest } from 'node:http'
 import { After, Given, Then, When } from '@cucumber/cucumber'
 import { createOriginTask } from '../sidecar/_origin_task.ts'
-import { SilencePoint, startSite, WorkerMode } from '../testing/fleuve/mod.ts'
+import { SilencePoint, startSite, StoreMode, WorkerMode } from '../testing/fleuve/mod.ts'
 import { createSystemTimer } from '../timer/mod.ts'
 import { listen } from '../wire/mod.ts'
 import { sleep, until } from './gateway_test.ts'
@@ -28,6 +28,8 @@
   /** Gateways that share the store and the sidecars of the site. */
   otherGateways: Site[]
   versions: Map<string, string>
+  /** A gateway that reads another store, which holds what the first one held before it changed and does not answer any more. */
+  gatewayOutOfStep?: Site
   streams: Map<string, ClientStream>
   answer: ClientStream
   originPoint?: Listener
@@ -38,6 +40,8 @@
 const eventCount = 8
 const eventMs = 40
 const memoryTokens = 100_000
+/** Time in milliseconds without the store after which a gateway is behind. */
+const outOfStepMs = 3_000
 const eventPattern = /^id: (\d+)\ndata: (\S+)/gm
 const fields = { 'X-Model': 'm', 'X-Token-Counts': '100,40', 'X-Request-Deadline-Ms': '3000', Host: 'a.example' }
 
@@ -71,8 +75,45 @@
   return site
 }
 
+/** Starts a gateway that knows the engines of now, and that hears nothing more of the store. */
+async function startGatewayOutOfStep (world: World): Promise<void> {
+  const site = await startSite({ settings: { internalPort: world.versionedSite.settings.internalPort, machine: 'edge-out' } })
+  world.otherGateways.push(site)
+  world.gatewayOutOfStep = site
+  site.writeConfiguration(1)
+  for (const id of world.versions.keys()) site.store.put(`servers/${id}`, engineOf(world, id).buildEntry())
+  await until(() => site.readLog().split('"msg":"worker"').length > world.versions.size, 2000, 'the entries of the engines')
+  await untilConnected(site)
+  site.store.setMode(StoreMode.Silent)
+}
+
+When('a versioned gateway goes out of step, and the engine {string} starts again with the version {string}', async function (this: World, id: string, version: string) {
+  await startGatewayOutOfStep(this)
+  const engine = engineOf(this, id)
+  engine.startAgain(version)
+  this.versions.set(`${id}-${version}`, version)
+  this.versionedSite.store.put(`servers/${id}`, engine.buildEntry())
+  await sleep(100)
+})
+
+Given('a versioned gateway goes out of step, and the engine {string} of the version {string} starts', async function (this: World, id: string, version: string) {
+  await startGatewayOutOfStep(this)
+  this.versions.set(id, version)
+  await this.versionedSite.addWorker({ id, service: 'llm', stage: 'decode', version, events: eventCount, eventMs })
+  // The view of the gateway has to be older than that of any that hears the store.
+  await sleep(outOfStepMs)
+})
+
+When('a versioned client begins the stream {string} at the gateway that is out of step', async function (this: World, name: string) {
+  this.answer = await requestStream(this, { gateway: this.gatewayOutOfStep as Site, requestId: name })
+})
+
+Then('the versioned engine {string} streamed to {int} requests', function (this: World, id: string, count: number) {
+  assert.equal(engineOf(this, id).listRequests().filter(({ headers }) => headers['x-stage'] === undefined).length, count)
+})
+
 Given('only the versioned engines {string} have memory', function (this: World, ids: string) {
-  for (const id of this.versions.keys()) engineOf(this, id).setReservableTokens(ids.split(', ').includes(id) ? memoryTokens : 10)
+  for (const [id, engine] of this.versionedSite.workers) engine.setReservableTokens(ids.split(', ').includes(id) ? memoryTokens : 10)
 })
 
 Given('the versioned engine {string} loses its next stream after event {int}', function (this: World, id: string, event: number) {
@@ -241,6 +282,12 @@
     })
   })
 
+When('the versioned client takes {string} up as {string} at the gateway that is out of step', async function (this: World, named: string, requestId: string) {
+  this.nextGateway = this.gatewayOutOfStep as Site
+  await takeUp(this, { named, stream: named, requestId, isNewGateway: false })
+  delete this.nextGateway
+})
+
 When('the versioned client takes {string} up without naming an attempt at a gateway that has just started', async function (this: World, stream: string) {
   await takeUp(this, { named: undefined, stream, requestId: 'unnamed', isNewGateway: true })
 })
--- a/testing/fleuve/start_worker.ts
+++ b/testing/fleuve/start_worker.ts
@@ -155,8 +155,8 @@
   setResumeMode (mode: WorkerMode | undefined): void
   /** Sets the memory of the worker in tokens: the largest reservation that it accepts. */
   setReservableTokens (tokens: number): void
-  /** Starts the engine again at its address: it knows nothing of before. */
-  startAgain (): void
+  /** Starts the engine again at its address, with another software version if one is given: it knows nothing of before. */
+  startAgain (nextVersion?: string): void
   /** Sets the phase that an engine serves, `prefill` or `decode`. */
   setStage (stage: string): void
   /** Makes the next `times` streams that reach the event with number `event` reset their connection after it. */
@@ -248,8 +248,9 @@
 
 /** Starts a worker on a free port of the loopback address. */
 export async function startWorker (options: FakeWorkerOptions): Promise<FakeWorker> {
-  const { id, service, zone = 'levis', version = 'v1', events = 3, eventMs = 5, eventBytes = 0, stated = StatedOfBody.Nothing } = options
-  const writer = options.version === undefined ? 'piece' : options.id
+  const { id, service, zone = 'levis', events = 3, eventMs = 5, eventBytes = 0, stated = StatedOfBody.Nothing } = options
+  let version = options.version ?? 'v1'
+  let writer = options.version === undefined ? 'piece' : options.id
   const requests: ReceivedRequest[] = []
   const controlCalls: Array<{ call: string, body: string, receivedMs: number }> = []
   const turnedAway: Array<{ atMs: number, text: string, origin: string | undefined }> = []
@@ -649,7 +650,11 @@
     setControlCopies (afterMs) { controlCopyMs = afterMs },
     setReportText (text) { reportText = text },
     setPrefillMs (ms) { prefillMs = ms },
-    startAgain () {
+    startAgain (nextVersion) {
+      if (nextVersion !== undefined) {
+        version = nextVersion
+        writer = `${id}-${nextVersion}`
+      }
       born++
       running.clear()
       reservations = 0
