Do not call a version gone at a gateway that is behind the store

A gateway that stands still or is cut off while workers of a new version join knows none of them. It refused each take-up of their streams as `version_gone` without a time to come back, which says that nobody can go on. That was untrue, and clients gave streams up that another gateway could serve.

With a view older than 2.5 s, which no gateway has that hears the store, the refusal is `view_old` now, with half a second until the client comes back: clients turn to other gateways then. The scenario "A gateway that is behind does not go on with a stream that an engine it does not know began" got `version_gone` before; it also shows that the stream goes on at a gateway that is in step.

--- a/gateway/_resume_stream.ts
+++ b/gateway/_resume_stream.ts
@@ -11,10 +11,14 @@
 export const versionGone = 'version_gone'
 /** Reason of a refusal because all engines of the version that began the stream prefill; one of them may be changing its stage. */
 export const versionPrefills = 'version_prefills'
+/** Reason of a refusal because this gateway knows no engine of that version and is behind the store: another gateway may know one. */
+export const viewOld = 'view_old'
 /** Reason of a refusal because nobody knows which version began the stream. */
 const originUnknown = 'origin_unknown'
-/** Delay in milliseconds after which a client may come back when not all who may know its stream could be asked. */
-const askAgainMs = 500
+/** Delay in milliseconds after which a client may come back, to another gateway, when this one lacks what it has to know of a stream. */
+export const askAgainMs = 500
+/** Largest age in milliseconds of the known rules and workers of a gateway that hears the store, itself or from a reader. */
+const maxViewAgeMs = 2_500
 
 /** A request with what began the stream that it goes on with; absent for a stream that begins. */
 export interface ResumedStream {
@@ -37,10 +41,15 @@
   context.log.info({ request: request.requestId, resumed: resumedRequestId, afterEvent: lastEventId, ...origin }, 'stream taken up')
   if (origin === undefined) return Err(isFinal ? { reason: originUnknown } : { reason: originUnknown, retryAfterMs: askAgainMs })
   const service = context.directory.routeTable()?.getService(origin.service)
-  if (service === undefined || !request.route.targets.some((target) => target.service === origin.service)) return Err({ reason: versionGone })
+  if (service === undefined || !request.route.targets.some((target) => target.service === origin.service)) return Err(describeMissing(context))
   return Ok({ request: { ...request, service }, origin })
 }
 
+/** Returns the refusal of a stream for which this gateway knows no engine. */
+export function describeMissing ({ directory }: GatewayContext): ResumptionRefusal {
+  return directory.ageMs() > maxViewAgeMs ? { reason: viewOld, retryAfterMs: askAgainMs } : { reason: versionGone }
+}
+
 /** Tells whether the service has an engine of a software version, whether that takes requests now or not. */
 export function mayVersionServe (context: GatewayContext, request: ClientRequest, { softwareVersion }: Origin): boolean {
   return context.directory.fleet.serving(request.service.name).some(({ entry }) => entry.softwareVersion === softwareVersion)
--- a/gateway/_serve_generation.ts
+++ b/gateway/_serve_generation.ts
@@ -7,7 +7,7 @@
 import { findCallerReply } from './_identify_caller.ts'
 import { prepareAttempt, releaseAttempt } from './_prepare_attempt.ts'
 import { areAllHeld, listDecodeEngines, reserveAtEngine } from './_reserve_memory.ts'
-import { findResumedStream, mayVersionServe, refuseResumption, versionGone, versionPrefills } from './_resume_stream.ts'
+import { askAgainMs, describeMissing, findResumedStream, mayVersionServe, refuseResumption, versionGone, versionPrefills, viewOld } from './_resume_stream.ts'
 import { getReturnMs } from './_send_to_worker.ts'
 import { StopReason } from './_types.ts'
 import type { EventSplitter } from '../core/stream/mod.ts'
@@ -170,7 +170,7 @@
 
 /** Returns why no engine has reserved memory. */
 function findRefusalReason (context: GatewayContext, request: ClientRequest, { origin }: GenerationState): string {
-  if (origin !== undefined && !mayVersionServe(context, request, origin)) return versionGone
+  if (origin !== undefined && !mayVersionServe(context, request, origin)) return describeMissing(context).reason
   const engines = listDecodeEngines(context, request, origin?.softwareVersion)
   if (origin !== undefined && engines.length === 0) return versionPrefills
   return areAllHeld(context, engines) && getReturnMs(context, engines) !== undefined ? 'worker_retry_after' : 'no_memory'
@@ -179,6 +179,7 @@
 /** Returns the delay in milliseconds after which a client may retry a request that failed for the given reason. */
 function getRetryAfterMs (context: GatewayContext, request: ClientRequest, reason: string): number {
   if (reason === 'no_memory' || reason === versionPrefills) return getMemoryRetryMs(context, request)
+  if (reason === viewOld) return askAgainMs
   if (reason === 'worker_retry_after') return getReturnMs(context, listDecodeEngines(context, request)) ?? retryAfterMs
   return Math.round(context.promptGuard.find(request.head.sharedParts)?.remainingMs ?? retryAfterMs)
 }
--- a/gateway/resume_stream.feature
+++ b/gateway/resume_stream.feature
@@ -161,3 +161,17 @@
     And a versioned client begins the stream "a" at the gateway that is out of step
     Then the versioned client is refused with "no_memory", with a time to come back
     And the versioned engine "d3" streamed to 0 requests
+
+  # The report of other operators: a release, and one gateway out of step.
+  Scenario: A gateway that is behind does not go on with a stream that an engine it does not know began
+    Given a sidecar of the versioned engines that remembers streams
+    And a versioned gateway goes out of step, and the engine "d9" of the version "v9" starts
+    And only the versioned engines "d9" have memory
+    When a versioned client begins the stream "a" and leaves after event 3
+    And the versioned engines "d1, d2, d3" all have memory
+    And the versioned client takes "a" up as "b" at the gateway that is out of step
+    Then the versioned client is refused with "view_old", with a time to come back
+    And the versioned engine "d1" saw 0 requests
+    And the versioned engine "d2" saw 0 requests
+    When the versioned client takes "a" up as "c"
+    Then the versioned client has the events 1 to 8 of "a", all of "v9"
