Choose prefill engines by identity again, not by age

Suspected, not traced: the oldest engines are those that a release replaces next, so more of them switch.

The choice per software version stays as it is: it needs some order that is the same for all, not this one.

--- a/core/balance/choose_stages.ts
+++ b/core/balance/choose_stages.ts
@@ -33,11 +33,6 @@
   return engineCount < 3 ? 1 : 2
 }
 
-/** Compares engines by the time of their start: one that starts while another switches does not take its place. */
-function compareByAge (a: WorkerEntry, b: WorkerEntry): number {
-  return a.bornMs - b.bornMs || (a.id < b.id ? -1 : 1)
-}
-
 /** Returns how many engines of each software version may run prefill only. */
 function countPrefillPlaces (engines: readonly WorkerEntry[]): Map<string, number> {
   const counts = new Map<string, number>()
@@ -67,11 +62,11 @@
  */
 export function chooseStages (entries: readonly WorkerEntry[], options: ChooseStagesOptions): Map<string, Stage> {
   const ready = entries.filter((entry) => entry.state === WorkerState.Ready && entry.stage !== undefined)
-  const byAge = [...ready].sort(compareByAge)
-  const prefillEngines = byAge.filter((entry) => entry.stage === Stage.Prefill)
-  const decodeEngines = byAge.filter((entry) => entry.stage === Stage.Decode)
-  const wantedCount = prefillCounts[options.policy](byAge.length, prefillEngines.length, options.prefillShare)
-  const places = countPrefillPlaces(byAge)
+  const byId = [...ready].sort((a, b) => a.id < b.id ? -1 : 1)
+  const prefillEngines = byId.filter((entry) => entry.stage === Stage.Prefill)
+  const decodeEngines = byId.filter((entry) => entry.stage === Stage.Decode)
+  const wantedCount = prefillCounts[options.policy](byId.length, prefillEngines.length, options.prefillShare)
+  const places = countPrefillPlaces(byId)
   const chosen = new Set<string>()
   for (const { id, softwareVersion } of [...prefillEngines, ...decodeEngines]) {
     const placesLeft = places.get(softwareVersion) ?? 0
@@ -80,5 +75,5 @@
     places.set(softwareVersion, placesLeft - 1)
     chosen.add(id)
   }
-  return new Map(byAge.map((entry) => [entry.id, chosen.has(entry.id) ? Stage.Prefill : Stage.Decode]))
+  return new Map(byId.map((entry) => [entry.id, chosen.has(entry.id) ? Stage.Prefill : Stage.Decode]))
 }
