Go on with streams of plain services where their clients have them

On a route that is split between engines and a plain service, a stream of one could be sent to the other.

Cause: only the part for engines looked at what the client has of a stream. Now the origin of a take-up is found before the request goes to either part (gateway/_serve_request.ts). A plain worker is told the last event, and only workers of the version that began the stream are asked; what began it is recorded before its client gets a part. Requests of other kinds keep their way, whatever event they name.

The sending of one plain request moved to gateway/_send_plain.ts unchanged otherwise.

--- a/gateway/_client_server.ts
+++ b/gateway/_client_server.ts
@@ -14,8 +14,7 @@
 import { createRefusal } from './_refuse_request.ts'
 import { createReply } from './_reply.ts'
 import { createStopSignal } from './_stop_signal.ts'
-import { serveGeneration } from './_serve_generation.ts'
-import { servePlain } from './_serve_plain.ts'
+import { serveRequest } from './_serve_request.ts'
 import { StopReason } from './_types.ts'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { UnansweredRequest } from '../http/mod.ts'
@@ -23,7 +22,7 @@
 import type { ClientLimits, RouteRule } from '../core/route/mod.ts'
 import type { CallerReply } from './_identify_caller.ts'
 import type { Reply } from './_reply.ts'
-import type { RequestResult, ClientRequest, GatewayContext } from './_types.ts'
+import type { ClientRequest, GatewayContext } from './_types.ts'
 
 /** Receives the requests of clients and has them served. */
 export interface ClientServer {
@@ -40,11 +39,6 @@
   close (): void
 }
 
-type RequestHandler = (context: GatewayContext, request: ClientRequest) => Promise<RequestResult>
-
-/** Handlers of requests by the kind of the service's workers. */
-const handlers: { readonly [K in 'plain' | 'engine']: RequestHandler } = { plain: servePlain, engine: serveGeneration }
-
 /** Time in milliseconds before the client's deadline at which the final response is sent, so that it arrives in time. */
 const responseTripMs = 20
 /** Delay in milliseconds after which a client may retry, while the rules are not known or name no such service. */
@@ -220,7 +214,7 @@
   }
 
   async function serve (request: ClientRequest): Promise<void> {
-    const result = await (request.service.engine === undefined ? handlers.plain : handlers.engine)(context, request)
+    const result = await serveRequest(context, request)
     if (result.status === 503 && !request.reply.isFinished()) request.spent.giveBack()
     recordResult(context, request, result, Math.round(timer.now() - request.startedMs))
   }
--- a/gateway/_resume_stream.ts
+++ b/gateway/_resume_stream.ts
@@ -2,6 +2,7 @@
  * Decides where the stream that a client takes up may go on.
  */
 import { Err, Ok } from '../core/results/mod.ts'
+import { RequestKind } from '../core/route/mod.ts'
 import { StopReason } from './_types.ts'
 import type { Origin } from '../core/origin/mod.ts'
 import type { Result } from '../core/results/mod.ts'
@@ -33,10 +34,16 @@
   retryAfterMs?: number
 }
 
+/** Tells whether the answer is a stream that its client may take up after a break. */
+export function mayBeTakenUp ({ route }: ClientRequest): boolean {
+  return route.kind === RequestKind.Streaming && route.mayResume
+}
+
 /** Finds out what began the stream that a client takes up: it goes on only at the service and the software version that began it. */
 export async function findResumedStream (context: GatewayContext, request: ClientRequest): Promise<Result<ResumedStream, ResumptionRefusal>> {
   const { lastEventId, resumedRequestId } = request.head
-  if (lastEventId === undefined) return Ok({ request })
+  const mayBeResumed = request.service.engine !== undefined || mayBeTakenUp(request)
+  if (lastEventId === undefined || !mayBeResumed) return Ok({ request })
   const { origin, isFinal } = resumedRequestId === undefined ? { origin: undefined, isFinal: true } : await context.streamOrigins.find(resumedRequestId)
   context.log.info({ request: request.requestId, resumed: resumedRequestId, afterEvent: lastEventId, ...origin }, 'stream taken up')
   if (origin === undefined) return Err(isFinal ? { reason: originUnknown } : { reason: originUnknown, retryAfterMs: askAgainMs })
--- a/gateway/_serve_generation.ts
+++ b/gateway/_serve_generation.ts
@@ -7,7 +7,7 @@
 import { findCallerReply } from './_identify_caller.ts'
 import { prepareAttempt, releaseAttempt } from './_prepare_attempt.ts'
 import { areAllHeld, listDecodeEngines, reserveAtEngine } from './_reserve_memory.ts'
-import { askAgainMs, describeMissing, findResumedStream, mayVersionServe, refuseResumption, versionGone, versionPrefills, viewOld } from './_resume_stream.ts'
+import { askAgainMs, describeMissing, mayVersionServe, versionGone, versionPrefills, viewOld } from './_resume_stream.ts'
 import { getReturnMs } from './_send_to_worker.ts'
 import { StopReason } from './_types.ts'
 import type { EventSplitter } from '../core/stream/mod.ts'
@@ -16,6 +16,7 @@
 import type { StreamResult } from './_forward_stream.ts'
 import type { PreparedAttempt } from './_prepare_attempt.ts'
 import type { Reservation } from './_reserve_memory.ts'
+import type { ResumedStream } from './_resume_stream.ts'
 import type { RequestResult, ClientRequest, GatewayContext } from './_types.ts'
 
 /** Delay in milliseconds after which a client may retry when an engine has refused its request. */
@@ -40,10 +41,7 @@
 }
 
 /** Serves one generation, or the rest of one whose client takes it up, and returns its result. */
-export async function serveGeneration (context: GatewayContext, received: ClientRequest): Promise<RequestResult> {
-  const found = await findResumedStream(context, received)
-  if (found.err) return refuseResumption(received, found.val)
-  const { request, origin } = found.val
+export async function serveGeneration (context: GatewayContext, { request, origin }: ResumedStream): Promise<RequestResult> {
   const state: GenerationState = { attempts: 0, exclude: new Set(), mayHaveRun: false, ...(origin === undefined ? {} : { origin }) }
   if (request.route.mayResume) state.events = createEventSplitter(request.head.lastEventId)
   let prepared: PreparedAttempt | undefined
--- a/gateway/_serve_plain.ts
+++ b/gateway/_serve_plain.ts
@@ -4,22 +4,23 @@
 import { chooseWorker, HoldReason, takeSendPlace } from '../core/fleet/mod.ts'
 import { RequestKind } from '../core/route/mod.ts'
 import { planRetry } from '../core/retry/mod.ts'
-import { createByteBuffer } from '../core/stream/mod.ts'
 import { Err, Ok } from '../core/results/mod.ts'
 import { Outcome } from '../core/types/mod.ts'
 import { Count } from '../metrics/mod.ts'
 import { checkWorker, recordHeld } from './_check_worker.ts'
 import { findCallerReply } from './_identify_caller.ts'
-import { getReturnMs, sendToWorker } from './_send_to_worker.ts'
+import { describeMissing, refuseResumption } from './_resume_stream.ts'
+import { recordPlainOrigin, SendEnd, sendPlain } from './_send_plain.ts'
+import { getReturnMs } from './_send_to_worker.ts'
 import { StopReason } from './_types.ts'
 import type { Worker } from '../core/fleet/mod.ts'
+import type { Origin } from '../core/origin/mod.ts'
 import type { Result } from '../core/results/mod.ts'
 import type { NotPlaced, Placed } from './_place_plain.ts'
-import type { WorkerResponse } from './_send_to_worker.ts'
+import type { ResumedStream } from './_resume_stream.ts'
+import type { SendResult } from './_send_plain.ts'
 import type { RequestResult, ClientRequest, GatewayContext } from './_types.ts'
 
-/** Bytes of a response that are buffered before any is sent to the client, so that a broken response can still be replaced. */
-const maxBufferedBytes = 262_144
 /** Delay in milliseconds after which a client may retry when no worker could take its request. */
 const retryAfterMs = 200
 /** Cost in milliseconds of a failed request in the choice of a worker; about the duration of a retry. */
@@ -29,36 +30,21 @@
 /** Lowest status of a worker's response that counts as failed. */
 const minFailureStatus = 500
 
-/** Ways in which a send to a worker can end. */
-enum SendEnd {
-  Completed = 'answered',
-  NotRun = 'not_run',
-  Lost = 'lost',
-  Stopped = 'stopped'
-}
-
-interface SendResult {
-  end: SendEnd
-  /** True when the request reached the worker. */
-  hasArrived: boolean
-  reason: string
-  /** The complete response, when no part of it has been sent to the client. */
-  response?: { head: WorkerResponse, body: Buffer }
-}
-
-/** Serves one request and returns its result. */
-export async function servePlain (context: GatewayContext, request: ClientRequest): Promise<RequestResult> {
+/** Serves one request, or the rest of a stream at the software version that began it, and returns its result. */
+export async function servePlain (context: GatewayContext, { request, origin }: ResumedStream): Promise<RequestResult> {
   const { directory, timer, random } = context
   context.workerLoads.deadlines.record(request.route.name, request.head.deadlineMs ?? request.route.timeoutMs)
   const idempotent = request.route.kind === RequestKind.Idempotent
-  const exclude = new Set<string>()
+  const tried = new Set<string>()
   let attempt = 0
   let mayHaveRun = false
   let last: SendResult | undefined
 
   for (;;) {
     const workers = directory.fleet.serving(request.service.name)
+    const exclude = new Set([...tried, ...listOtherVersions(workers, origin)])
     const held = recordHeld(context, request.service.name, workers)
+    if (!mayHaveRun && origin !== undefined && exclude.size === workers.length) return refuseResumption(request, describeMissing(context))
     const placed = await choose(context, request, workers, exclude)
     if (placed.err) return finishFailed(request, attempt, mayHaveRun, last, { retryAfterMs, ...placed.val, held })
     const { worker, queueMs, ...expectation } = placed.val
@@ -74,7 +60,7 @@
       if (reason !== undefined) return finishFailed(request, attempt, mayHaveRun, last, { reason, retryAfterMs, held })
     }
     attempt++
-    const result = await sendOnce(context, request, worker, queueMs)
+    const result = await sendPlain(context, request, worker, queueMs)
     if (result.end === SendEnd.Stopped) return finishStopped(request, attempt, mayHaveRun || result.hasArrived, worker)
     mayHaveRun ||= result.end !== SendEnd.NotRun
     // A response that has begun cannot be replaced by that of another worker.
@@ -82,9 +68,9 @@
       return finishFailed(request, attempt, mayHaveRun, last, { reason: 'response_broken', retryAfterMs, detail: result.reason, held })
     }
     const hasFailed = result.response !== undefined && result.response.head.status >= minFailureStatus
-    if (result.end === SendEnd.Completed && !(hasFailed && idempotent)) return { ...deliver(request, attempt, result, worker), held, ...expectation }
+    if (result.end === SendEnd.Completed && !(hasFailed && idempotent)) return { ...deliver(context, request, attempt, result, worker), held, ...expectation }
     last = result.response === undefined ? last : result
-    exclude.add(worker.entry.id)
+    tried.add(worker.entry.id)
     const fields = {
       request: request.requestId, attempt, worker: worker.entry.id, end: result.end, status: result.response?.head.status, reason: result.reason
     }
@@ -103,6 +89,11 @@
   }
 }
 
+/** Returns the ids of the workers at which a stream may not go on, because their software version is not that of its origin. */
+function listOtherVersions (workers: readonly Worker[], origin: Origin | undefined): string[] {
+  return workers.flatMap(({ entry }) => origin === undefined || entry.softwareVersion === origin.softwareVersion ? [] : [entry.id])
+}
+
 /** Chooses a worker by the loads of all gateways where they are known, else by what this one has measured. */
 async function choose (
   context: GatewayContext, request: ClientRequest, workers: Worker[], exclude: ReadonlySet<string>
@@ -125,8 +116,11 @@
 }
 
 /** Sends a buffered response to the client; a streamed one has been sent already. */
-function deliver (request: ClientRequest, attempts: number, result: SendResult, worker: Worker): RequestResult {
-  if (result.response !== undefined) request.reply.sendWhole(result.response.head, result.response.body)
+function deliver (context: GatewayContext, request: ClientRequest, attempts: number, result: SendResult, worker: Worker): RequestResult {
+  if (result.response !== undefined) {
+    recordPlainOrigin(context, request, worker)
+    request.reply.sendWhole(result.response.head, result.response.body)
+  }
   return { status: result.response?.head.status ?? 200, reason: 'answered', worker: worker.entry.id, attempts }
 }
 
@@ -170,78 +164,3 @@
   }
   return { status: mayHaveRun ? 504 : 503, reason, worker: worker.entry.id, attempts }
 }
-
-/** Sends a request to a worker, and forwards a response that is too long for the buffer. */
-function sendOnce (context: GatewayContext, request: ClientRequest, worker: Worker, queueMs?: number): Promise<SendResult> {
-  const { timer, directory } = context
-  const startedMs = timer.now()
-  return new Promise((resolve) => {
-    let head: WorkerResponse | undefined
-    const buffered = createByteBuffer()
-    let isStreaming = false
-    let isSettled = false
-    const held = context.heldBytes.open(beginStreaming)
-    const endLoad = context.workerLoads.begin(request, worker, { roundTripMs: context.roundTripMs(worker.entry.zone), queueMs })
-
-    function settle (result: SendResult, failed: boolean): void {
-      if (isSettled) return
-      isSettled = true
-      held.close()
-      const latencyMs = result.end === SendEnd.Completed ? timer.now() - startedMs : undefined
-      endLoad(latencyMs)
-      directory.fleet.recordResult(worker, latencyMs === undefined ? { failed } : { latencyMs, failed })
-      resolve(result)
-    }
-
-    const exchange = sendToWorker(context, request, worker, {}, {
-      onHead (response) { head = response },
-      onData (chunk) {
-        if (isStreaming) {
-          forward(chunk)
-          return
-        }
-        buffered.append(chunk)
-        held.set(buffered.length())
-        if (buffered.length() > maxBufferedBytes) beginStreaming()
-      },
-      onEnd () {
-        if (isStreaming) request.reply.end()
-        const body = buffered.take()
-        const response = isStreaming || head === undefined ? {} : { response: { head, body } }
-        settle(
-          { end: SendEnd.Completed, hasArrived: true, reason: 'answered', ...response }, (head?.status ?? minFailureStatus) >= minFailureStatus
-        )
-      },
-      onRefused ({ hasArrived, isWithheld, reason }) {
-        // Sending nothing says nothing about the worker.
-        if (!isWithheld) return settle({ end: SendEnd.NotRun, hasArrived, reason }, true)
-        isSettled = true
-        endLoad()
-        held.close()
-        resolve({ end: SendEnd.NotRun, hasArrived, reason })
-      },
-      onLost (reason) { settle({ end: SendEnd.Lost, hasArrived: true, reason }, true) }
-    })
-
-    /** Begins to pass the response on, which can no longer be replaced by that of another worker then. */
-    function beginStreaming (): void {
-      if (isStreaming || head === undefined) return
-      isStreaming = true
-      held.close()
-      request.reply.begin(head)
-      forward(buffered.take())
-    }
-
-    function forward (chunk: Buffer): void {
-      if (request.reply.write(chunk)) return
-      exchange.pause()
-      request.reply.onDrain(() => exchange.resume())
-    }
-
-    request.onStop((reason) => {
-      if (isSettled) return
-      exchange.abort()
-      settle({ end: SendEnd.Stopped, hasArrived: true, reason }, reason === StopReason.DeadlineExceeded)
-    })
-  })
-}
