--- a/review/lib-3/store.mjs
+++ b/review/lib-3/store.mjs
@@ -11,16 +11,14 @@
   const items = new Map()
   const leases = new Map()
   const watches = new Set()
-  let history = []
+  const history = []
   let revision = 100
   let oldest = revision
-  let era = 0
-  const calls = []
 
   function sendJson (res, status, body) {
     if (res.destroyed) return
     const text = JSON.stringify(body)
-    res.writeHead(status, { 'Store-Era': String(era), 'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(text) })
+    res.writeHead(status, { 'Store-Era': '0', 'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(text) })
     res.end(text)
   }
 
@@ -61,7 +59,6 @@
     const url = new URL(req.url, 'http://store')
     const query = url.searchParams
     const prefix = query.get('prefix') ?? ''
-    calls.push(req.url)
     if (url.pathname === '/v1/kv-range') {
       const after = query.get('after') ?? ''
       const found = [...items.values()].filter(({ key }) => key.startsWith(prefix) && key > after).sort((a, b) => a.key < b.key ? -1 : 1)
@@ -90,19 +87,6 @@
     address: `${host}:${server.address().port}`,
     put,
     remove,
-    calls,
-    /** Returns a copy of what the store holds. */
-    copy: () => ({ items: [...items], revision, oldest, history: [...history] }),
-    /** Goes back to a copy and begins the next era. */
-    restore (copy) {
-      items.clear()
-      for (const [key, item] of copy.items) items.set(key, item)
-      ;({ revision, oldest } = copy)
-      history = [...copy.history]
-      era++
-      for (const { res } of watches) res.socket?.destroy()
-      watches.clear()
-    },
     async close () {
       for (const timer of leases.values()) clearTimeout(timer)
       server.closeAllConnections()
--- a/review/lib-3/system.mjs
+++ b/review/lib-3/system.mjs
@@ -67,7 +67,7 @@
     /** Returns the address of a new machine. */
     newMachine: () => `${net}.${++machines}`,
     /** Starts the process of a role on a machine, and starts it again whenever it ends by itself. */
-    start (role, { ip, zone = 'levis', app, storeAddress, restart = true, memoryMb }) {
+    start (role, { ip, zone = 'levis', app, storeAddress, restart = true, restartMs = 500, memoryMb }) {
       const name = `${role}-${ip}`
       const isGateway = role === 'gateway'
       const file = join(folder, `${name}.json`)
@@ -108,7 +108,7 @@
         handle.child = child
         child.once('exit', (code, signal) => {
           handle.ends.push({ code, signal })
-          if (!handle.isStopped && restart) setTimeout(launch, 500)
+          if (!handle.isStopped && restart) setTimeout(launch, restartMs)
         })
       }
       handle.kill = (signal) => { handle.child.kill(signal) }
--- a/review/lib-3/worker.mjs
+++ b/review/lib-3/worker.mjs
@@ -17,11 +17,12 @@
  * Starts a worker. `answer(req, res, body, worker)` runs a request; `log` receives one object for each request that arrives or runs.
  */
 export async function startWorker (options) {
-  const { store, service, host, port, zone = 'levis', stage: firstStage, slots = 64, memoryTokens = 79_304, answer, log } = options
+  const { store, service, host, port, zone = 'levis', slots = 64, memoryTokens = 79_304, answer, log } = options
   const switchMs = options.switchMs ?? 6_000
   let id
-  let version = options.version ?? 'v1'
+  const version = options.version ?? 'v1'
   let born
+  const firstStage = options.stage
   let stage = firstStage
   let sequence = 0
   let orders = 0
@@ -186,7 +187,6 @@
     id: () => id,
     isUp: () => isUp,
     stage: () => stage,
-    setVersion (next) { version = next },
     headersFor: (req, extra = {}) => ({ 'X-Request-Id': req.headers['x-request-id'], 'X-Server-Seal': `3e1b.${id}`, ...headers(), ...extra }),
     noteEvent (req) { runs.set(req.headers['x-request-id'], (runs.get(req.headers['x-request-id']) ?? 0) + 1) },
     /** Ends as a killed process does: what was written still leaves, and all sockets close. It starts again after `downMs`. */
