--- a/review/lib-3/poison.mjs
+++ b/review/lib-3/poison.mjs
@@ -13,6 +13,8 @@
 /** Time in milliseconds that a request takes from a gateway to a worker here, at most; requests that arrive so soon after the window may have been sent in it. */
 const tripMs = 100
 const part = 'dead01'
+/** Tokens of the part that comes first in a prompt, as the sheet has it. */
+const sharedTokens = 200
 const eventCount = 10
 const eventMs = 40
 const engine = {
@@ -24,7 +26,7 @@
  * without trouble, the part crashes nothing. A crashed engine is back after `downMs` milliseconds; with `sendsHead`, the head of the answer
  * leaves it before it crashes. Ends the process.
  */
-export async function runPoison ({ folder, gateways = 3, engines = 6, soundGapMs = 200, downMs, sendsHead, sendPrompts }) {
+export async function runPoison ({ folder, gateways = 3, engines = 6, soundGapMs = 200, promptTokens = 5_200, downMs, sendsHead, sendPrompts }) {
   const hasTrouble = process.env.TROUBLE !== '0'
   const record = []
   const entries = []
@@ -81,7 +83,7 @@
     const open = new Set()
     function sendOne (kind, prefix) {
       const requestId = `${kind}-${++number}`
-      const headers = { 'X-Model': 'm', 'X-Token-Counts': '5200,70', 'X-Prompt-Prefix': `${prefix}:200,e${number.toString(16)}:5000` }
+      const headers = { 'X-Model': 'm', 'X-Token-Counts': `${promptTokens},70`, 'X-Prompt-Prefix': `${prefix}:${sharedTokens},e${number.toString(16)}:${promptTokens - sharedTokens}` }
       const sent = send({ host: ips[number % gateways], port: system.ports.front, path: '/lohu930/2f', hostName: 'ficu95.example', requestId, headers, body: 'x'.repeat(1000) }).then((result) => {
         open.delete(sent)
         log({ what: 'client', requestId, how: result.how, status: result.status, complete: result.isComplete, retryAfter: result.headers['retry-after'], error: result.status === 200 ? undefined : result.body })
