--- a/review/lib-3/system.mjs
+++ b/review/lib-3/system.mjs
@@ -51,14 +51,52 @@
   return port
 }
 
+/** Time in milliseconds after which a script ends as one that could not run. */
+const maxRunMs = 118_000
+/** Exit code of a script that could not run. */
+const couldNotRun = 2
+
+/** Ends the started processes and removes their folder when the script ends in any other way than by `close`. */
+function endWithScript (processes, folder) {
+  process.once('exit', () => {
+    for (const handle of processes) {
+      handle.isStopped = true
+      handle.child.kill('SIGKILL')
+    }
+    if (process.env.KEEP !== '1') rmSync(folder, { recursive: true, force: true })
+  })
+  for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP']) process.once(signal, () => process.exit(couldNotRun))
+  process.once('uncaughtException', (err) => {
+    console.error(err)
+    process.exit(couldNotRun)
+  })
+  setTimeout(() => {
+    console.error(`not done within ${maxRunMs} ms`)
+    process.exit(couldNotRun)
+  }, maxRunMs).unref()
+}
+
+/** Returns a port that is free at a loopback address, and the next one with it. */
+async function findPortPair (host) {
+  for (;;) {
+    const port = await findPort(host)
+    const server = createServer()
+    const isNextFree = await new Promise((resolve) => server.once('error', () => resolve(false)).listen(port + 1, host, () => resolve(true)))
+    if (!isNextFree) continue
+    await new Promise((resolve) => server.close(resolve))
+    return port
+  }
+}
+
 /** Creates a deployment: machines with loopback addresses of their own, and the processes that run there. */
 export async function createSystem ({ contracts = ['base', 'drain', 'config', 'cost', 'retry', 'recover', 'split', 'stream', 'engine', 'platform'] } = {}) {
   const folder = mkdtempSync(join(tmpdir(), 'briarloom-review-'))
   const net = `127.${20 + Math.floor(Math.random() * 200)}.${Math.floor(Math.random() * 250)}`
   let machines = 0
   const processes = new Set()
-  const ports = { front: await findPort(`${net}.1`), ready: await findPort(`${net}.1`), control: await findPort(`${net}.1`), internal: 7660 }
+  const ports = { front: await findPort(`${net}.1`), ready: await findPort(`${net}.1`), control: await findPort(`${net}.1`), internal: await findPortPair(`${net}.1`) }
   const seeds = []
+  endWithScript(processes, folder)
 
   const system = {
     folder,
