Log how the end of a worker's response showed

'ended' and 'attempt failed' have 'bytes' and 'framing' now, for plain services and engines. The new scenario outline failed before, for lack of the fields.

--- a/gateway/_forward_stream.ts
+++ b/gateway/_forward_stream.ts
@@ -10,6 +10,7 @@
 import { StopReason } from './_types.ts'
 import { watchSilence } from './_watch_silence.ts'
 import type { EventSplitter } from '../core/stream/mod.ts'
+import type { Framing } from './_body_headers.ts'
 import type { DiscardedBody } from './_discard_body.ts'
 import type { PreparedAttempt } from './_prepare_attempt.ts'
 import type { Reservation } from './_reserve_memory.ts'
@@ -34,6 +35,8 @@
   worker: string
   /** Number of the connection that carried the response; absent when there was none. */
   connection?: number
+  /** How the response showed the end of its body; absent when there was no response. */
+  framing?: Framing
   bytes: number
   /** Time in milliseconds from the request to the first event; absent when there was none. */
   firstMs?: number
@@ -79,7 +82,7 @@
   const { worker } = reservation
   worker.ownTokens += reservation.tokens
   return new Promise((resolve) => {
-    const stats: Pick<StreamResult, 'status' | 'bytes' | 'pauseMs' | 'worker' | 'connection'> = { status: 0, bytes: 0, pauseMs: 0, worker: worker.entry.id }
+    const stats: Pick<StreamResult, 'status' | 'bytes' | 'pauseMs' | 'worker' | 'connection' | 'framing'> = { status: 0, bytes: 0, pauseMs: 0, worker: worker.entry.id }
     let firstMs: number | undefined
     const sentMs = timer.now()
     let lastDataMs = sentMs
@@ -198,6 +201,7 @@
       onHead (head) {
         stats.status = head.status
         stats.connection = head.connection
+        stats.framing = head.framing
         isCloseDelimited = head.isCloseDelimited
         if (!hasFailed()) {
           request.reply.begin(head, { mayContinue: events !== undefined && head.status < minRefusalStatus })
--- a/gateway/_send_plain.ts
+++ b/gateway/_send_plain.ts
@@ -6,6 +6,7 @@
 import { sendToWorker } from './_send_to_worker.ts'
 import { StopReason } from './_types.ts'
 import type { Worker } from '../core/fleet/mod.ts'
+import type { Framing } from './_body_headers.ts'
 import type { WorkerResponse } from './_send_to_worker.ts'
 import type { ClientRequest, GatewayContext } from './_types.ts'
 
@@ -28,6 +29,9 @@
   /** True when the request reached the worker. */
   hasArrived: boolean
   reason: string
+  /** Bytes of the body that have come, and how the response showed its end; absent when there was no response. */
+  bytes?: number
+  framing?: Framing
   /** The complete response, when no part of it has been sent to the client. */
   response?: { head: WorkerResponse, body: Buffer }
 }
@@ -46,6 +50,7 @@
   return new Promise((resolve) => {
     let head: WorkerResponse | undefined
     const buffered = createByteBuffer()
+    let bytes = 0
     let isStreaming = false
     let isSettled = false
     const held = context.heldBytes.open(beginStreaming)
@@ -58,12 +63,13 @@
       const latencyMs = result.end === SendEnd.Completed ? timer.now() - startedMs : undefined
       endLoad(latencyMs)
       directory.fleet.recordResult(worker, latencyMs === undefined ? { failed } : { latencyMs, failed })
-      resolve(result)
+      resolve(head === undefined ? result : { ...result, bytes, framing: head.framing })
     }
 
     const exchange = sendToWorker(context, request, worker, lastEventId === undefined ? {} : { lastEventId }, {
       onHead (response) { head = response },
       onData (chunk) {
+        bytes += chunk.length
         if (isStreaming) {
           forward(chunk)
           return
--- a/gateway/_send_to_worker.ts
+++ b/gateway/_send_to_worker.ts
@@ -5,11 +5,13 @@
 import { Outcome } from '../core/types/mod.ts'
 import { FailureKind } from '../exchange/mod.ts'
 import { decodeResponseHead, encodeWorkerHeaders } from '../platform/mod.ts'
+import { findFraming } from './_body_headers.ts'
 import { discardBody } from './_discard_body.ts'
 import { getEarliestMs, mayStart, recordAnswer } from './_check_worker.ts'
 import type { Worker } from '../core/fleet/mod.ts'
 import type { Exchange, Failure } from '../exchange/mod.ts'
 import type { ResponseHead, WorkerHeaders } from '../platform/mod.ts'
+import type { Framing } from './_body_headers.ts'
 import type { DiscardedBody } from './_discard_body.ts'
 import type { ClientRequest, GatewayContext } from './_types.ts'
 
@@ -17,6 +19,8 @@
 export interface WorkerResponse extends ResponseHead {
   /** True when the body ends with the connection, for lack of a length. */
   isCloseDelimited: boolean
+  /** How the end of the body shows, for the log. */
+  framing: Framing
   /** Number of the connection that carried it, for the log. */
   connection: number
 }
@@ -118,7 +122,7 @@
         return true
       }
       if (head.hasContentEncoding) return false
-      handlers.onHead({ ...head, isCloseDelimited, connection })
+      handlers.onHead({ ...head, isCloseDelimited, framing: findFraming(raw, isCloseDelimited), connection })
       return true
     },
     onData (chunk) {
--- a/gateway/_serve_generation.ts
+++ b/gateway/_serve_generation.ts
@@ -83,7 +83,7 @@
 function recordFailedAttempt (
   context: GatewayContext, request: ClientRequest, state: GenerationState, { reservation, kvCache }: PreparedAttempt, result: StreamResult
 ): void {
-  const { end, status, detail, bytes, ranMs, connection } = result
+  const { end, status, detail, bytes, framing, ranMs, connection } = result
   const parts = request.head.sharedParts.join(' ')
   context.log.warn({
     request: request.requestId,
@@ -93,6 +93,7 @@
     status,
     detail,
     bytes,
+    framing,
     ranMs,
     connection,
     parts,
--- a/gateway/_serve_plain.ts
+++ b/gateway/_serve_plain.ts
@@ -65,15 +65,15 @@
     mayHaveRun ||= result.end !== SendEnd.NotRun
     // A response that has begun cannot be replaced by that of another worker.
     if (result.end === SendEnd.Lost && request.reply.hasBegun()) {
-      return finishFailed(request, attempt, mayHaveRun, last, { reason: 'response_broken', retryAfterMs, detail: result.reason, held })
+      const { reason: detail, bytes, framing } = result
+      return { ...finishFailed(request, attempt, mayHaveRun, last, { reason: 'response_broken', detail, held }), worker: worker.entry.id, bytes, framing }
     }
     const hasFailed = result.response !== undefined && result.response.head.status >= minFailureStatus
     if (result.end === SendEnd.Completed && !(hasFailed && idempotent)) return { ...deliver(context, request, attempt, result, worker), held, ...expectation }
     last = result.response === undefined ? last : result
     tried.add(worker.entry.id)
-    const fields = {
-      request: request.requestId, attempt, worker: worker.entry.id, end: result.end, status: result.response?.head.status, reason: result.reason
-    }
+    const { end, reason, bytes, framing } = result
+    const fields = { request: request.requestId, attempt, worker: worker.entry.id, end, status: result.response?.head.status, reason, bytes, framing }
     context.log.warn({ ...fields, failures: worker.failureShare, leftMs: Math.round(request.deadlineMs - timer.now()) }, 'attempt failed')
     if (!result.hasArrived) {
       attempt-- // The request did not reach the worker, so this does not count as an attempt.
@@ -121,7 +121,7 @@
     recordPlainOrigin(context, request, worker)
     request.reply.sendWhole(result.response.head, result.response.body)
   }
-  return { status: result.response?.head.status ?? 200, reason: 'answered', worker: worker.entry.id, attempts }
+  return { status: result.response?.head.status ?? 200, reason: 'answered', worker: worker.entry.id, attempts, bytes: result.bytes ?? 0, framing: result.framing }
 }
 
 /** Why a request is not sent again. */
--- a/gateway/_types.ts
+++ b/gateway/_types.ts
@@ -12,6 +12,7 @@
 import type { ByteBudget } from '../core/stream/mod.ts'
 import type { Timer } from '../timer/mod.ts'
 import type { Allowances, SpentAllowance } from './_allowance.ts'
+import type { Framing } from './_body_headers.ts'
 import type { WorkerLoads } from './_worker_loads.ts'
 import type { PlainPlacement } from './_place_plain.ts'
 import type { StreamOrigins } from './_stream_origins.ts'
@@ -99,7 +100,10 @@
   prefilled?: string | undefined
   /** Workers that the choice held back, with the reasons, as in `i-1:leaving`. */
   held?: string | undefined
+  /** Bytes of the body that have come from the worker. */
   bytes?: number
+  /** How the worker's response showed the end of its body. */
+  framing?: Framing | undefined
   /** Expected time in milliseconds until the answer, when the choice was made by it. */
   expectedMs?: number | undefined
   /** Time in milliseconds for which the request waited for room at a worker, and that its client had used up before. */
--- a/gateway/response_framing.feature
+++ b/gateway/response_framing.feature
@@ -40,3 +40,16 @@
     And gateway workers that are "cut_chunks_large"
     When a gateway client of HTTP/1.0 reads the response to "POST /unsafe/x" until its connection ends
     Then the raw gateway response has ended with a reset
+
+  # Without it, an answer that its worker finished cannot be told from one that only the end of a connection completed.
+  Scenario Outline: The log says that the end of a response showed by <framing>
+    Given a gateway site with the plain workers "w1"
+    And gateway workers that are "<mode>"
+    When a gateway client sends "POST /unsafe/x"
+    Then the gateway logged '"bytes":<bytes>,"framing":"<framing>"'
+
+    Examples:
+      | mode       | bytes | framing    |
+      | good       | 6     | length     |
+      | unframed   | 6     | connection |
+      | cut_chunks | 3     | chunks     |
