--- a/core/stream/create_event_splitter.ts
+++ b/core/stream/create_event_splitter.ts
@@ -1,6 +1,7 @@
 /**
  * A splitter for server-sent event streams that passes on only complete events.
  */
+import { byteOrderMark } from './_byte_order_mark.ts'
 import { createByteBuffer } from './create_byte_buffer.ts'
 import { createEventScanner } from './create_event_scanner.ts'
 
@@ -40,6 +41,9 @@
   const partial = createByteBuffer()
   let currentLastId = lastId
   let hasRepeated = false
+  /** True before the first event of a source, which a byte order mark may precede. */
+  let isAtStart = true
+  let hasPassedOn = false
 
   /** Records the identifiers of complete events; false when one repeats an earlier event. Identifiers that are no numbers have no order. */
   function recordIds (text: string): boolean {
@@ -62,8 +66,15 @@
       const last = chunk.subarray(0, end)
       const whole = partial.length() === 0 ? last : Buffer.concat([partial.take(), last])
       if (end < chunk.length) partial.append(chunk.subarray(end))
-      hasRepeated ||= !recordIds(whole.toString('latin1'))
-      return hasRepeated ? Buffer.alloc(0) : whole
+      const hasMark = isAtStart && whole.subarray(0, byteOrderMark.length).equals(byteOrderMark)
+      const events = hasMark ? whole.subarray(byteOrderMark.length) : whole
+      isAtStart = false
+      hasRepeated ||= !recordIds(events.toString('latin1'))
+      if (hasRepeated) return Buffer.alloc(0)
+      // A mark belongs to the start of a stream; behind the events of an earlier source it would hide the name of the first field.
+      const passedOn = hasPassedOn ? events : whole
+      hasPassedOn = true
+      return passedOn
     },
     lastId: () => currentLastId,
     partialBytes: scanner.partialBytes,
@@ -72,6 +83,7 @@
       scanner.reset()
       partial.take()
       hasRepeated = false
+      isAtStart = true
     }
   }
 }
