Judge in one place whether a stream has come whole

Cause: two paths end an answer, and only the one for engines judged whether it was whole, and there a stream that ends in order with a last chunk only where its client may take it up. An orderly end of the connection completes an answer without a length, also when the operating system closes the sockets of a killed worker.

The verdict stands in sendToWorker now, below both paths: onEnd is called for a whole response only, all else is onLost. A body is a stream of events by its media type, whatever its case and parameters, or, without one, because its route carries streams; what answers a prefill is none. A stream that ends inside an event was broken off however it is framed, as the users' page says without exception; one without a length also when it ends before its first event. What the client has nothing of becomes 502, or is sent again where its route's kind allows it; what it has a part of is broken off. An engine that goes on with a stream and answers 200 with another media type has failed. The copy in _forward_stream.ts is gone.

The plain workers of gateway/plain_stream.feature answered a request on a route that carries streams with the six bytes 'signed' and no media type, which is no stream. They answer with a whole stream now; what the scenarios ask of the gateway is the same.

--- a/gateway/_forward_stream.ts
+++ b/gateway/_forward_stream.ts
@@ -1,7 +1,6 @@
 /**
  * Forwards the response stream of a decode engine.
  */
-import { createEventScanner } from '../core/stream/mod.ts'
 import { discardBody } from './_discard_body.ts'
 import { observeStream } from './_observe_stream.ts'
 import { recordPrefillAtDecode } from './_prefill_times.ts'
@@ -88,16 +87,16 @@
     let lastDataMs = sentMs
     let isSettled = false
     let isCloseDelimited = false
+    /** False before the head of a stream of events has come. */
+    let hasEvents = false
     /** True when nothing was sent, which says nothing about the engine and leaves its memory reserved. */
     let hasSentNothing = false
     /** The body of a response that is not passed on. */
     let failedBody: DiscardedBody | undefined
     /** True when the client has a part of the stream, so that only the events that follow it may be forwarded. */
     const isContinued = request.reply.hasBegun()
-    const scanner = createEventScanner()
-    const partialBytes = events?.partialBytes ?? scanner.partialBytes
     const tooMany = 'bytes is the longest of too many that are not complete'
-    const held = context.heldBytes.open(() => loseEndless(`an event of ${partialBytes()} ${tooMany}`), { floorBytes: heldFloorBytes })
+    const held = context.heldBytes.open(() => loseEndless(`an event of ${exchange.partialEventBytes()} ${tooMany}`), { floorBytes: heldFloorBytes })
     const observer = observeStream(context.promptGuard, worker, request.head.sharedParts)
 
     const watch = resumption === undefined
@@ -142,12 +141,6 @@
       return end === StreamEnd.Lost || stats.status >= minFailureStatus
     }
 
-    /** Tells whether the response ended inside an event, or before the first one. */
-    function endsEarly (): boolean {
-      if (isCloseDelimited && stats.bytes === 0) return true
-      return (events !== undefined || isCloseDelimited) && partialBytes() > 0
-    }
-
     /** Ends the attempt at an engine that sends bytes without the end of an event. */
     function loseEndless (detail: string): void {
       exchange.abort()
@@ -157,7 +150,11 @@
 
     /** Tells whether the stream may go on elsewhere instead of passing on the engine's response. */
     function hasFailed (): boolean {
-      return events !== undefined && stats.status >= (isContinued ? minRefusalStatus : minFailureStatus)
+      return events !== undefined && (isContinued ? !hasEvents : stats.status >= minFailureStatus)
+    }
+
+    function loseFailed (): void {
+      settle(StreamEnd.Lost, stats.status < minRefusalStatus ? 'a response that is no stream' : `status ${stats.status}`)
     }
 
     function forward (chunk: Buffer): void {
@@ -169,19 +166,17 @@
       } else stats.pauseMs = Math.max(stats.pauseMs, Math.round(nowMs - lastDataMs))
       lastDataMs = nowMs
       stats.bytes += chunk.length
-      const hasEvents = stats.status < minRefusalStatus
-      if (events === undefined) scanner.scan(chunk)
       const forwarded = events === undefined || !hasEvents ? chunk : events.push(chunk)
       if (events?.hasRepeatedEvent()) {
         exchange.abort()
         settle(StreamEnd.Lost, `an event after ${events.lastId()} was sent again`)
         return
       }
-      if (hasEvents && partialBytes() > maxEventBytes) {
+      if (exchange.partialEventBytes() > maxEventBytes) {
         loseEndless(`an event is longer than ${maxEventBytes} bytes`)
         return
       }
-      if (events !== undefined) held.set(events.partialBytes())
+      if (events !== undefined) held.set(exchange.partialEventBytes())
       if (isSettled) return
       watch?.onData(forwarded.length > 0)
       if (forwarded.length > 0 && hasEvents) resumption?.onEvents()
@@ -203,13 +198,14 @@
         stats.connection = head.connection
         stats.framing = head.framing
         isCloseDelimited = head.isCloseDelimited
+        hasEvents = head.hasEvents
         if (!hasFailed()) {
-          request.reply.begin(head, { mayContinue: events !== undefined && head.status < minRefusalStatus })
+          request.reply.begin(head, { mayContinue: events !== undefined && hasEvents })
           return
         }
         failedBody = discardBody(timer, () => {
           exchange.abort()
-          settle(StreamEnd.Lost, `status ${stats.status}`)
+          loseFailed()
         })
       },
       onData (chunk) {
@@ -217,15 +213,7 @@
         else failedBody.add(chunk)
       },
       onEnd () {
-        if (hasFailed()) {
-          settle(StreamEnd.Lost, `status ${stats.status}`)
-          return
-        }
-        if (stats.status < minRefusalStatus && endsEarly()) {
-          observer.onEarlyEnd(false)
-          settle(StreamEnd.Lost, 'the stream ended inside an event')
-          return
-        }
+        if (hasFailed()) return loseFailed()
         if (stats.status < minRefusalStatus) observer.onEnd(isCloseDelimited)
         request.reply.end()
         settle(StreamEnd.Completed, '')
@@ -235,10 +223,10 @@
         if (connection !== undefined) stats.connection = connection
         settle(StreamEnd.Refused, reason)
       },
-      onLost (reason, status) {
+      onLost ({ reason, status, hasEndedInOrder = false }) {
         stats.status = status ?? stats.status
         // Without a head, the connection may have been closed before the engine began to answer.
-        if (stats.status < minRefusalStatus) observer.onEarlyEnd(stats.status > 0)
+        if (stats.status < minRefusalStatus) observer.onEarlyEnd(stats.status > 0 && !hasEndedInOrder)
         settle(StreamEnd.Lost, reason)
       }
     })
--- a/gateway/_prefill.ts
+++ b/gateway/_prefill.ts
@@ -192,7 +192,7 @@
         if (hasArrived) worker.prefillRetryAtMs = context.timer.now() + refusalPauseMs
         settle(undefined, { isRefused: hasArrived })
       },
-      onLost: settleLost
+      onLost: ({ reason }) => settleLost(reason)
     })
     request.onStop(() => {
       if (isSettled) return
--- a/gateway/_send_plain.ts
+++ b/gateway/_send_plain.ts
@@ -94,7 +94,7 @@
         held.close()
         resolve({ end: SendEnd.NotRun, hasArrived, reason })
       },
-      onLost (reason) { settle({ end: SendEnd.Lost, hasArrived: true, reason }, true) }
+      onLost ({ reason }) { settle({ end: SendEnd.Lost, hasArrived: true, reason }, true) }
     })
 
     /** Begins to pass the response on, which can no longer be replaced by that of another worker then. */
--- a/gateway/_send_to_worker.ts
+++ b/gateway/_send_to_worker.ts
@@ -5,12 +5,14 @@
 import { Outcome } from '../core/types/mod.ts'
 import { FailureKind } from '../exchange/mod.ts'
 import { decodeResponseHead, encodeWorkerHeaders } from '../platform/mod.ts'
+import { carriesEvents, checkBody } from './_body_check.ts'
 import { findFraming } from './_body_headers.ts'
 import { discardBody } from './_discard_body.ts'
 import { getEarliestMs, mayStart, recordAnswer } from './_check_worker.ts'
 import type { Worker } from '../core/fleet/mod.ts'
 import type { Exchange, Failure } from '../exchange/mod.ts'
 import type { ResponseHead, WorkerHeaders } from '../platform/mod.ts'
+import type { BodyCheck } from './_body_check.ts'
 import type { Framing } from './_body_headers.ts'
 import type { DiscardedBody } from './_discard_body.ts'
 import type { ClientRequest, GatewayContext } from './_types.ts'
@@ -21,20 +23,37 @@
   isCloseDelimited: boolean
   /** How the end of the body shows, for the log. */
   framing: Framing
+  /** True when the body is a stream of events. */
+  hasEvents: boolean
   /** Number of the connection that carried it, for the log. */
   connection: number
 }
 
+/** A response that is lost or cannot be passed on, and whose worker may have run the request. */
+export interface Loss {
+  reason: string
+  /** Status of a response that is not passed on. */
+  status?: number
+  /** True when the response ended as its framing requires, but is not whole. */
+  hasEndedInOrder?: boolean
+}
+
 /** Receives the events of a send. Unless it is aborted, it ends with exactly one call of `onRefused`, `onEnd` or `onLost`. */
 export interface SendHandlers {
   /** Receives the head of the response; the body follows. */
   onHead (head: WorkerResponse): void
   onData (chunk: Buffer): void
+  /** The response is whole. */
   onEnd (): void
   /** The worker has not run the request: it stated so, could not be reached, or takes no request any more (`isWithheld`). */
   onRefused (refusal: { hasArrived: boolean, isWithheld?: boolean, reason: string, connection?: number }): void
-  /** The response is lost or cannot be passed on, and the worker may have run the request; `status` is that of a response that is not passed on. */
-  onLost (reason: string, status?: number): void
+  onLost (loss: Loss): void
+}
+
+/** Controls a send. */
+export interface WorkerExchange extends Exchange {
+  /** Returns the number of bytes of the response since the end of its last complete event; 0 when it is no stream of events. */
+  partialEventBytes (): number
 }
 
 const notRunKinds = new Set([FailureKind.Unreachable, FailureKind.Malformed, FailureKind.Withheld])
@@ -69,7 +88,7 @@
 /** Sends a request to a worker, with the given headers, the id of the worker and the remaining time. */
 export function sendToWorker (
   context: GatewayContext, request: ClientRequest, worker: Worker, added: Omit<WorkerHeaders, 'workerId' | 'deadlineMs'>, handlers: SendHandlers
-): Exchange {
+): WorkerExchange {
   const { timer, directory } = context
   const deadlineMs = request.deadlineMs - timer.now()
   const caller = request.identifyCaller().unwrapOr(undefined)
@@ -78,6 +97,7 @@
   const headers = [...request.head.forwarded, ...callerHeaders, ...encodeWorkerHeaders({ ...added, workerId: worker.entry.id, deadlineMs, organisation })]
   /** A response of which only the head counts; undefined when the response is passed on. */
   let unused: { body: DiscardedBody, report: () => void } | undefined
+  let body: BodyCheck | undefined
   worker.inFlight++
 
   /** Tells whether the request may still go out under the name that its headers have; the key may be withdrawn while a connection is opened. */
@@ -118,21 +138,32 @@
         return true
       }
       if (promisingStatuses.has(status)) {
-        discardResponse(() => handlers.onLost(`status ${status}, which does not state that the request has not run`, status))
+        discardResponse(() => handlers.onLost({ reason: `status ${status}, which does not state that the request has not run`, status }))
         return true
       }
       if (head.hasContentEncoding) return false
-      handlers.onHead({ ...head, isCloseDelimited, framing: findFraming(raw, isCloseDelimited), connection })
+      const hasEvents = carriesEvents(request, head, added.prefill === true)
+      body = checkBody({ hasEvents, isCloseDelimited })
+      handlers.onHead({ ...head, isCloseDelimited, framing: findFraming(raw, isCloseDelimited), hasEvents, connection })
       return true
     },
     onData (chunk) {
-      if (unused === undefined) handlers.onData(chunk)
-      else unused.body.add(chunk)
+      if (unused !== undefined) {
+        unused.body.add(chunk)
+        return
+      }
+      body?.add(chunk)
+      handlers.onData(chunk)
     },
     onEnd () {
       decrementInFlight()
-      if (unused !== undefined) finishUnused()
-      else handlers.onEnd()
+      if (unused !== undefined) {
+        finishUnused()
+        return
+      }
+      const fault = body?.findFault()
+      if (fault === undefined) handlers.onEnd()
+      else handlers.onLost({ reason: fault, hasEndedInOrder: true })
     },
     onFail (failure) {
       decrementInFlight()
@@ -142,11 +173,12 @@
         directory.fleet.markSuspect(worker, timer.now())
         context.promptGuard.recordUnreachable(worker)
         handlers.onRefused({ hasArrived: false, reason: failure.message })
-      } else handlers.onLost(failure.message)
+      } else handlers.onLost({ reason: failure.message })
     }
   })
   return {
     ...exchange,
+    partialEventBytes: () => body?.partialBytes() ?? 0,
     abort () {
       unused?.body.cancel()
       decrementInFlight()
--- a/gateway/plain_stream_test.ts
+++ b/gateway/plain_stream_test.ts
@@ -3,9 +3,9 @@
  */
 import assert from 'node:assert/strict'
 import { Given, Then, When } from '@cucumber/cucumber'
-import { buildConfiguration } from '../testing/fleuve/mod.ts'
+import { AnswerEnd, AnswerFraming, buildConfiguration } from '../testing/fleuve/mod.ts'
 import { send, sleep, until } from './gateway_test.ts'
-import type { Site } from '../testing/fleuve/mod.ts'
+import type { DescribedAnswer, Site } from '../testing/fleuve/mod.ts'
 
 type Response = Awaited<ReturnType<typeof send>>
 
@@ -19,6 +19,9 @@
   host: 'a.example', name: 'plain-stream', prefix: '/plain-stream/', kind: 'streaming', timeout_ms: 700, target_latency_ms: 200, gap_aim_ms: 300, priority: 1, max_attempts: 2, allow_resume: true
 }
 
+/** A whole stream; on a route that carries streams, nothing else is an answer. */
+const stream: DescribedAnswer = { framing: AnswerFraming.Length, end: AnswerEnd.Whole, contentType: 'text/event-stream', events: 6 }
+
 /** Writes the rules with the route of the streams, and waits until they are in force. */
 async function writeRoute (site: Site, version: number, target: object): Promise<void> {
   const { routes } = JSON.parse(buildConfiguration(version))
@@ -27,6 +30,7 @@
 }
 
 Given('the gateway operator lets streams of the plain service be taken up', async function (this: World) {
+  for (const worker of this.gatewaySite.workers.values()) worker.setAnswers([stream])
   await writeRoute(this.gatewaySite, 2, { service: 'plain' })
 })
 
@@ -54,7 +58,8 @@
 })
 
 When('the plain worker {string} of the version {string} starts', async function (this: World, id: string, version: string) {
-  await this.gatewaySite.addWorker({ id, service: 'plain', version })
+  const worker = await this.gatewaySite.addWorker({ id, service: 'plain', version })
+  worker.setAnswers([stream])
   await until(() => this.gatewaySite.readLog().includes(`"worker":"${id}"`), 2000, 'the entry of the worker')
 })
 
--- a/testing/fleuve/start_worker.ts
+++ b/testing/fleuve/start_worker.ts
@@ -2,8 +2,10 @@
  * A stand-in for a worker of the platform, plain or an engine, with failures that a test chooses.
  */
 import { createServer } from 'node:http'
+import { writeDescribedAnswer } from './_described_answer.ts'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { AddressInfo, Socket } from 'node:net'
+import type { DescribedAnswer } from './_described_answer.ts'
 
 /** Names how a worker responds to a request. */
 export enum WorkerMode {
@@ -177,6 +179,8 @@
    * header `X-Origin` of the requests.
    */
   listTurnedAway (): Array<{ atMs: number, text: string, origin: string | undefined }>
+  /** Sets the answers to the next requests, one each; the last one stays. A list is shared by the workers that it is given to. */
+  setAnswers (answers: DescribedAnswer[]): void
   /** Makes an engine crash under a part of a prompt; undefined ends that. */
   setPromptCrash (crash: PromptCrash | undefined): void
   /** Makes the worker fall silent once in each response and then go on; undefined ends that. */
@@ -268,6 +272,7 @@
   let retryAfter: (() => string) | undefined
   let promptCrash: PromptCrash | undefined
   let silence: Silence | undefined
+  let answers: DescribedAnswer[] = []
   let reportText: string | undefined
   let controlCopyMs: number | undefined
   let lastResponse = ''
@@ -612,6 +617,11 @@
         if (request.isAborted) request.abortedMs = performance.now()
       })
       if (retryAfter !== undefined) return turnAway(req, res, retryAfter())
+      const answer = req.headers['x-stage'] === 'prefill' ? undefined : answers.length > 1 ? answers.shift() : answers[0]
+      if (answer !== undefined) {
+        const head = ['HTTP/1.1 200 OK', ...Object.entries(createHeaders(req)).map(([name, value]) => `${name}: ${value}`)]
+        return writeDescribedAnswer(req.socket, head, answer, Number(req.headers['last-event-id'] ?? 0))
+      }
       const mode = modes.length > 1 ? modes.shift() as WorkerMode : modes[0] as WorkerMode
       if (resumeMode !== undefined && req.headers['last-event-id'] !== undefined) return responders[resumeMode](req, res)
       if (mode !== WorkerMode.Good) return responders[mode](req, res)
@@ -646,6 +656,7 @@
     setRetryAfter (text) { retryAfter = typeof text === 'string' ? () => text : text },
     listTurnedAway: () => turnedAway,
     setPromptCrash (next) { promptCrash = next },
+    setAnswers (next) { answers = next },
     setSilence (next) { silence = next },
     setControlCopies (afterMs) { controlCopyMs = afterMs },
     setReportText (text) { reportText = text },
