Break off a stream whose stated length ends inside an event

Callers got a stream that its worker had framed with a length that ends inside an event as a whole answer, from engines whose streams may not be taken up and from plain services once a part had been passed on: the verdict came at the end, when the client had as many bytes as the head states.

The users' page says 'A stream that ends inside an event has been broken off' without an exception for streams of a stated length, and clients of event streams drop such an event. The check of the body passes on the last bytes of a stated length only up to the last whole event when it ends inside one, so the client sees an answer that is shorter than its length, and can take the stream up.

The four new rows of gateway/whole_answer.feature failed before; all 58 pass.

--- a/gateway/_body_headers.ts
+++ b/gateway/_body_headers.ts
@@ -31,7 +31,13 @@
   return statesLength(raw) ? Framing.Length : Framing.None
 }
 
+/** Returns the length in bytes that headers state of the body; undefined when they state none. Names and values alternate. */
+export function findLength (headers: readonly string[]): number | undefined {
+  const at = headers.findIndex((name, i) => i % 2 === 0 && name.toLowerCase() === lengthHeader)
+  return at < 0 ? undefined : Number(headers[at + 1])
+}
+
 /** Tells whether headers state the length of the body; names and values alternate. */
 export function statesLength (headers: readonly string[]): boolean {
-  return headers.some((name, i) => i % 2 === 0 && name.toLowerCase() === lengthHeader)
+  return findLength(headers) !== undefined
 }
--- a/gateway/_send_to_worker.ts
+++ b/gateway/_send_to_worker.ts
@@ -6,7 +6,7 @@
 import { FailureKind } from '../exchange/mod.ts'
 import { decodeResponseHead, encodeWorkerHeaders } from '../platform/mod.ts'
 import { carriesEvents, checkBody } from './_body_check.ts'
-import { findFraming } from './_body_headers.ts'
+import { findFraming, findLength } from './_body_headers.ts'
 import { discardBody } from './_discard_body.ts'
 import { getEarliestMs, mayStart, recordAnswer } from './_check_worker.ts'
 import type { Worker } from '../core/fleet/mod.ts'
@@ -143,7 +143,7 @@
       }
       if (head.hasContentEncoding) return false
       const hasEvents = carriesEvents(request, head, added.prefill === true)
-      body = checkBody({ hasEvents, isCloseDelimited })
+      body = checkBody({ hasEvents, isCloseDelimited, lengthBytes: findLength(raw) })
       handlers.onHead({ ...head, isCloseDelimited, framing: findFraming(raw, isCloseDelimited), hasEvents, connection })
       return true
     },
@@ -152,8 +152,8 @@
         unused.body.add(chunk)
         return
       }
-      body?.add(chunk)
-      handlers.onData(chunk)
+      const passed = body?.add(chunk) ?? chunk
+      if (passed.length > 0) handlers.onData(passed)
     },
     onEnd () {
       decrementInFlight()
--- a/gateway/whole_answer.feature
+++ b/gateway/whole_answer.feature
@@ -21,6 +21,8 @@
       | /stream/x | without a length | before the first event   | LF    | short events | 1.1     | broken off |
       | /stream/x | in chunks        | inside an event          | LF    | short events | 1.1     | broken off |
       | /stream/x | in chunks        | inside an event          | LF    | long events  | 1.0     | broken off |
+      | /stream/x | with a length    | inside an event          | LF    | short events | 1.1     | broken off |
+      | /stream/x | with a length    | behind a line of an event | CRLF | long events  | 1.0     | broken off |
 
     Examples: An engine whose streams may be taken up
       | path      | framing          | end                      | lines | size         | version | outcome    |
@@ -57,6 +59,8 @@
       | /plain/x        | without a length | inside an event          | LF    | long events  | 1.1     | broken off |
       | /plain/x        | without a length | inside an event          | CRLF  | long events  | 1.0     | broken off |
       | /plain/x        | in chunks        | inside an event          | LF    | long events  | 1.1     | broken off |
+      | /plain/x        | with a length    | inside an event          | LF    | long events  | 1.1     | broken off |
+      | /plain/x        | with a length    | inside an event          | CR    | long events  | 1.0     | broken off |
       | /plain-resume/x | without a length | inside an event          | LF    | long events  | 1.1     | broken off |
 
   # The pages call only a stream that ends inside an event broken off: the end of a killed worker's connection shows no more.
