Send a plain stream again that broke off before its client had any of it

A client whose request goes to a plain service on a streaming route with allow_resume got 502 when the worker broke its answer off, though nothing had been passed on and another worker was there. The users' page calls such requests idempotent: 'those of idempotent routes and streams that may be resumed'; only the part for engines knew that. The part for plain services repeats them now, within max_attempts and the retry budget, as it does for idempotent routes. What a client has a part of is still broken off.

Scenario outline in gateway/whole_answer.feature, four kinds of routes: the row of a stream that may be taken up failed before (502 for a request that another worker serves); the others hold before and after.

--- a/gateway/_resume_stream.ts
+++ b/gateway/_resume_stream.ts
@@ -34,7 +34,7 @@
   retryAfterMs?: number
 }
 
-/** Tells whether the answer is a stream that its client may take up after a break. */
+/** Tells whether the answer is a stream that its client may take up after a break; its request may run more than once. */
 export function mayBeTakenUp ({ route }: ClientRequest): boolean {
   return route.kind === RequestKind.Streaming && route.mayResume
 }
--- a/gateway/_serve_plain.ts
+++ b/gateway/_serve_plain.ts
@@ -9,7 +9,7 @@
 import { Count } from '../metrics/mod.ts'
 import { checkWorker, recordHeld } from './_check_worker.ts'
 import { findCallerReply } from './_identify_caller.ts'
-import { describeMissing, refuseResumption } from './_resume_stream.ts'
+import { describeMissing, mayBeTakenUp, refuseResumption } from './_resume_stream.ts'
 import { recordPlainOrigin, SendEnd, sendPlain } from './_send_plain.ts'
 import { getReturnMs } from './_send_to_worker.ts'
 import { StopReason } from './_types.ts'
@@ -34,7 +34,7 @@
 export async function servePlain (context: GatewayContext, { request, origin }: ResumedStream): Promise<RequestResult> {
   const { directory, timer, random } = context
   context.workerLoads.deadlines.record(request.route.name, request.head.deadlineMs ?? request.route.timeoutMs)
-  const idempotent = request.route.kind === RequestKind.Idempotent
+  const idempotent = request.route.kind === RequestKind.Idempotent || mayBeTakenUp(request)
   const tried = new Set<string>()
   let attempt = 0
   let mayHaveRun = false
--- a/gateway/whole_answer.feature
+++ b/gateway/whole_answer.feature
@@ -104,3 +104,17 @@
       | /resume/x       | CR    | inside an event | broken off |
       | /plain-resume/x | CRLF  | whole           | whole      |
       | /plain-resume/x | LF    | inside an event | a 502      |
+
+  # Guards against a 502 for a stream that another worker could have written, and against a second run where none is allowed.
+  Scenario Outline: A stream that broke off before its client had a part of it is sent again where its route allows that: <path>
+    Given a site with two plain workers, the first of which ends its stream inside an event
+    When a client of HTTP/1.1 sends "POST <path>" and reads the stream
+    Then that stream is <outcome>
+    And the gateway workers saw <requests> requests
+
+    Examples:
+      | path            | outcome | requests |
+      | /plain-resume/x | whole   | 2        |
+      | /safe/x         | whole   | 2        |
+      | /plain/x        | a 502   | 1        |
+      | /unsafe/x       | a 502   | 1        |
--- a/gateway/whole_answer_test.ts
+++ b/gateway/whole_answer_test.ts
@@ -5,9 +5,9 @@
 import { connect } from 'node:net'
 import { Given, Then, When } from '@cucumber/cucumber'
 import { isReset } from '../exchange/mod.ts'
-import { buildBody, buildConfiguration } from '../testing/fleuve/mod.ts'
+import { AnswerEnd, AnswerFraming, buildBody, buildConfiguration } from '../testing/fleuve/mod.ts'
 import { open, send, until } from './gateway_test.ts'
-import type { AnswerFraming, DescribedAnswer, Site, AnswerEnd } from '../testing/fleuve/mod.ts'
+import type { DescribedAnswer, Site } from '../testing/fleuve/mod.ts'
 
 interface Got {
   status: number
@@ -61,6 +61,16 @@
     })
   })
 
+Given('a site with two plain workers, the first of which ends its stream inside an event', async function (this: World) {
+  await open(this, [{ id: 'w1', service: 'plain' }, { id: 'w2', service: 'plain' }])
+  await addPlainStreams(this.gatewaySite)
+  const broken: DescribedAnswer = { framing: AnswerFraming.Connection, end: AnswerEnd.InsideEvent, contentType: 'text/event-stream', events: eventCount }
+  this.answer = { ...broken, end: AnswerEnd.Whole }
+  // Only the worker that gets the request first breaks it off, whichever that is.
+  const answers = [broken, this.answer]
+  for (const worker of this.gatewaySite.workers.values()) worker.setAnswers(answers)
+})
+
 Given('the answers of that site have the media type {string}', function (this: World, type: string) {
   describe(this, { contentType: type === 'none' ? undefined : type })
 })
