Judge the answers of services on the product's own interface likewise

A caller of the product's own interface got a part of a service's answer as the whole one: an answer without a length that was reset on the way, and a stream that ended inside an event.

Shown on with five answers, three times: a body cut by a reset (at once, with the next turn, after 20 ms) and a stream cut inside an event each came as 200. The adapter uses the exchange pool now, which tells a reset from an orderly end, with a new connection for each call as before, and the check of the body, which moved to core/stream for it. An address or a header that cannot be sent counts as unreachable: the service has received nothing.

--- a/gateway/_body_check.ts
+++ b/core/stream/create_body_check.ts
@@ -1,10 +1,7 @@
 /**
- * Judges whether the body of a worker's response has come whole.
+ * Judges whether the body of a response has come whole.
  */
-import { RequestKind } from '../core/route/mod.ts'
-import { createEventScanner } from '../core/stream/mod.ts'
-import type { ResponseHead } from '../platform/mod.ts'
-import type { ClientRequest } from './_types.ts'
+import { createEventScanner } from './create_event_scanner.ts'
 
 /** Checks one body as it comes. */
 export interface BodyCheck {
@@ -19,35 +16,35 @@
   findFault (): string | undefined
 }
 
-const eventStreamType = 'text/event-stream'
-/** Lowest status of a response that is no success. */
-const minRefusalStatus = 300
-
-/**
- * Tells whether the body of a response is a stream of events: by the media type, or, when the worker states none, because the route carries
- * streams. What answers a prefill is none.
- */
-export function carriesEvents ({ route }: ClientRequest, { status, mediaType }: ResponseHead, isPrefill: boolean): boolean {
-  if (status >= minRefusalStatus || isPrefill) return false
-  return mediaType === undefined ? route.kind === RequestKind.Streaming : mediaType === eventStreamType
-}
-
-const uncheckedBody: BodyCheck = { add: (chunk) => chunk, partialBytes: () => 0, findFault: () => undefined }
-
 /** What the head of a response tells of its body. */
-export interface BodyDescription {
+export interface BodyCheckOptions {
+  /** True when the body is a stream of events. */
   hasEvents: boolean
   /** True when the body ends with the connection, for lack of a length. */
   isCloseDelimited: boolean
   /** The stated length; undefined when there is none. */
-  lengthBytes: number | undefined
+  lengthBytes?: number | undefined
 }
 
+const uncheckedBody: BodyCheck = { add: (chunk) => chunk, partialBytes: () => 0, findFault: () => undefined }
+
 /**
  * Creates the check of a body. A stream that ends inside an event was broken off, however it is framed; one without a length also when it
- * ends before its first event. What a worker writes when its process ends may complete the framing of a stream that it has not finished.
+ * ends before its first event. What a server writes when its process ends may complete the framing of a stream that it has not finished.
+ *
+ * @param options what the head of the response tells
+ * @returns the check
+ *
+ * @example
+ * ```ts
+ * import { createBodyCheck } from 'briarloom/core/stream'
+ *
+ * const check = createBodyCheck({ hasEvents: true, isCloseDelimited: true })
+ * check.add(Buffer.from('data: a\n\ndata:'))
+ * console.assert(check.findFault() === 'the stream ended inside an event')
+ * ```
  */
-export function checkBody ({ hasEvents, isCloseDelimited, lengthBytes }: BodyDescription): BodyCheck {
+export function createBodyCheck ({ hasEvents, isCloseDelimited, lengthBytes }: BodyCheckOptions): BodyCheck {
   if (!hasEvents) return uncheckedBody
   const scanner = createEventScanner()
   let bytes = 0
--- a/engine/create_service_http.ts
+++ b/engine/create_service_http.ts
@@ -1,13 +1,14 @@
 /**
  * The adapter for plain services over HTTP.
  */
-import { Agent, request } from 'undici'
-import { Err } from '../core/results/mod.ts'
-import type { Result } from '../core/results/mod.ts'
+import { Err, Ok } from '../core/results/mod.ts'
+import { createBodyCheck, createByteBuffer, isEventStream } from '../core/stream/mod.ts'
+import { createExchangePool, FailureKind } from '../exchange/mod.ts'
 import { createSystemTimer } from '../timer/mod.ts'
+import { EngineErrorKind } from './_types.ts'
+import type { Result } from '../core/results/mod.ts'
+import type { BodyCheck } from '../core/stream/mod.ts'
 import type { Timer } from '../timer/mod.ts'
-import { startDeadline } from './_deadline.ts'
-import { readBody } from './_read_body.ts'
 import type { EngineError, ServiceAdapter, ServiceCall, ServiceReply } from './_types.ts'
 
 /** Configures a service adapter. */
@@ -24,6 +25,8 @@
 
 const defaultConnectTimeoutMs = 2000
 const defaultMaxReplyBytes = 4 * 1_048_576
+/** Lowest status of an answer that is no success. */
+const minRefusalStatus = 300
 
 /** Headers that concern a single connection or that the HTTP client sets itself; they are not passed on. */
 const hopByHopHeaders = new Set([
@@ -31,14 +34,30 @@
   'upgrade', 'host', 'content-length', 'expect'
 ])
 
-/** Returns the headers to pass on, with names in lower case and repeated values joined. */
-function keepEndToEndHeaders (headers: Record<string, string | string[] | undefined>): Record<string, string> {
-  const kept: Record<string, string> = {}
-  for (const [name, value] of Object.entries(headers)) {
-    if (value === undefined || hopByHopHeaders.has(name.toLowerCase())) continue
-    kept[name.toLowerCase()] = Array.isArray(value) ? value.join(', ') : value
+/** Kinds of errors by the failures of an exchange; a service that was unreachable has received nothing of the call. */
+const failureKinds: { readonly [K in FailureKind]: EngineErrorKind } = {
+  [FailureKind.Unreachable]: EngineErrorKind.Unreachable,
+  [FailureKind.Malformed]: EngineErrorKind.Unreachable,
+  [FailureKind.Withheld]: EngineErrorKind.Unreachable,
+  [FailureKind.Broken]: EngineErrorKind.Broken,
+  [FailureKind.TimedOut]: EngineErrorKind.TimedOut
+}
+
+/** Returns headers by their names in lower case, with repeated values joined; names and values alternate in `raw`. */
+function joinHeaders (raw: readonly string[]): Record<string, string> {
+  const joined = new Map<string, string>()
+  for (let i = 0; i + 1 < raw.length; i += 2) {
+    const name = (raw[i] as string).toLowerCase()
+    const earlier = joined.get(name)
+    joined.set(name, earlier === undefined ? raw[i + 1] as string : `${earlier}, ${raw[i + 1]}`)
   }
-  return kept
+  return Object.fromEntries(joined)
+}
+
+/** Returns the headers to pass on, with names in lower case. */
+function keepEndToEndHeaders (headers: Record<string, string>): Record<string, string> {
+  const named = Object.entries(headers).map(([name, value]) => [name.toLowerCase(), value] as const)
+  return Object.fromEntries(named.filter(([name]) => !hopByHopHeaders.has(name)))
 }
 
 /**
@@ -63,37 +82,61 @@
 export function createServiceHttp (options: ServiceHttpOptions): ServiceAdapter {
   const timer = options.timer ?? createSystemTimer()
   const maxReplyBytes = options.maxReplyBytes ?? defaultMaxReplyBytes
-  const dispatcher = new Agent({
-    connect: { timeout: options.connectTimeoutMs ?? defaultConnectTimeoutMs },
-    pipelining: 0
-  })
+  const pool = createExchangePool({ connectTimeoutMs: options.connectTimeoutMs ?? defaultConnectTimeoutMs, keepsConnections: false })
 
-  async function call (job: ServiceCall): Promise<Result<ServiceReply, EngineError>> {
+  function call (job: ServiceCall): Promise<Result<ServiceReply, EngineError>> {
     const what = `call "${job.callId}" ${job.method} ${job.path} at ${options.address}`
-    const deadline = startDeadline(timer, job.timeoutMs)
-    try {
-      const res = await request(`http://${options.address}${job.path}`, {
-        method: job.method as 'GET',
-        dispatcher,
-        signal: deadline.signal,
-        headersTimeout: 0,
-        bodyTimeout: 0,
-        headers: { ...keepEndToEndHeaders(job.headers), 'x-call-id': job.callId },
+    return new Promise((resolve) => {
+      const received = createByteBuffer()
+      let bodyCheck: BodyCheck | undefined
+      let status = 0
+      let headers: Record<string, string> = {}
+      const deadline = job.timeoutMs === 0
+        ? undefined
+        : timer.after(job.timeoutMs, () => {
+          exchange.abort()
+          fail(EngineErrorKind.TimedOut, `${what} had no answer after ${job.timeoutMs} ms`)
+        })
+
+      function fail (kind: EngineErrorKind, message: string): void {
+        deadline?.cancel()
+        resolve(Err({ kind, sent: kind !== EngineErrorKind.Unreachable, message }))
+      }
+
+      const exchange = pool.send(options.address, {
+        method: job.method,
+        path: job.path,
+        headers: Object.entries({ ...keepEndToEndHeaders(job.headers), 'x-call-id': job.callId }).flat(),
         body: job.body.length > 0 ? Buffer.from(job.body) : null
+      }, {
+        onHead (code, raw, { isCloseDelimited }) {
+          status = code
+          headers = keepEndToEndHeaders(joinHeaders(raw))
+          bodyCheck = createBodyCheck({ hasEvents: code < minRefusalStatus && isEventStream(headers['content-type'] ?? ''), isCloseDelimited })
+          return true
+        },
+        onData (chunk) {
+          bodyCheck?.add(chunk)
+          received.append(chunk)
+          if (received.length() <= maxReplyBytes) return
+          exchange.abort()
+          fail(EngineErrorKind.Broken, `${what} was answered with more than ${maxReplyBytes} bytes`)
+        },
+        onEnd () {
+          const fault = bodyCheck?.findFault()
+          if (fault !== undefined) return fail(EngineErrorKind.Broken, `${what}: ${fault}`)
+          deadline?.cancel()
+          resolve(Ok({ status, headers, body: new Uint8Array(received.take()) }))
+        },
+        onFail: ({ kind, message }) => fail(failureKinds[kind], `${what} failed: ${message}`)
       })
-      const body = await readBody(what, res.body, maxReplyBytes)
-      return body.map((bytes) => ({ status: res.statusCode, headers: keepEndToEndHeaders(res.headers), body: new Uint8Array(bytes) }))
-    } catch (err) {
-      return Err(deadline.toEngineError(what, err))
-    } finally {
-      deadline.clear()
-    }
+    })
   }
 
   return {
     call,
     async close () {
-      await dispatcher.destroy()
+      await pool.close()
       if (!options.timer) timer.close()
     }
   }
--- a/engine/engine.feature
+++ b/engine/engine.feature
@@ -78,3 +78,18 @@
       | a service          | 200    |
       | an engine's state  | 200    |
       | an engine's decode | 503    |
+
+  # Guards against a part of a service's answer that its caller takes for the whole, because the end of the connection was taken for its end.
+  Scenario Outline: An answer of a service without a length that <ends> ends as <result>
+    Then a service call whose answer has the type "<type>", the body "<body>" and <ends> ends as "<result>"
+
+    Examples:
+      | type                            | body                | ends                | result   |
+      | text/plain                      | a letter            | is closed in order  | answered |
+      | text/plain                      | a let               | is reset at once    | broken   |
+      | text/plain                      | a let               | is reset after 20 ms | broken  |
+      | text/event-stream               | data: a\n\n         | is closed in order  | answered |
+      | text/event-stream               | data: a\r\n\r\n     | is closed in order  | answered |
+      | text/event-stream               | data: a\n\ndata: b  | is closed in order  | broken   |
+      | Text/Event-Stream;charset=utf-8 | data: a\n\ndata: b  | is closed in order  | broken   |
+      | text/event-stream               |                     | is closed in order  | broken   |
--- a/engine/engine_test.ts
+++ b/engine/engine_test.ts
@@ -3,7 +3,8 @@
  */
 import assert from 'node:assert/strict'
 import { createServer } from 'node:http'
-import type { AddressInfo } from 'node:net'
+import { createServer as createTcpServer } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
 import { After, Given, Then, When } from '@cucumber/cucumber'
 import { Role, TierClass } from '../core/types/mod.ts'
 import { computeExpectedAnswer, EngineRole, startEngine } from '../testing/engine/mod.ts'
@@ -367,3 +368,29 @@
     assert.deepEqual({ kind, sent }, { kind: 'broken', sent: true })
     assert.ok(sentMb < Number(megabytes), `${sentMb} MB`)
   })
+
+const connectionEnds: { readonly [ends: string]: (socket: Socket) => void } = {
+  'is closed in order': (socket) => { socket.end() },
+  'is reset at once': (socket) => { socket.resetAndDestroy() },
+  'is reset after 20 ms': (socket) => { setTimeout(() => socket.resetAndDestroy(), 20) }
+}
+
+Then(/^a service call whose answer has the type "([^"]*)", the body "([^"]*)" and (is .*) ends as "(\w+)"$/,
+  async function (type: string, escaped: string, ends: string, result: string) {
+    const body = escaped.replace(/\\([rn])/g, (_, name: string) => name === 'r' ? '\r' : '\n')
+    const server = createTcpServer((socket) => {
+      socket.on('error', () => {})
+      socket.once('data', () => {
+        socket.write(`HTTP/1.1 200 OK\r\nContent-Type: ${type}\r\nConnection: close\r\n\r\n${body}`)
+        connectionEnds[ends]?.(socket)
+      })
+    })
+    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+    const service = createServiceHttp({ address: `127.0.0.1:${(server.address() as AddressInfo).port}` })
+    const reply = await service.call({ callId: 'c', method: 'GET', path: '/', headers: {}, body: new Uint8Array(), timeoutMs: 3_000 })
+    await service.close()
+    server.close()
+    assert.equal(reply.ok ? 'answered' : reply.val.kind, result)
+    if (reply.ok) assert.equal(Buffer.from(reply.val.body).toString(), body)
+    else assert.equal(reply.val.sent, true)
+  })
--- a/exchange/create_exchange_pool.ts
+++ b/exchange/create_exchange_pool.ts
@@ -22,6 +22,8 @@
   idleTimeoutMs?: number
   /** Maximum size of the response headers in bytes; 64 KiB by default. */
   maxHeaderBytes?: number
+  /** False when each exchange is to have a new connection; true by default. */
+  keepsConnections?: boolean
 }
 
 /** TCP retransmits a lost SYN after one second; waiting for the retransmission costs more than trying another server. */
@@ -112,6 +114,7 @@
     req.usedConnections?.add(connection.number)
     return runExchange(connection, req, handlers, {
       release: () => {
+        if (options.keepsConnections === false) return discard(address, connection)
         if (!connections.has(connection) || connection.isEnded || connection.isReset || connection.client.destroyed) return
         idle.set(address, [...idle.get(address) ?? [], connection])
       },
--- a/gateway/_send_to_worker.ts
+++ b/gateway/_send_to_worker.ts
@@ -2,17 +2,18 @@
  * Sends a request to one worker.
  */
 import { createPacer } from '../core/pacing/mod.ts'
+import { RequestKind } from '../core/route/mod.ts'
+import { createBodyCheck, isEventStream } from '../core/stream/mod.ts'
 import { Outcome } from '../core/types/mod.ts'
 import { FailureKind } from '../exchange/mod.ts'
 import { decodeResponseHead, encodeWorkerHeaders } from '../platform/mod.ts'
-import { carriesEvents, checkBody } from './_body_check.ts'
 import { findFraming, findLength } from './_body_headers.ts'
 import { discardBody } from './_discard_body.ts'
 import { getEarliestMs, mayStart, recordAnswer } from './_check_worker.ts'
 import type { Worker } from '../core/fleet/mod.ts'
+import type { BodyCheck } from '../core/stream/mod.ts'
 import type { Exchange, Failure } from '../exchange/mod.ts'
 import type { ResponseHead, WorkerHeaders } from '../platform/mod.ts'
-import type { BodyCheck } from './_body_check.ts'
 import type { Framing } from './_body_headers.ts'
 import type { DiscardedBody } from './_discard_body.ts'
 import type { ClientRequest, GatewayContext } from './_types.ts'
@@ -59,6 +60,8 @@
 const notRunKinds = new Set([FailureKind.Unreachable, FailureKind.Malformed, FailureKind.Withheld])
 /** Statuses that clients take for a promise that their request has not run and never will. */
 const promisingStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503])
+/** Lowest status of a response that is no success. */
+const minRefusalStatus = 300
 /** Longest delay in milliseconds, chosen at random, that is added to the time at which a client is told to come back. */
 const returnSpreadMs = 500
 
@@ -85,6 +88,12 @@
   return earliestMs === undefined ? undefined : Math.round(earliestMs + returnSpreadMs * context.random())
 }
 
+/** Tells whether a response is a stream of events: by its media type, or, when the worker states none, because its route carries streams. */
+function carriesEvents ({ route }: ClientRequest, { status, contentType }: ResponseHead): boolean {
+  if (status >= minRefusalStatus) return false
+  return contentType === undefined ? route.kind === RequestKind.Streaming : isEventStream(contentType)
+}
+
 /** Sends a request to a worker, with the given headers, the id of the worker and the remaining time. */
 export function sendToWorker (
   context: GatewayContext, request: ClientRequest, worker: Worker, added: Omit<WorkerHeaders, 'workerId' | 'deadlineMs'>, handlers: SendHandlers
@@ -97,7 +106,7 @@
   const headers = [...request.head.forwarded, ...callerHeaders, ...encodeWorkerHeaders({ ...added, workerId: worker.entry.id, deadlineMs, organisation })]
   /** A response of which only the head counts; undefined when the response is passed on. */
   let unused: { body: DiscardedBody, report: () => void } | undefined
-  let body: BodyCheck | undefined
+  let bodyCheck: BodyCheck | undefined
   worker.inFlight++
 
   /** Tells whether the request may still go out under the name that its headers have; the key may be withdrawn while a connection is opened. */
@@ -142,8 +151,8 @@
         return true
       }
       if (head.hasContentEncoding) return false
-      const hasEvents = carriesEvents(request, head, added.prefill === true)
-      body = checkBody({ hasEvents, isCloseDelimited, lengthBytes: findLength(raw) })
+      const hasEvents = added.prefill !== true && carriesEvents(request, head)
+      bodyCheck = createBodyCheck({ hasEvents, isCloseDelimited, lengthBytes: findLength(raw) })
       handlers.onHead({ ...head, isCloseDelimited, framing: findFraming(raw, isCloseDelimited), hasEvents, connection })
       return true
     },
@@ -152,7 +161,7 @@
         unused.body.add(chunk)
         return
       }
-      const passed = body?.add(chunk) ?? chunk
+      const passed = bodyCheck?.add(chunk) ?? chunk
       if (passed.length > 0) handlers.onData(passed)
     },
     onEnd () {
@@ -161,7 +170,7 @@
         finishUnused()
         return
       }
-      const fault = body?.findFault()
+      const fault = bodyCheck?.findFault()
       if (fault === undefined) handlers.onEnd()
       else handlers.onLost({ reason: fault, hasEndedInOrder: true })
     },
@@ -178,7 +187,7 @@
   })
   return {
     ...exchange,
-    partialEventBytes: () => body?.partialBytes() ?? 0,
+    partialEventBytes: () => bodyCheck?.partialBytes() ?? 0,
     abort () {
       unused?.body.cancel()
       decrementInFlight()
