Count a worker as leaving from when its view was last complete

Cause: a request that has its place at a worker may go there until the drain time is over, and that was counted from when this process learned of the leaving. While the readers of the store are silent, it learns of it up to 2.2 s after the store's answer. The same holds for a removal, which moreover counted from the end of the time in which a live worker writes its entry again.

A change that is known now was taken by the store at the earliest when the view was last known to be complete, so the worker counts as leaving from then on. What is not sent any more is refused as not run, or goes to another worker.

--- a/directory/_worker_records.ts
+++ b/directory/_worker_records.ts
@@ -18,6 +18,8 @@
   reregistrationMs: number
   /** Returns the time in milliseconds at which the store is last known to have failed. */
   lastFailureMs (): number
+  /** Returns the time in milliseconds since all changes of the store were known. */
+  viewAgeMs (): number
   onRecordPassedOver (reason: PassedOver): void
 }
 
@@ -49,16 +51,19 @@
   /** Entries of a restored store that are older than what is known, until the worker had time to write again. */
   const held = new Map<string, Subscription>()
 
-  function removeWorker (id: string): void {
+  /** Returns the earliest time at which the store can have taken a change that is known now: its view was complete until then. */
+  function earliestMs (): number { return timer.now() - options.viewAgeMs() }
+
+  function removeWorker (id: string, sinceMs: number): void {
     removals.get(id)?.cancel()
     const waitMs = options.lastFailureMs() + reregistrationMs - timer.now()
     if (waitMs <= 0) {
-      fleet.remove(id, timer.now())
+      fleet.remove(id, sinceMs)
       log.info({ worker: id }, 'worker gone')
       return
     }
     // Entries expire while the store is unavailable, and a restored store lacks some; live workers write them again soon afterwards.
-    removals.set(id, timer.after(waitMs, () => removeWorker(id)))
+    removals.set(id, timer.after(waitMs, () => removeWorker(id, sinceMs)))
   }
 
   function markGone (id: string, era: number): void {
@@ -71,7 +76,7 @@
   function upsert (id: string, entry: WorkerEntry, era: number): void {
     removals.get(id)?.cancel()
     const before = fleet.get(id)?.entry
-    fleet.upsert(entry, timer.now())
+    fleet.upsert(entry, earliestMs())
     latest.set(id, { entry, era })
     if (before?.state !== entry.state || before.stage !== entry.stage || before.bornMs !== entry.bornMs) {
       log.info({ worker: id, service: entry.service, address: entry.address, state: entry.state, stage: entry.stage }, 'worker')
@@ -110,7 +115,7 @@
       held.delete(id)
       if (entry === undefined) {
         if (change.value !== null) log.warn({ worker: id, revision: change.revision }, 'entry cannot be read')
-        if (fleet.get(id) !== undefined) removeWorker(id)
+        if (fleet.get(id) !== undefined) removeWorker(id, earliestMs())
         markGone(id, era)
         return
       }
--- a/directory/create_directory.ts
+++ b/directory/create_directory.ts
@@ -60,7 +60,7 @@
   let toldFailureMs = -Infinity
   const startedMs = timer.now()
   let failure: string | undefined
-  const workers = createWorkerRecords({ fleet, timer, log, reregistrationMs, lastFailureMs: () => lastFailureMs, onRecordPassedOver })
+  const workers = createWorkerRecords({ fleet, timer, log, reregistrationMs, lastFailureMs: () => lastFailureMs, viewAgeMs, onRecordPassedOver })
 
   function onRecordPassedOver (reason: PassedOver): void { options.onRecordPassedOver?.(reason) }
 
@@ -137,6 +137,10 @@
     failure = message
   }
 
+  function viewAgeMs (): number {
+    return Math.max(0, ...tracker.state(timer.now())?.agesMs ?? [timer.now() - startedMs])
+  }
+
   function failureAgeMs (): number | undefined {
     const ageMs = timer.now() - lastFailureMs
     return ageMs < reregistrationMs ? ageMs : undefined
@@ -216,7 +220,7 @@
     },
     position: records.position,
     storeEra: () => tracker.era(),
-    ageMs: () => Math.max(0, ...tracker.state(timer.now())?.agesMs ?? [timer.now() - startedMs]),
+    ageMs: viewAgeMs,
     describeRules: () => describeRules({ table, tracker, index: 0, isCovered: watches[0]?.isSuspended() === true, nowMs: timer.now() }),
     setReader (next) {
       if (next === isReader) return
--- a/directory/share_view.feature
+++ b/directory/share_view.feature
@@ -33,6 +33,20 @@
       | cut off by the store |
       | refused by the store |
 
+  # Guards against requests that are sent to a worker when its drain time is over, because a process counts that from when it has learned of it.
+  Scenario Outline: A worker that <what> while the readers are silent counts as leaving from before the store's answer on
+    Given the worker "i-1" in the view stores
+    When 3500 ms pass at the view
+    And all view readers are cut off by the store
+    And the worker "i-1" <what> in the view stores
+    Then all view followers know within <ms> ms that "i-1" leaves, and count from at most 1500 ms before the store's answer on
+
+    # A removal takes effect when the worker had time to write its entry again.
+    Examples:
+      | what       | ms   |
+      | drains     | 2500 |
+      | is removed | 5000 |
+
   Scenario: Followers that the store refuses learn changes from the readers
     When 3500 ms pass at the view
     And the second view store is "busy"
--- a/directory/share_view_test.ts
+++ b/directory/share_view_test.ts
@@ -11,6 +11,7 @@
 import { findFreePort } from '../testing/ports/mod.ts'
 import { createDirectory, shareView, syncRecords } from './mod.ts'
 import type { AddressInfo, Server, Socket } from 'node:net'
+import type { Worker } from '../core/fleet/mod.ts'
 import type { FakeStore } from '../testing/fleuve/mod.ts'
 import type { Timer } from '../timer/mod.ts'
 import type { Log } from '../log/mod.ts'
@@ -30,6 +31,8 @@
   countedFrom: number[]
   slowLink?: SlowLink
   slowFollower?: Process
+  /** Time in milliseconds at which the store has taken the word that a worker leaves, and the worker as each process knows it. */
+  leaving?: { atMs: number, workers: Map<Process, Worker> }
   seedAddress?: string
   syncs?: RecordSync[]
 }
@@ -217,6 +220,28 @@
 
 When('the worker {string} is removed from the view stores', function (this: World, id: string) { removeFromAll(this, `servers/${id}`) })
 
+When(/^the worker "([^"]*)" (drains|is removed) in the view stores$/, function (this: World, id: string, what: string) {
+  const workers = new Map(this.processes.flatMap((process) => {
+    const worker = process.directory.fleet.get(id)
+    return worker === undefined ? [] : [[process, worker] as const]
+  }))
+  this.leaving = { atMs: this.viewTimer.now(), workers }
+  if (what === 'drains') writeToAll(this, `servers/${id}`, entryOf(id).replace('"ready"', '"draining"'))
+  else removeFromAll(this, `servers/${id}`)
+})
+
+Then('all view followers know within {int} ms that {string} leaves, and count from at most {int} ms before the store\'s answer on',
+  async function (this: World, ms: number, id: string, earlyMs: number) {
+    const { atMs, workers } = this.leaving ?? assert.fail('no worker leaves')
+    const followers = this.processes.filter(({ isReader }) => !isReader).map((process) => workers.get(process) ?? assert.fail(`a follower does not know ${id}`))
+    const sinceMs = ({ drainingSinceMs, goneSinceMs }: Worker): number | undefined => drainingSinceMs ?? goneSinceMs
+    await until(() => followers.every((worker) => sinceMs(worker) !== undefined), ms, `the leaving of ${id}`)
+    for (const worker of followers) {
+      const afterMs = (sinceMs(worker) as number) - atMs
+      assert.ok(afterMs <= 0 && afterMs >= -earlyMs, `it counts from ${Math.round(afterMs)} ms after the store's answer on`)
+    }
+  })
+
 When('the worker {string} is removed from the view stores while they forget their history', function (this: World, id: string) {
   for (const store of this.viewStores) store.setMode(StoreMode.Silent)
   removeFromAll(this, `servers/${id}`)
